--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -0,0 +1,193 @@
+package io.dotterelcrank.connection;
+
+import java.util.List;
+
+import io.dotterelcrank.request.Call;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Generation;
+import io.dotterelcrank.request.Reply;
+import io.dotterelcrank.version.Configuration;
+
+/**
+ * What an entry host and a sidecar say to each other. All messages are immutable.
+ */
+public sealed interface Message {
+
+	/**
+	 * First message of the side that opened the connection.
+	 *
+	 * @param process name of the process
+	 * @param incarnation start time of the process in milliseconds, unique per process
+	 * name
+	 * @param session number of the session; a newer session fences all older ones of the
+	 * same process and incarnation
+	 * @param dataCentre data centre of the process
+	 */
+	record Hello(String process, long incarnation, long session, String dataCentre) implements Message {
+	}
+
+	/**
+	 * Answer of the sidecar to {@link Hello}.
+	 *
+	 * @param target name of the target
+	 * @param incarnation start time of the sidecar in milliseconds
+	 * @param load load of the target
+	 */
+	record Welcome(String target, long incarnation, Load load) implements Message {
+	}
+
+	/**
+	 * Asks for a generation.
+	 *
+	 * @param generation the request
+	 */
+	record Generate(Generation generation) implements Message {
+	}
+
+	/**
+	 * Continues a generation on this session, whichever session started it.
+	 *
+	 * @param id id of the generation
+	 * @param workspace workspace of the caller
+	 * @param fromIndex index of the first token wanted
+	 * @param neverStart whether the sidecar must refuse the attempt for ever if it does
+	 * not know it
+	 */
+	record Resume(String id, String workspace, int fromIndex, boolean neverStart) implements Message {
+	}
+
+	/**
+	 * Tells how far the caller has read.
+	 *
+	 * @param id id of the generation
+	 * @param nextIndex index of the first token not read yet
+	 */
+	record Acknowledge(String id, int nextIndex) implements Message {
+	}
+
+	/**
+	 * Gives a request up. The sidecar answers with the request's end.
+	 *
+	 * @param id id of the attempt
+	 */
+	record Cancel(String id) implements Message {
+	}
+
+	/**
+	 * Asks for a place, without running anything yet.
+	 *
+	 * @param id id of the attempt
+	 * @param service plain service wanted
+	 * @param workspace workspace of the caller
+	 */
+	record Reserve(String id, String service, String workspace) implements Message {
+	}
+
+	/**
+	 * Grants a place.
+	 *
+	 * @param id id of the attempt
+	 */
+	record Reserved(String id) implements Message {
+	}
+
+	/**
+	 * Asks for a call to a plain service.
+	 *
+	 * @param call the request
+	 */
+	record Invoke(Call call) implements Message {
+	}
+
+	/**
+	 * Asks what became of a call sent on an older session.
+	 *
+	 * @param id id of the attempt
+	 */
+	record Resolve(String id) implements Message {
+	}
+
+	/**
+	 * Answer of a plain service.
+	 *
+	 * @param id id of the attempt
+	 * @param reply the answer
+	 * @param load load of the target
+	 */
+	record Answer(String id, Reply reply, Load load) implements Message {
+	}
+
+	/**
+	 * Another target holds the claim on the call's key.
+	 *
+	 * @param id id of the attempt
+	 * @param target name of the target that holds the claim
+	 * @param done whether the log says that the call ran to its end
+	 */
+	record ClaimedElsewhere(String id, String target, boolean done) implements Message {
+	}
+
+	/**
+	 * The engine has started the generation.
+	 *
+	 * @param id id of the generation
+	 */
+	record Started(String id) implements Message {
+	}
+
+	/**
+	 * Tokens of a generation.
+	 *
+	 * @param id id of the generation
+	 * @param firstIndex index of the first token
+	 * @param tokens texts of the tokens
+	 */
+	record Tokens(String id, int firstIndex, List<String> tokens) implements Message {
+	}
+
+	/**
+	 * End of a generation whose tokens are all sent.
+	 *
+	 * @param id id of the generation
+	 * @param count number of tokens in the whole generation
+	 * @param reason why it ended: {@code stop} or {@code length}
+	 * @param load load of the target
+	 */
+	record Finished(String id, int count, String reason, Load load) implements Message {
+	}
+
+	/**
+	 * A request failed.
+	 *
+	 * @param id id of the attempt
+	 * @param failure how it failed
+	 * @param load load of the target
+	 */
+	record Failed(String id, Failure failure, Load load) implements Message {
+	}
+
+	/**
+	 * Keeps an idle connection alive and carries the load.
+	 *
+	 * @param load load of the sender; {@link Load#NONE} from entry hosts
+	 * @param configurationAgeMillis time since the sender's configuration was known to be
+	 * the newest one, in milliseconds
+	 */
+	record Heartbeat(Load load, long configurationAgeMillis) implements Message {
+	}
+
+	/**
+	 * Asks for the configuration in force at the peer.
+	 */
+	record AskConfiguration() implements Message {
+	}
+
+	/**
+	 * Answers {@link AskConfiguration}.
+	 *
+	 * @param configuration configuration in force at the sender
+	 */
+	record TellConfiguration(Configuration configuration) implements Message {
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
@@ -0,0 +1,96 @@
+package io.dotterelcrank.connection;
+
+import java.io.IOException;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.jackson.dataformat.JsonArrayFormat;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Turns messages into MessagePack and back. A frame's content is three values: type
+ * number, configuration version of the sender, and the message's fields as an array.
+ * Thread-safe.
+ */
+public final class MessageCodec {
+
+	/** Message types; the position is the type number, so entries are only appended. */
+	private static final List<Class<? extends Message>> TYPES = List.of(Message.Hello.class, Message.Welcome.class,
+			Message.Generate.class, Message.Resume.class, Message.Acknowledge.class, Message.Cancel.class,
+			Message.Reserve.class, Message.Reserved.class, Message.Invoke.class, Message.Resolve.class,
+			Message.Answer.class, Message.ClaimedElsewhere.class, Message.Started.class, Message.Tokens.class,
+			Message.Finished.class, Message.Failed.class, Message.Heartbeat.class, Message.AskConfiguration.class,
+			Message.TellConfiguration.class);
+
+	/** Writes and reads records as arrays. */
+	private final ObjectMapper mapper;
+
+	private MessageCodec(ObjectMapper mapper) {
+		this.mapper = mapper;
+	}
+
+	/**
+	 * Creates a codec.
+	 * @return a new codec
+	 */
+	public static MessageCodec create() {
+		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+		mapper.setAnnotationIntrospector(new JsonArrayFormat());
+		mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+		mapper.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
+		return new MessageCodec(mapper);
+	}
+
+	/**
+	 * Encodes a frame's content.
+	 * @param message the message
+	 * @param version configuration version of the sender
+	 * @return the content, without the length
+	 * @throws IOException if the message cannot be encoded
+	 */
+	public byte[] encode(Message message, long version) throws IOException {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packInt(TYPES.indexOf(message.getClass()));
+			packer.packLong(version);
+			packer.addPayload(this.mapper.writeValueAsBytes(message));
+			return packer.toByteArray();
+		}
+	}
+
+	/**
+	 * Decodes a frame's content.
+	 * @param content the content, without the length
+	 * @return message and version
+	 * @throws IOException if the content is malformed
+	 */
+	public Envelope decode(byte[] content) throws IOException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(content)) {
+			int type = unpacker.unpackInt();
+			long version = unpacker.unpackLong();
+			int start = Math.toIntExact(unpacker.getTotalReadBytes());
+			if (type < 0 || type >= TYPES.size()) {
+				throw new IOException("unknown message type " + type);
+			}
+			Message message = this.mapper.readValue(content, start, content.length - start, TYPES.get(type));
+			return new Envelope(version, message);
+		}
+		catch (RuntimeException ex) {
+			throw new IOException("malformed frame", ex);
+		}
+	}
+
+	/**
+	 * A message together with its sender's configuration version. Immutable.
+	 *
+	 * @param version configuration version of the sender
+	 * @param message the message
+	 */
+	public record Envelope(long version, Message message) {
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/Threads.java
@@ -0,0 +1,13 @@
+package io.dotterelcrank.process;
+
+import java.util.concurrent.Executor;
+
+/**
+ * Time and threads of a process. Immutable.
+ *
+ * @param clock clock of the process
+ * @param scheduler runs the decisions
+ * @param io runs the calls, which block
+ */
+public record Threads(Clock clock, Scheduler scheduler, Executor io) {
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/MemoryForecast.java
@@ -0,0 +1,58 @@
+package io.dotterelcrank.process.admission;
+
+import java.util.Collection;
+
+/**
+ * Forecasts the memory that running generations will hold. For a number of steps ahead, a
+ * generation holds its prompt, its output so far and one token a step, if it still runs
+ * then; the forecast is the mean over all generations plus a multiple of the standard
+ * deviation. Stateless.
+ */
+final class MemoryForecast {
+
+	/** Standard deviations above the mean. */
+	static final double DEVIATIONS = 2;
+
+	/** First number of steps ahead that is looked at, after 0. */
+	private static final double FIRST_STEPS = 8;
+
+	/** Factor between the numbers of steps looked at. */
+	private static final double STEPS_FACTOR = 1.6;
+
+	/** Largest number of steps ahead that is looked at. */
+	private static final double LAST_STEPS = 40_000;
+
+	private MemoryForecast() {
+	}
+
+	/**
+	 * Returns the largest forecast over all numbers of steps ahead.
+	 * @param running the running generations
+	 * @param candidate one more generation
+	 * @return memory in tokens
+	 */
+	static double peak(Collection<Running> running, Running candidate) {
+		double peak = at(running, candidate, 0);
+		for (double steps = FIRST_STEPS; steps < LAST_STEPS; steps *= STEPS_FACTOR) {
+			peak = Math.max(peak, at(running, candidate, steps));
+		}
+		return peak;
+	}
+
+	private static double at(Collection<Running> running, Running candidate, double steps) {
+		double mean = 0;
+		double variance = 0;
+		for (Running generation : running) {
+			double probability = generation.stillRunning(steps);
+			double tokens = generation.memoryTokens() + steps;
+			mean += tokens * probability;
+			variance += tokens * tokens * probability * (1 - probability);
+		}
+		double probability = candidate.stillRunning(steps);
+		double tokens = candidate.memoryTokens() + steps;
+		mean += tokens * probability;
+		variance += tokens * tokens * probability * (1 - probability);
+		return mean + DEVIATIONS * Math.sqrt(variance);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
@@ -0,0 +1,222 @@
+package io.dotterelcrank.process.admission;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What a sidecar knows about its target. Not thread-safe; belongs to the control thread.
+ */
+public final class TargetState {
+
+	/** Generations and calls admitted here, by id. */
+	private final Map<String, Running> running = new HashMap<>();
+
+	/** Number of admitted requests by workspace. */
+	private final Map<String, Integer> byWorkspace = new HashMap<>();
+
+	/** Learns output lengths. */
+	private final LengthEstimator lengths = LengthEstimator.create();
+
+	/** Learns step times. */
+	private final StepTimeModel steps = StepTimeModel.create();
+
+	/** Notices a target that turned cold. */
+	private final ColdDetector detector = ColdDetector.create();
+
+	/** Limit while warming up. */
+	private final Ramp ramp;
+
+	/** Size of the engine's memory in tokens; 0 while unknown. */
+	private long memoryTokens;
+
+	/** Memory held by generations that this sidecar did not admit, in tokens. */
+	private long foreignTokens;
+
+	/** Number of generations that this sidecar did not admit. */
+	private int foreignRunning;
+
+	/** Step time observed last, in milliseconds. */
+	private double stepMillis;
+
+	private TargetState(Ramp ramp) {
+		this.ramp = ramp;
+	}
+
+	/**
+	 * Creates the state of a target about which nothing is known.
+	 * @param coldLimit limit of a cold target
+	 * @return a new state
+	 */
+	public static TargetState unknown(int coldLimit) {
+		return new TargetState(Ramp.cold(coldLimit));
+	}
+
+	/**
+	 * Takes in an admitted request.
+	 * @param candidate the request
+	 */
+	public void admitted(Candidate candidate) {
+		this.running.put(candidate.id(), Running.of(candidate, this.lengths.distribution(candidate.workspace())));
+		this.byWorkspace.merge(candidate.workspace(), 1, Integer::sum);
+	}
+
+	/**
+	 * Takes in progress of a generation.
+	 * @param id id of the generation
+	 * @param produced output tokens so far
+	 */
+	public void progressed(String id, int produced) {
+		Running generation = this.running.get(id);
+		if (generation != null) {
+			this.ramp.produced(generation.produced(produced));
+		}
+	}
+
+	/**
+	 * Takes in the end of a request.
+	 * @param id id of the request
+	 * @param complete whether it ran to its end, so that its length teaches something
+	 */
+	public void ended(String id, boolean complete) {
+		Running generation = this.running.remove(id);
+		if (generation == null) {
+			return;
+		}
+		this.byWorkspace.computeIfPresent(generation.workspace(), (name, count) -> (count > 1) ? count - 1 : null);
+		if (complete && generation.mostMemoryTokens() > 0) {
+			this.lengths.learn(generation.workspace(), generation.produced());
+		}
+		else if (complete) {
+			this.ramp.completed();
+		}
+	}
+
+	/**
+	 * Takes in a load report of the engine.
+	 * @param total size of the memory in tokens
+	 * @param foreignUsed memory of generations not admitted here, in tokens
+	 * @param foreignCount number of generations not admitted here
+	 */
+	public void reported(long total, long foreignUsed, int foreignCount) {
+		this.memoryTokens = total;
+		this.foreignTokens = foreignUsed;
+		this.foreignRunning = foreignCount;
+	}
+
+	/**
+	 * Takes in a step time. Steps of a cold target do not teach the model.
+	 * @param batch number of running generations
+	 * @param millis duration of the step in milliseconds
+	 * @return whether this step shows that the target turned cold
+	 */
+	public boolean stepObserved(int batch, double millis) {
+		this.stepMillis = millis;
+		double expected = this.ramp.warm() ? this.steps.predict(batch) : 0;
+		ColdDetector.Finding finding = this.detector.observe(expected, millis);
+		if (finding == ColdDetector.Finding.NORMAL) {
+			this.steps.learn(batch, millis);
+		}
+		if (finding == ColdDetector.Finding.TURNED_COLD) {
+			this.ramp.restart();
+		}
+		return finding == ColdDetector.Finding.TURNED_COLD;
+	}
+
+	/**
+	 * Starts the ramp again, since the target restarted or came back.
+	 */
+	public void restarted() {
+		this.ramp.restart();
+	}
+
+	/**
+	 * Returns the number of requests at the target.
+	 * @return admitted here or by a predecessor
+	 */
+	public int count() {
+		return this.running.size() + this.foreignRunning;
+	}
+
+	/**
+	 * Returns the number of requests of a workspace.
+	 * @param workspace the workspace
+	 * @return number of admitted requests
+	 */
+	public int count(String workspace) {
+		return this.byWorkspace.getOrDefault(workspace, 0);
+	}
+
+	/**
+	 * Returns the number of workspaces with admitted requests.
+	 * @return number of workspaces
+	 */
+	public int workspaceCount() {
+		return this.byWorkspace.size();
+	}
+
+	/**
+	 * Returns the admitted requests.
+	 * @return a view
+	 */
+	public Collection<Running> running() {
+		return this.running.values();
+	}
+
+	/**
+	 * Returns the size of the engine's memory.
+	 * @return size in tokens; 0 while unknown
+	 */
+	public long memoryTokens() {
+		return this.memoryTokens;
+	}
+
+	/**
+	 * Returns the memory that this sidecar does not manage.
+	 * @return size in tokens
+	 */
+	public long foreignTokens() {
+		return this.foreignTokens;
+	}
+
+	/**
+	 * Returns the memory held by requests admitted here.
+	 * @return prompts and outputs so far, in tokens
+	 */
+	public long ownTokens() {
+		return this.running.values().stream().mapToLong(Running::memoryTokens).sum();
+	}
+
+	/**
+	 * Returns the estimator of output lengths.
+	 * @return the estimator
+	 */
+	public LengthEstimator lengths() {
+		return this.lengths;
+	}
+
+	/**
+	 * Returns the model of step times.
+	 * @return the model
+	 */
+	public StepTimeModel steps() {
+		return this.steps;
+	}
+
+	/**
+	 * Returns the last step time.
+	 * @return duration in milliseconds; 0 before the first step
+	 */
+	public double stepMillis() {
+		return this.stepMillis;
+	}
+
+	/**
+	 * Returns the ramp.
+	 * @return limit while warming up
+	 */
+	public Ramp ramp() {
+		return this.ramp;
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions of a sidecar on how much work its target takes.
+ */
+package io.dotterelcrank.process.admission;
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallCaller.java
@@ -0,0 +1,23 @@
+package io.dotterelcrank.process.entry;
+
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Reply;
+
+/**
+ * The caller of a plain service. Called once, on the control thread; must not block.
+ */
+public interface CallCaller {
+
+	/**
+	 * The service answered.
+	 * @param reply the answer
+	 */
+	void answered(Reply reply);
+
+	/**
+	 * The request failed.
+	 * @param failure how it failed
+	 */
+	void failed(Failure failure);
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -0,0 +1,401 @@
+package io.dotterelcrank.process.entry;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.connection.Load;
+import io.dotterelcrank.connection.PeerExchange;
+import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.process.LogEvent;
+import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.process.Threads;
+import io.dotterelcrank.process.platform.HostList;
+import io.dotterelcrank.process.platform.LogClient;
+import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.process.routing.RetryBudget;
+import io.dotterelcrank.process.routing.RoutingPolicy;
+import io.dotterelcrank.request.Call;
+import io.dotterelcrank.request.EventId;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Generation;
+import io.dotterelcrank.request.ResultCode;
+import io.dotterelcrank.version.ConfigurationFeed;
+import io.dotterelcrank.version.ConfigurationHolder;
+import io.dotterelcrank.version.Setting;
+import io.dotterelcrank.version.Subject;
+
+/**
+ * An entry process: takes callers' requests and brings them to targets. Keeps nothing
+ * that must outlast it. Methods for callers may be called on any thread; all state
+ * belongs to the control thread.
+ */
+public final class Entry {
+
+	/** Time between readings of the host list, in milliseconds. */
+	static final long HOST_LIST_MILLIS = 2_000;
+
+	/** Time between checks for silent links, in milliseconds. */
+	static final long CHECK_MILLIS = 500;
+
+	/** Time within which a target must be reached, in milliseconds. */
+	static final long CONNECT_LIMIT_MILLIS = 1_500;
+
+	/** Time between checks whether a planned stop is complete, in milliseconds. */
+	private static final long LEAVE_CHECK_MILLIS = 100;
+
+	/** Base in which ids are written. */
+	private static final int ID_BASE = 36;
+
+	/** Logger of the class. */
+	private static final Logger logger = LoggerFactory.getLogger(Entry.class);
+
+	/** Who this process is. */
+	private final EntryIdentity identity;
+
+	/** Configuration in force. */
+	private final ConfigurationHolder holder;
+
+	/** Keeps the configuration up to date. */
+	private final ConfigurationFeed feed;
+
+	/** The host list. */
+	private final HostList hostList;
+
+	/** Clock and threads. */
+	private final Threads threads;
+
+	/** Configuration exchange with the sidecars. */
+	private final PeerExchange exchange;
+
+	/** The targets known. */
+	private final Targets targets;
+
+	/** Bounds retries. */
+	private final RetryBudget retryBudget = RetryBudget.full();
+
+	/** Requests that have not ended. */
+	private final Set<Attempt> open = new HashSet<>();
+
+	/** Requests so far. */
+	private final Counter requests = new Counter();
+
+	/** Number of ids given out. */
+	private long ids;
+
+	/** Whether the host list has been read once. */
+	private volatile boolean listRead;
+
+	/** Whether a planned stop has begun. */
+	private volatile boolean leaving;
+
+	private Entry(EntryIdentity identity, HostList hostList, Platform platform, RoutingPolicy policy,
+			Transport transport, Threads threads) {
+		this.identity = identity;
+		this.holder = platform.holder();
+		this.hostList = hostList;
+		this.threads = threads;
+		this.feed = ConfigurationFeed.of(identity.name(), platform.log(), platform.holder(), threads.clock(),
+				threads.scheduler(), threads.io(), this::entryHosts);
+		this.exchange = PeerExchange.start(platform.holder(), this.feed, () -> Load.NONE, threads.clock(),
+				threads.scheduler());
+		this.targets = new Targets(identity, platform.holder(), policy, transport, this.exchange, threads);
+	}
+
+	/**
+	 * Starts an entry process.
+	 * @param identity who it is
+	 * @param hostList the host list
+	 * @param platform log and configuration
+	 * @param policy chooses targets
+	 * @param transport opens connections
+	 * @param threads clock and threads
+	 * @return a running entry process
+	 */
+	public static Entry start(EntryIdentity identity, HostList hostList, Platform platform, RoutingPolicy policy,
+			Transport transport, Threads threads) {
+		Entry entry = new Entry(identity, hostList, platform, policy, transport, threads);
+		entry.feed.start();
+		threads.scheduler().execute(entry::readHostList);
+		threads.scheduler().repeat(CHECK_MILLIS, entry.targets::check);
+		return entry;
+	}
+
+	private List<String> entryHosts() {
+		return (this.targets != null) ? this.targets.entryHosts() : List.of(this.identity.name());
+	}
+
+	private void readHostList() {
+		this.threads.io().execute(() -> {
+			try {
+				List<HostList.Host> hosts = this.hostList.hosts();
+				this.threads.scheduler().execute(() -> {
+					this.targets.listed(hosts);
+					this.listRead = true;
+				});
+			}
+			catch (PlatformException ex) {
+				LogEvent.HOST_LIST_UNREADABLE.log(logger, ex.getMessage());
+			}
+			this.threads.scheduler().schedule(HOST_LIST_MILLIS, this::readHostList);
+		});
+	}
+
+	/**
+	 * Starts a generation.
+	 * @param request the request; its id is ignored
+	 * @param caller hears tokens and end
+	 * @return handle of the caller
+	 */
+	public Handle generate(Generation request, GenerationCaller caller) {
+		return submit(() -> new GenerationRequest(this, request, caller), GenerationRequest::start, caller::failed);
+	}
+
+	/**
+	 * Continues a generation that a caller read before, perhaps through another entry
+	 * host.
+	 * @param request workspace and deadline of the caller
+	 * @param last id of the last event that the caller received
+	 * @param caller hears tokens and end
+	 * @return handle of the caller
+	 */
+	public Handle continueAfter(Generation request, EventId last, GenerationCaller caller) {
+		return submit(() -> new GenerationRequest(this, request, caller), (started) -> started.continueAfter(last),
+				caller::failed);
+	}
+
+	private Handle submit(Supplier<GenerationRequest> request, Consumer<GenerationRequest> start,
+			Consumer<Failure> refusal) {
+		Handle handle = new Handle();
+		this.threads.scheduler().execute(() -> {
+			Failure refused = refusal();
+			if (refused != null) {
+				refusal.accept(refused);
+				return;
+			}
+			accepted();
+			GenerationRequest created = request.get();
+			handle.request = created;
+			this.open.add(created);
+			start.accept(created);
+		});
+		return handle;
+	}
+
+	/**
+	 * Sends a call to a plain service.
+	 * @param call the call; its id is ignored
+	 * @param caller hears the end
+	 */
+	public void call(Call call, CallCaller caller) {
+		this.threads.scheduler().execute(() -> {
+			Failure refused = refusal();
+			if (refused != null) {
+				caller.failed(refused);
+				return;
+			}
+			accepted();
+			CallRequest request = new CallRequest(this, call, caller);
+			this.open.add(request);
+			request.start();
+		});
+	}
+
+	private void accepted() {
+		this.requests.inc();
+		this.retryBudget.request(this.holder.current().value(Setting.RETRY_BUDGET_PERCENT, Subject.FLEET));
+	}
+
+	private Failure refusal() {
+		return ready() ? null : Failure.notRun(ResultCode.NOT_READY, "this entry host knows no configuration yet");
+	}
+
+	/**
+	 * Tells whether requests can be taken.
+	 * @return {@code true} once configuration and host list are known
+	 */
+	public boolean ready() {
+		return this.holder.ready() && this.listRead;
+	}
+
+	/**
+	 * Begins a planned stop. Requests are still taken, since the balancer may not have
+	 * noticed yet; {@link #leaving} tells it.
+	 */
+	public void announceLeaving() {
+		this.leaving = true;
+		LogEvent.PROCESS_LEAVING.log(logger, this.identity.name(), dump().open());
+	}
+
+	/**
+	 * Waits until all requests have ended.
+	 * @return complete when none is open
+	 */
+	public CompletableFuture<Void> drained() {
+		CompletableFuture<Void> drained = new CompletableFuture<>();
+		this.threads.scheduler().execute(() -> checkDrained(drained));
+		return drained;
+	}
+
+	private void checkDrained(CompletableFuture<Void> drained) {
+		if (this.open.isEmpty()) {
+			drained.complete(null);
+			return;
+		}
+		this.threads.scheduler().schedule(LEAVE_CHECK_MILLIS, () -> checkDrained(drained));
+	}
+
+	/**
+	 * Tells whether a planned stop has begun.
+	 * @return {@code true} if the balancer should send nothing more
+	 */
+	public boolean leaving() {
+		return this.leaving;
+	}
+
+	Clock clock() {
+		return this.threads.clock();
+	}
+
+	Scheduler scheduler() {
+		return this.threads.scheduler();
+	}
+
+	Targets targets() {
+		return this.targets;
+	}
+
+	RetryBudget retryBudget() {
+		return this.retryBudget;
+	}
+
+	long connectLimitMillis() {
+		return CONNECT_LIMIT_MILLIS;
+	}
+
+	String nextId() {
+		return this.identity.name() + '-' + Long.toString(this.identity.incarnation(), ID_BASE) + '-'
+				+ Long.toString(++this.ids, ID_BASE);
+	}
+
+	void ended(Attempt request) {
+		this.open.remove(request);
+	}
+
+	/**
+	 * Registers the metrics of this process.
+	 * @param metrics takes the metrics
+	 */
+	public void register(MetricRegistry metrics) {
+		metrics.register("entry.requests", this.requests);
+		metrics.register("entry.open", (Gauge<Integer>) () -> dump().open());
+		metrics.register("entry.links", (Gauge<Integer>) () -> dump().links());
+		metrics.register("entry.configuration-age-millis", (Gauge<Long>) this.feed::ageMillis);
+	}
+
+	/**
+	 * Returns the state of the process. Waits for the control thread.
+	 * @return what a dump shows
+	 */
+	public Dump dump() {
+		CompletableFuture<Dump> dump = new CompletableFuture<>();
+		this.threads.scheduler().execute(() -> dump.complete(takeDump()));
+		return dump.join();
+	}
+
+	private Dump takeDump() {
+		Function<TargetLink, TargetDump> view = (target) -> new TargetDump(target.host().name(),
+				target.host().dataCentre(), target.open(), target.session(), target.outstanding(), target.load());
+		return new Dump(this.identity, this.holder.current().version(), this.feed.ageMillis(), ready(), this.leaving,
+				this.open.size(), this.exchange.linkCount(), this.requests.getCount(),
+				this.targets.all().stream().map(view).toList());
+	}
+
+	/**
+	 * Log and configuration of a process. Immutable.
+	 *
+	 * @param log the log
+	 * @param holder configuration in force
+	 */
+	public record Platform(LogClient log, ConfigurationHolder holder) {
+	}
+
+	/**
+	 * State of an entry process. Immutable.
+	 *
+	 * @param identity who it is
+	 * @param configurationVersion version in force
+	 * @param configurationAgeMillis time since it was known to be the newest, in
+	 * milliseconds
+	 * @param ready whether requests can be taken
+	 * @param leaving whether a planned stop has begun
+	 * @param open requests that have not ended
+	 * @param links open links to sidecars
+	 * @param requests requests so far
+	 * @param targets targets known
+	 */
+	public record Dump(EntryIdentity identity, long configurationVersion, long configurationAgeMillis, boolean ready,
+			boolean leaving, int open, int links, long requests, List<TargetDump> targets) {
+	}
+
+	/**
+	 * State of one target as an entry process sees it. Immutable.
+	 *
+	 * @param name name of the target
+	 * @param dataCentre its data centre
+	 * @param open whether a session is open
+	 * @param session number of the session
+	 * @param outstanding requests at the target
+	 * @param load load told last
+	 */
+	public record TargetDump(String name, String dataCentre, boolean open, long session, int outstanding, Load load) {
+	}
+
+	/**
+	 * Handle of a generation's caller. Thread-safe.
+	 */
+	public final class Handle {
+
+		/** The request, once the control thread has created it. */
+		private GenerationRequest request;
+
+		private Handle() {
+		}
+
+		/**
+		 * Tells how far the caller has read.
+		 * @param nextIndex index of the first token not read
+		 */
+		public void read(int nextIndex) {
+			Entry.this.threads.scheduler().execute(() -> {
+				if (this.request != null) {
+					this.request.read(nextIndex);
+				}
+			});
+		}
+
+		/**
+		 * Tells that the caller is gone.
+		 */
+		public void gone() {
+			Entry.this.threads.scheduler().execute(() -> {
+				if (this.request != null) {
+					this.request.callerGone();
+				}
+			});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry role: requests of callers, links to sidecars, resumption.
+ */
+package io.dotterelcrank.process.entry;
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What lives as long as a process: clock, identity, result of control work.
+ */
+package io.dotterelcrank.process;
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/platform/HostList.java
@@ -0,0 +1,51 @@
+package io.dotterelcrank.process.platform;
+
+import java.util.List;
+
+/**
+ * The platform's list of hosts. It lags: a host in it may be dead, and a live one may be
+ * missing. Implementations are thread-safe.
+ */
+public interface HostList {
+
+	/**
+	 * Reads the list.
+	 * @return the hosts
+	 * @throws PlatformException if the list cannot be read
+	 */
+	List<Host> hosts() throws PlatformException;
+
+	/**
+	 * A host. Immutable.
+	 *
+	 * @param name its name, unique in the fleet
+	 * @param role what runs on it
+	 * @param dataCentre data centre it stands in
+	 * @param service service of the target; empty for entry hosts
+	 * @param model model served; empty for entry hosts and plain services
+	 * @param address IP number of the process
+	 * @param port port on which the process accepts links; 0 for entry hosts
+	 * @param operatorPort port on which the process answers operators
+	 * @param leaving whether the platform is about to take the host away
+	 */
+	record Host(String name, Role role, String dataCentre, String service, String model, String address, int port,
+			int operatorPort, boolean leaving) {
+	}
+
+	/**
+	 * What runs on a host.
+	 */
+	enum Role {
+
+		/** An entry daemon. */
+		ENTRY,
+
+		/** A model engine with its sidecar. */
+		ENGINE,
+
+		/** A plain service with its sidecar. */
+		SERVICE
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/platform/Json.java
@@ -0,0 +1,29 @@
+package io.dotterelcrank.process.platform;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+
+/**
+ * The JSON mapper shared by log records, HTTP bodies and dumps. Thread-safe.
+ */
+public final class Json {
+
+	/** Reads and writes records; unknown fields are ignored, so that versions can mix. */
+	private static final ObjectMapper MAPPER = new ObjectMapper()
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+		.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
+
+	private Json() {
+	}
+
+	/**
+	 * Returns the mapper.
+	 * @return the shared mapper
+	 */
+	public static ObjectMapper mapper() {
+		return MAPPER;
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/Call.java
@@ -0,0 +1,96 @@
+package io.dotterelcrank.request;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+import org.apache.commons.codec.binary.Hex;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * A call to a plain service. The body array is not modified after construction.
+ *
+ * @param id unique id of this attempt
+ * @param workspace workspace of the caller
+ * @param service plain service called
+ * @param priority admission priority
+ * @param key idempotency key, or an empty string
+ * @param method HTTP method
+ * @param path path and query at the service, starting with a slash
+ * @param headers headers passed on
+ * @param body request body
+ * @param deadlineMillis time left until the deadline when the frame was sent, in
+ * milliseconds
+ */
+public record Call(String id, String workspace, String service, Priority priority, String key, String method,
+		String path, List<Header> headers, byte[] body, long deadlineMillis) {
+
+	/** Methods that may be repeated without further effect. */
+	private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
+
+	/** Bytes of the digest that are kept. */
+	private static final int DIGEST_BYTES = 16;
+
+	/**
+	 * Tells whether the call may be repeated without further effect.
+	 * @return {@code true} for idempotent HTTP methods
+	 */
+	public boolean idempotent() {
+		return IDEMPOTENT_METHODS.contains(this.method.toUpperCase(Locale.ROOT));
+	}
+
+	/**
+	 * Tells whether the call carries an idempotency key.
+	 * @return {@code true} if a claim must precede the call
+	 */
+	public boolean keyed() {
+		return !this.key.isEmpty();
+	}
+
+	/**
+	 * Returns the name under which the key is claimed.
+	 * @return digest of workspace, service and key
+	 */
+	public String claimKey() {
+		return digest(this.workspace + '\0' + this.service + '\0' + this.key, new byte[0]);
+	}
+
+	/**
+	 * Returns a digest of the content, to detect a key used for two requests.
+	 * @return digest of method, path and body
+	 */
+	public String contentDigest() {
+		return digest(this.method + '\0' + this.path, this.body);
+	}
+
+	/**
+	 * Returns a copy with another attempt id.
+	 * @param value the new id
+	 * @return the changed copy
+	 */
+	public Call withId(String value) {
+		return new Call(value, this.workspace, this.service, this.priority, this.key, this.method, this.path,
+				this.headers, this.body, this.deadlineMillis);
+	}
+
+	/**
+	 * Returns a copy with another time left.
+	 * @param millis time until the deadline in milliseconds
+	 * @return the changed copy
+	 */
+	public Call withDeadline(long millis) {
+		return new Call(this.id, this.workspace, this.service, this.priority, this.key, this.method, this.path,
+				this.headers, this.body, millis);
+	}
+
+	private static String digest(String text, byte[] body) {
+		MessageDigest digest = DigestUtils.getSha256Digest();
+		digest.update(text.getBytes(StandardCharsets.UTF_8));
+		digest.update((byte) 0);
+		return Hex.encodeHexString(Arrays.copyOf(digest.digest(body), DIGEST_BYTES));
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
@@ -0,0 +1,158 @@
+package io.dotterelcrank.request;
+
+/**
+ * Numbered results of requests and operators' commands. The table in docs/RESULT-CODES.md
+ * lists the same codes; a test compares both. Immutable.
+ */
+public enum ResultCode {
+
+	/** The request body or a header is malformed or out of range. */
+	INVALID_REQUEST(1001, 400, "Correct the request."),
+
+	/** The request body is larger than the limit. */
+	REQUEST_TOO_LARGE(1002, 413, "Send a smaller body."),
+
+	/** No target serves the model. */
+	UNKNOWN_MODEL(1003, 404, "Name a model in service."),
+
+	/** No target serves the plain service. */
+	UNKNOWN_SERVICE(1004, 404, "Name a service in service."),
+
+	/** The Last-Event-ID header does not name a generation. */
+	INVALID_EVENT_ID(1005, 400, "Send the id of the last event received."),
+
+	/** The path or the method is not served. */
+	NOT_FOUND(1006, 404, "Use a documented path."),
+
+	/** The targets' admission limits leave no room for the request. */
+	OVERLOADED(2001, 503, "Try again after the Retry-After time."),
+
+	/** The deadline passed before the request ended. */
+	DEADLINE_EXCEEDED(2002, 504, "Allow more time, or try again if ran is no."),
+
+	/** Operators have taken the target's data centre out. */
+	DATA_CENTRE_OUT(2003, 503, "Try again; another data centre serves it."),
+
+	/** The target is leaving or drained. */
+	TARGET_LEAVING(2004, 503, "Try again; another target serves it."),
+
+	/** The process holds no configuration yet. */
+	NOT_READY(2005, 503, "Try again at another entry host."),
+
+	/** No live target is known for the request. */
+	NO_TARGET(2006, 503, "Try again after the Retry-After time."),
+
+	/** The entry host is stopping. */
+	ENTRY_LEAVING(2007, 503, "Try again at another entry host."),
+
+	/** The log did not confirm a claim on the idempotency key in time. */
+	CLAIM_UNCONFIRMED(2008, 503, "Try again with the same key."),
+
+	/** The fraction of requests that may be retried is used up. */
+	RETRY_BUDGET_SPENT(2009, 503, "Try again after the Retry-After time."),
+
+	/** A request with the same idempotency key is running. */
+	KEY_IN_PROGRESS(3001, 409, "Try again later with the same key."),
+
+	/** The idempotency key was used with other content. */
+	KEY_REUSED(3002, 422, "Use a new key for a new request."),
+
+	/** The target that claimed the key is lost; its outcome is not known. */
+	KEY_OUTCOME_UNKNOWN(3003, 409, "Ask the service whether the effect took place."),
+
+	/** The answer to the key was given, and is no longer kept. */
+	KEY_ANSWER_GONE(3004, 409, "The request ran once; its answer is no longer kept."),
+
+	/** The link to the target broke while the request was with it. */
+	TARGET_LOST(4001, 502, "Repeat only if the request is idempotent."),
+
+	/** The engine lost a generation after its first token. */
+	GENERATION_LOST(4002, 502, "Start a new generation."),
+
+	/** Tokens after the resume point are no longer kept. */
+	RESUME_POINT_GONE(4003, 410, "Start a new generation."),
+
+	/** The target knows no such generation. */
+	GENERATION_UNKNOWN(4004, 404, "Start a new generation."),
+
+	/** The target answered with a failure of its own. */
+	TARGET_FAILED(4005, 502, "See the message."),
+
+	/** The caller cancelled the request. */
+	CANCELLED(4006, 499, "Nothing to do."),
+
+	/** Another change was accepted first. */
+	CONFIGURATION_CONFLICT(5001, 409, "Read the version in force and publish again."),
+
+	/** A change is malformed, or lacks its reason. */
+	CONFIGURATION_INVALID(5002, 400, "Correct the change."),
+
+	/** The log cannot be reached. */
+	LOG_UNAVAILABLE(5003, 503, "Try again when the log is back."),
+
+	/** The log's answer to a change was lost, and the change was not found in time. */
+	CHANGE_OUTCOME_UNKNOWN(5004, 504, "Look for the change id in the history."),
+
+	/** A setting of the process is missing or wrong. */
+	INVALID_SETTING(5005, 400, "Correct every listed setting."),
+
+	/** A frame is longer than the limit. */
+	FRAME_TOO_LARGE(6001, 413, "Check the peer's version."),
+
+	/** A frame cannot be decoded. */
+	FRAME_MALFORMED(6002, 400, "Check the peer's version."),
+
+	/** A defect in this system. */
+	INTERNAL(9001, 500, "Report it with the log.");
+
+	/** Number shown to callers. */
+	private final int number;
+
+	/** HTTP status that goes with the code. */
+	private final int httpStatus;
+
+	/** What the receiver can do. */
+	private final String advice;
+
+	ResultCode(int number, int httpStatus, String advice) {
+		this.number = number;
+		this.httpStatus = httpStatus;
+		this.advice = advice;
+	}
+
+	/**
+	 * Returns the number.
+	 * @return a number that never changes its meaning
+	 */
+	public int number() {
+		return this.number;
+	}
+
+	/**
+	 * Returns the HTTP status.
+	 * @return a status between 400 and 599
+	 */
+	public int httpStatus() {
+		return this.httpStatus;
+	}
+
+	/**
+	 * Returns the advice to the receiver.
+	 * @return one sentence
+	 */
+	public String advice() {
+		return this.advice;
+	}
+
+	/**
+	 * Tells whether another target may take the request when it did not run.
+	 * @return {@code true} if the refusal is specific to one target
+	 */
+	public boolean anotherTargetMayServe() {
+		return switch (this) {
+			case OVERLOADED, DATA_CENTRE_OUT, TARGET_LEAVING, NOT_READY, TARGET_LOST, CLAIM_UNCONFIRMED -> true;
+			default -> false;
+		};
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What lives for one request: results, generations, token order.
+ */
+package io.dotterelcrank.request;
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/Configuration.java
@@ -0,0 +1,150 @@
+package io.dotterelcrank.version;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Everything that operators have published, at one version. Immutable.
+ *
+ * @param version offset of the last accepted change; 0 before the first one
+ * @param defaults defaults that operators have set
+ * @param exceptions exceptions in force
+ * @param dataCentresOut data centres taken out
+ * @param hostsDrained hosts drained
+ * @param placements what engines are to hold
+ */
+public record Configuration(long version, List<DefaultValue> defaults, List<ExceptionRule> exceptions,
+		List<Removal> dataCentresOut, List<Removal> hostsDrained, List<Placement> placements) {
+
+	/**
+	 * The configuration before the first change.
+	 */
+	public static final Configuration INITIAL = new Configuration(0, List.of(), List.of(), List.of(), List.of(),
+			List.of());
+
+	/**
+	 * Looks a setting up. The narrowest matching exception wins: workspace, then host,
+	 * service, data centre, then the default.
+	 * @param setting the setting
+	 * @param subject what it is looked up for
+	 * @return the value in force
+	 */
+	public long value(Setting setting, Subject subject) {
+		Optional<ExceptionRule> rule = this.exceptions.stream()
+			.filter((candidate) -> candidate.setting() == setting && subject.matches(candidate))
+			.min(Comparator.comparingInt((candidate) -> narrowness(candidate.scope())));
+		if (rule.isPresent()) {
+			return rule.get().value();
+		}
+		return this.defaults.stream()
+			.filter((value) -> value.setting() == setting)
+			.mapToLong(DefaultValue::value)
+			.findFirst()
+			.orElse(setting.standard());
+	}
+
+	private static int narrowness(ExceptionRule.Scope scope) {
+		return switch (scope) {
+			case WORKSPACE -> 0;
+			case HOST -> 1;
+			case SERVICE -> 2;
+			case DATA_CENTRE -> 3;
+		};
+	}
+
+	/**
+	 * Tells whether a data centre is taken out.
+	 * @param dataCentre its name
+	 * @return {@code true} if it takes no new work
+	 */
+	public boolean dataCentreOut(String dataCentre) {
+		return this.dataCentresOut.stream().anyMatch((removal) -> removal.name().equals(dataCentre));
+	}
+
+	/**
+	 * Tells whether a host is drained.
+	 * @param host its name
+	 * @return {@code true} if it takes no new work
+	 */
+	public boolean hostDrained(String host) {
+		return this.hostsDrained.stream().anyMatch((removal) -> removal.name().equals(host));
+	}
+
+	/**
+	 * Finds what the engines of a service are to hold.
+	 * @param service the service
+	 * @return the placement, or nothing if operators never asked for one
+	 */
+	public Optional<Placement> placement(String service) {
+		return this.placements.stream().filter((placement) -> placement.service().equals(service)).findFirst();
+	}
+
+	/**
+	 * Returns a copy with another version.
+	 * @param value the new version
+	 * @return the changed copy
+	 */
+	public Configuration withVersion(long value) {
+		return new Configuration(value, this.defaults, this.exceptions, this.dataCentresOut, this.hostsDrained,
+				this.placements);
+	}
+
+	/**
+	 * Returns a copy with one default set.
+	 * @param value the default
+	 * @return the changed copy
+	 */
+	public Configuration withDefault(DefaultValue value) {
+		List<DefaultValue> changed = new ArrayList<>(this.defaults);
+		changed.removeIf((old) -> old.setting() == value.setting());
+		changed.add(value);
+		return new Configuration(this.version, List.copyOf(changed), this.exceptions, this.dataCentresOut,
+				this.hostsDrained, this.placements);
+	}
+
+	/**
+	 * Returns a copy with other exceptions.
+	 * @param changed the exceptions
+	 * @return the changed copy
+	 */
+	public Configuration withExceptions(List<ExceptionRule> changed) {
+		return new Configuration(this.version, this.defaults, List.copyOf(changed), this.dataCentresOut,
+				this.hostsDrained, this.placements);
+	}
+
+	/**
+	 * Returns a copy with other data centres taken out.
+	 * @param changed the data centres
+	 * @return the changed copy
+	 */
+	public Configuration withDataCentresOut(List<Removal> changed) {
+		return new Configuration(this.version, this.defaults, this.exceptions, List.copyOf(changed), this.hostsDrained,
+				this.placements);
+	}
+
+	/**
+	 * Returns a copy with other hosts drained.
+	 * @param changed the hosts
+	 * @return the changed copy
+	 */
+	public Configuration withHostsDrained(List<Removal> changed) {
+		return new Configuration(this.version, this.defaults, this.exceptions, this.dataCentresOut,
+				List.copyOf(changed), this.placements);
+	}
+
+	/**
+	 * Returns a copy with one placement set.
+	 * @param placement the placement
+	 * @return the changed copy
+	 */
+	public Configuration withPlacement(Placement placement) {
+		List<Placement> changed = new ArrayList<>(this.placements);
+		changed.removeIf((old) -> old.service().equals(placement.service()));
+		changed.add(placement);
+		return new Configuration(this.version, this.defaults, this.exceptions, this.dataCentresOut, this.hostsDrained,
+				List.copyOf(changed));
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationLog.java
@@ -0,0 +1,182 @@
+package io.dotterelcrank.version;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+
+import io.dotterelcrank.process.platform.Json;
+import io.dotterelcrank.process.platform.LogClient;
+import io.dotterelcrank.process.platform.PlatformException;
+
+/**
+ * The configuration stream of the log, with the fold over what has been read of it. Not
+ * thread-safe; each owner reads on one thread.
+ */
+public final class ConfigurationLog {
+
+	/** Name of the stream. */
+	public static final String STREAM = "configuration";
+
+	/** The log. */
+	private final LogClient log;
+
+	/** Fold over the records read so far. */
+	private final ConfigurationFold fold = ConfigurationFold.create();
+
+	/** Smallest offset kept by the log at the last read. */
+	private long firstOffset = 1;
+
+	/** Offset of the last snapshot seen, or 0. */
+	private long lastSnapshot;
+
+	/** Append time of the last snapshot or first record seen, by the log's clock. */
+	private long lastSnapshotMillis;
+
+	/** Append time of the last record seen, by the log's clock. */
+	private long lastRecordMillis;
+
+	private ConfigurationLog(LogClient log) {
+		this.log = log;
+	}
+
+	/**
+	 * Creates a reader that has read nothing.
+	 * @param log the log
+	 * @return a new reader
+	 */
+	public static ConfigurationLog of(LogClient log) {
+		return new ConfigurationLog(log);
+	}
+
+	/**
+	 * Reads what is new, and folds it.
+	 * @param waitMillis how long to wait for a record if there is none, in milliseconds
+	 * @return what the fold said to proposals; empty if there is nothing new
+	 * @throws PlatformException if the log cannot be read
+	 */
+	public List<ConfigurationFold.Decision> read(long waitMillis) throws PlatformException {
+		LogClient.Page page = this.log.read(STREAM, this.fold.nextOffset(), waitMillis);
+		this.firstOffset = page.firstOffset();
+		List<ConfigurationFold.Decision> decisions = new ArrayList<>();
+		for (LogClient.Entry entry : page.records()) {
+			Optional<ConfigurationRecord> decoded = decode(entry.content());
+			if (decoded.isPresent()) {
+				noteTimes(entry, decoded.get());
+				decisions.addAll(this.fold.fold(entry.offset(), decoded.get()));
+			}
+			else {
+				this.fold.skip(entry.offset());
+			}
+		}
+		return decisions;
+	}
+
+	/**
+	 * Reads until the end that the log had at the first read.
+	 * @return what the fold said to proposals
+	 * @throws PlatformException if the log cannot be read
+	 */
+	public List<ConfigurationFold.Decision> readToEnd() throws PlatformException {
+		List<ConfigurationFold.Decision> decisions = new ArrayList<>();
+		long before;
+		do {
+			before = this.fold.nextOffset();
+			decisions.addAll(read(0));
+		}
+		while (this.fold.nextOffset() > before);
+		return decisions;
+	}
+
+	private void noteTimes(LogClient.Entry entry, ConfigurationRecord content) {
+		this.lastRecordMillis = entry.appendedAtMillis();
+		boolean snapshot = content instanceof ConfigurationRecord.Snapshot;
+		if (snapshot || this.lastSnapshotMillis == 0) {
+			this.lastSnapshotMillis = entry.appendedAtMillis();
+		}
+		if (snapshot) {
+			this.lastSnapshot = entry.offset();
+		}
+	}
+
+	/**
+	 * Appends a proposal once. The caller learns its fate by reading on.
+	 * @param proposal the proposal
+	 * @throws PlatformException if the append failed, or its answer was lost
+	 */
+	public void propose(ConfigurationRecord.Proposal proposal) throws PlatformException {
+		this.log.append(STREAM, encode(proposal));
+	}
+
+	/**
+	 * Appends a snapshot of the fold. Repeating it does no harm.
+	 * @throws PlatformException if the append failed, or its answer was lost
+	 */
+	public void appendSnapshot() throws PlatformException {
+		this.log.append(STREAM, encode(this.fold.snapshot()));
+	}
+
+	/**
+	 * Tells whether someone should append a snapshot.
+	 * @param policy when snapshots are due
+	 * @param nowMillis the time, by the same clock as the log's
+	 * @return {@code true} if the last snapshot is old or many records followed it
+	 */
+	public boolean snapshotDue(SnapshotPolicy policy, long nowMillis) {
+		if (!this.fold.current() || this.fold.configuration().version() == 0) {
+			return false;
+		}
+		long records = this.fold.nextOffset() - 1 - this.lastSnapshot;
+		long ageMillis = Math.max(nowMillis, this.lastRecordMillis) - this.lastSnapshotMillis;
+		return records >= policy.records() || ageMillis >= policy.ageMillis();
+	}
+
+	/**
+	 * Returns the fold.
+	 * @return fold over the records read so far
+	 */
+	public ConfigurationFold fold() {
+		return this.fold;
+	}
+
+	/**
+	 * Returns the smallest offset kept.
+	 * @return smallest offset kept by the log at the last read
+	 */
+	public long firstOffset() {
+		return this.firstOffset;
+	}
+
+	private static byte[] encode(ConfigurationRecord content) {
+		try {
+			return Json.mapper().writerFor(ConfigurationRecord.class).writeValueAsBytes(content);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("configuration records can always be written", ex);
+		}
+	}
+
+	private static Optional<ConfigurationRecord> decode(byte[] content) {
+		try {
+			ConfigurationRecord decoded = Json.mapper().readValue(content, ConfigurationRecord.class);
+			boolean broken = decoded instanceof ConfigurationRecord.Proposal proposal && proposal.id() == null;
+			return broken ? Optional.empty() : Optional.ofNullable(decoded);
+		}
+		catch (IOException ex) {
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * When snapshots are due. Immutable.
+	 *
+	 * @param records number of records after the last snapshot
+	 * @param ageMillis age of the last snapshot in milliseconds; at most a quarter of the
+	 * log's retention
+	 */
+	public record SnapshotPolicy(long records, long ageMillis) {
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
@@ -0,0 +1,115 @@
+package io.dotterelcrank.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.List;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.parser.ParseResult;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import com.github.rvesse.airline.parser.errors.handlers.CollectAll;
+
+import io.dotterelcrank.daemon.command.ConfigHistoryVerb;
+import io.dotterelcrank.daemon.command.ConfigPublishVerb;
+import io.dotterelcrank.daemon.command.ConfigShowVerb;
+import io.dotterelcrank.daemon.command.ConfigValidateVerb;
+import io.dotterelcrank.daemon.command.DataCentreLeaveVerb;
+import io.dotterelcrank.daemon.command.DataCentreReturnVerb;
+import io.dotterelcrank.daemon.command.DefaultSetVerb;
+import io.dotterelcrank.daemon.command.DemoVerb;
+import io.dotterelcrank.daemon.command.DumpVerb;
+import io.dotterelcrank.daemon.command.EntryVerb;
+import io.dotterelcrank.daemon.command.ExceptionAddVerb;
+import io.dotterelcrank.daemon.command.ExceptionListVerb;
+import io.dotterelcrank.daemon.command.ExceptionRemoveVerb;
+import io.dotterelcrank.daemon.command.ExitCode;
+import io.dotterelcrank.daemon.command.HelpVerb;
+import io.dotterelcrank.daemon.command.HostDrainVerb;
+import io.dotterelcrank.daemon.command.HostRestoreVerb;
+import io.dotterelcrank.daemon.command.PlacementSetVerb;
+import io.dotterelcrank.daemon.command.SidecarVerb;
+import io.dotterelcrank.daemon.command.StandinVerb;
+import io.dotterelcrank.daemon.command.StatusVerb;
+import io.dotterelcrank.daemon.command.Verb;
+import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.request.RequestException;
+
+/**
+ * The program's entry point. Stateless.
+ */
+public final class Main {
+
+	private Main() {
+	}
+
+	/**
+	 * Runs a command and exits with its code.
+	 * @param arguments words of the command line
+	 */
+	public static void main(String[] arguments) {
+		System.exit(run(arguments, System.out, System.err).number());
+	}
+
+	/**
+	 * Runs a command.
+	 * @param arguments words of the command line
+	 * @param out where results are printed
+	 * @param err where errors are printed
+	 * @return the exit code
+	 */
+	public static ExitCode run(String[] arguments, PrintStream out, PrintStream err) {
+		ParseResult<Verb> parsed = cli().parseWithResult(arguments);
+		if (!parsed.wasSuccessful()) {
+			List<String> faults = parsed.getErrors().stream().map(ParseException::getMessage).toList();
+			err.println("dotterelcrank: " + String.join("; ", faults) + " (see 'dotterelcrank help')");
+			return ExitCode.BAD_INPUT;
+		}
+		return run(parsed.getCommand(), out, err);
+	}
+
+	private static ExitCode run(Verb verb, PrintStream out, PrintStream err) {
+		try {
+			return verb.run(out);
+		}
+		catch (RequestException ex) {
+			err.println("dotterelcrank: " + ex.failure().code().number() + " " + ex.getMessage() + " - "
+					+ ex.failure().code().advice());
+			return ExitCode.of(ex.failure());
+		}
+		catch (PlatformException ex) {
+			err.println("dotterelcrank: " + ex.getMessage());
+			return ExitCode.UNAVAILABLE;
+		}
+		catch (IOException ex) {
+			err.println("dotterelcrank: " + ex.getMessage());
+			return ExitCode.BAD_INPUT;
+		}
+	}
+
+	private static Cli<Verb> cli() {
+		CliBuilder<Verb> builder = Cli.<Verb>builder("dotterelcrank")
+			.withDescription("Serves language-model generations of unknown length on crowded engines")
+			.withDefaultCommand(HelpVerb.class)
+			.withCommands(List.of(HelpVerb.class, DemoVerb.class, EntryVerb.class, SidecarVerb.class, StandinVerb.class,
+					StatusVerb.class, DumpVerb.class));
+		builder.withParser().withErrorHandler(new CollectAll());
+		builder.withGroup("config")
+			.withDescription("Publish, show and check the configuration")
+			.withCommands(List.of(ConfigPublishVerb.class, ConfigShowVerb.class, ConfigHistoryVerb.class,
+					ConfigValidateVerb.class));
+		builder.withGroup("default").withDescription("Fleet-wide defaults").withCommand(DefaultSetVerb.class);
+		builder.withGroup("exception")
+			.withDescription("Exceptions from the defaults")
+			.withCommands(List.of(ExceptionAddVerb.class, ExceptionRemoveVerb.class, ExceptionListVerb.class));
+		builder.withGroup("data-centre")
+			.withDescription("Take a data centre out and bring it back")
+			.withCommands(List.of(DataCentreLeaveVerb.class, DataCentreReturnVerb.class));
+		builder.withGroup("host")
+			.withDescription("Drain a host")
+			.withCommands(List.of(HostDrainVerb.class, HostRestoreVerb.class));
+		builder.withGroup("placement").withDescription("What engines hold").withCommand(PlacementSetVerb.class);
+		return builder.build();
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP clients of the systems outside.
+ */
+package io.dotterelcrank.daemon.client;
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/ConfigHistoryVerb.java
@@ -0,0 +1,46 @@
+package io.dotterelcrank.daemon.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+
+import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.request.RequestException;
+import io.dotterelcrank.version.ConfigurationFold;
+import io.dotterelcrank.version.ConfigurationLog;
+
+/**
+ * Lists the changes that the log still holds, and what became of them.
+ */
+@Command(name = "history", description = "List the changes that the log still holds, and what became of them")
+public class ConfigHistoryVerb implements Verb {
+
+	/** Where the platform's systems are. */
+	@AirlineModule
+	PlatformOptions platform = new PlatformOptions();
+
+	/** Form of the result. */
+	@AirlineModule
+	OutputOptions output = new OutputOptions();
+
+	@Override
+	public ExitCode run(PrintStream out) throws RequestException, PlatformException, IOException {
+		List<ConfigurationFold.Decision> decisions = ConfigurationLog.of(AbstractChangeVerb.log(this.platform))
+			.readToEnd();
+		List<List<String>> rows = new ArrayList<>();
+		rows.add(List.of("OFFSET", "OPERATOR", "BASED ON", "RESULT", "CHANGES"));
+		for (ConfigurationFold.Decision decision : decisions) {
+			rows.add(List.of(Long.toString(decision.offset()), String.valueOf(decision.proposal().operator()),
+					Long.toString(decision.proposal().basedOn()),
+					(decision.accepted() ? "accepted: " : "rejected: ") + decision.explanation(),
+					String.valueOf(decision.proposal().changes())));
+		}
+		this.output.print(out, decisions, rows);
+		return ExitCode.DONE;
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/ConfigPublishVerb.java
@@ -0,0 +1,42 @@
+package io.dotterelcrank.daemon.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+
+import io.dotterelcrank.process.platform.Json;
+import io.dotterelcrank.request.RequestException;
+import io.dotterelcrank.version.Change;
+
+/**
+ * Publishes the changes in a file.
+ */
+@Command(name = "publish", description = "Publish the changes in a file, a JSON list; all or none come into force")
+public class ConfigPublishVerb extends AbstractChangeVerb {
+
+	/** Path of the file. */
+	@Arguments(title = "file", description = "File with a JSON list of changes")
+	List<String> words;
+
+	@Override
+	List<Change> changes() throws RequestException, IOException {
+		Path file = Path.of(Words.only(this.words, "config publish FILE"));
+		if (!Files.isReadable(file)) {
+			throw wrong("cannot read " + file);
+		}
+		try {
+			return Json.mapper().readValue(Files.readAllBytes(file), new TypeReference<List<Change>>() {
+			});
+		}
+		catch (JsonProcessingException ex) {
+			throw wrong(file + " is not a list of changes: " + ex.getOriginalMessage());
+		}
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/ConfigValidateVerb.java
@@ -0,0 +1,22 @@
+package io.dotterelcrank.daemon.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+
+import com.github.rvesse.airline.annotations.Command;
+
+import io.dotterelcrank.request.RequestException;
+
+/**
+ * Shows what the changes in a file would do.
+ */
+@Command(name = "validate", description = "Show the configuration that the changes in a file would give")
+public class ConfigValidateVerb extends ConfigPublishVerb {
+
+	@Override
+	public ExitCode run(PrintStream out) throws RequestException, IOException {
+		this.dryRun = true;
+		return super.run(out);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/Verb.java
@@ -0,0 +1,24 @@
+package io.dotterelcrank.daemon.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+
+import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.request.RequestException;
+
+/**
+ * A command of the command line. Run once, on the main thread.
+ */
+public interface Verb {
+
+	/**
+	 * Runs the command.
+	 * @param out where results are printed
+	 * @return the exit code
+	 * @throws RequestException if the input is malformed, or the command is refused
+	 * @throws PlatformException if a system cannot be reached
+	 * @throws IOException if an address cannot be bound or a file cannot be written
+	 */
+	ExitCode run(PrintStream out) throws RequestException, PlatformException, IOException;
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Commands of the command line.
+ */
+package io.dotterelcrank.daemon.command;
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/HttpServer.java
@@ -0,0 +1,79 @@
+package io.dotterelcrank.daemon.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+
+/**
+ * An HTTP server on one address. Thread-safe.
+ */
+public final class HttpServer implements AutoCloseable {
+
+	/** Largest request body, in bytes. */
+	public static final long MAX_BODY_BYTES = 2L * 1024 * 1024;
+
+	/** Largest request head, in bytes. */
+	private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+	/**
+	 * Time after which an idle connection without a request is closed, in milliseconds.
+	 */
+	private static final int IDLE_MILLIS = 120_000;
+
+	/** Threads for connections. */
+	private static final int IO_THREADS = 2;
+
+	/** Threads for requests that wait. */
+	private static final int WORKER_THREADS = 4;
+
+	/** The HTTP library's server. */
+	private final Undertow server;
+
+	private HttpServer(Undertow server) {
+		this.server = server;
+	}
+
+	/**
+	 * Starts a server.
+	 * @param address the IP number to bind
+	 * @param port port to bind, or 0 for a free one
+	 * @param handler serves the requests
+	 * @return a running server
+	 * @throws IOException if the address cannot be bound
+	 */
+	public static HttpServer start(String address, int port, HttpHandler handler) throws IOException {
+		Undertow server = Undertow.builder()
+			.addHttpListener(port, address)
+			.setIoThreads(IO_THREADS)
+			.setWorkerThreads(WORKER_THREADS)
+			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
+			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
+			.setHandler(handler)
+			.build();
+		try {
+			server.start();
+		}
+		catch (RuntimeException ex) {
+			throw new IOException("cannot bind " + address + ":" + port + ": " + ex.getMessage(), ex);
+		}
+		return new HttpServer(server);
+	}
+
+	/**
+	 * Returns the port.
+	 * @return port bound
+	 */
+	public int port() {
+		return ((InetSocketAddress) this.server.getListenerInfo().get(0).getAddress()).getPort();
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP servers towards callers and operators.
+ */
+package io.dotterelcrank.daemon.http;
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Load generation and measurement.
+ */
+package io.dotterelcrank.daemon.load;
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The program's entry point.
+ */
+package io.dotterelcrank.daemon;
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/EntryComponent.java
@@ -0,0 +1,38 @@
+package io.dotterelcrank.daemon.wiring;
+
+import javax.inject.Singleton;
+
+import dagger.BindsInstance;
+import dagger.Component;
+
+import io.dotterelcrank.daemon.settings.EntrySettings;
+
+/**
+ * Makes entry daemons.
+ */
+@Singleton
+@Component(modules = { CommonModule.class, EntryModule.class })
+public interface EntryComponent {
+
+	/**
+	 * Returns the daemon.
+	 * @return the daemon, not started
+	 */
+	EntryDaemon daemon();
+
+	/**
+	 * Makes components.
+	 */
+	@Component.Factory
+	interface Factory {
+
+		/**
+		 * Makes a component.
+		 * @param settings settings of the daemon
+		 * @return a new component
+		 */
+		EntryComponent create(@BindsInstance EntrySettings settings);
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/SidecarComponent.java
@@ -0,0 +1,38 @@
+package io.dotterelcrank.daemon.wiring;
+
+import javax.inject.Singleton;
+
+import dagger.BindsInstance;
+import dagger.Component;
+
+import io.dotterelcrank.daemon.settings.SidecarSettings;
+
+/**
+ * Makes sidecar daemons.
+ */
+@Singleton
+@Component(modules = { CommonModule.class, SidecarModule.class })
+public interface SidecarComponent {
+
+	/**
+	 * Returns the daemon.
+	 * @return the daemon, not started
+	 */
+	SidecarDaemon daemon();
+
+	/**
+	 * Makes components.
+	 */
+	@Component.Factory
+	interface Factory {
+
+		/**
+		 * Makes a component.
+		 * @param settings settings of the daemon
+		 * @return a new component
+		 */
+		SidecarComponent create(@BindsInstance SidecarSettings settings);
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in of a model engine, with faults to switch on.
+ */
+package io.dotterelcrank.standin.engine;
--- /dev/null
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stand-ins behind HTTP.
+ */
+package io.dotterelcrank.standin.http;
--- /dev/null
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/service/StandinService.java
@@ -0,0 +1,127 @@
+package io.dotterelcrank.standin.service;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.process.platform.ServiceClient;
+import io.dotterelcrank.request.Call;
+import io.dotterelcrank.request.Header;
+import io.dotterelcrank.request.Reply;
+
+/**
+ * A plain service that books what its callers ask for, and records how often each body
+ * ran. Thread-safe.
+ */
+public final class StandinService implements ServiceClient {
+
+	/** Status of a successful answer. */
+	private static final int OK = 200;
+
+	/** Runs delayed answers. */
+	private final Scheduler scheduler;
+
+	/** Time that a call takes, in milliseconds. */
+	private final long latencyMillis;
+
+	/** How often each body ran; guarded by this. */
+	private final Map<String, Integer> runs = new HashMap<>();
+
+	/** Fault switched on. */
+	private volatile ServiceFault fault = ServiceFault.NONE;
+
+	private StandinService(Scheduler scheduler, long latencyMillis) {
+		this.scheduler = scheduler;
+		this.latencyMillis = latencyMillis;
+	}
+
+	/**
+	 * Creates a service.
+	 * @param scheduler runs delayed answers
+	 * @param latencyMillis time that a call takes, in milliseconds
+	 * @return a new service
+	 */
+	public static StandinService answeringAfter(Scheduler scheduler, long latencyMillis) {
+		return new StandinService(scheduler, latencyMillis);
+	}
+
+	@Override
+	public void invoke(Call call, Listener listener) {
+		ServiceFault now = this.fault;
+		if (now == ServiceFault.REFUSE_CONNECTION) {
+			listener.failed(false, "connection refused");
+			return;
+		}
+		if (now == ServiceFault.BREAK_BEFORE_RUN) {
+			listener.failed(true, "connection reset");
+			return;
+		}
+		Reply reply = run(call.method(), call.path(), call.body());
+		this.scheduler.schedule(this.latencyMillis, () -> {
+			if (now == ServiceFault.NONE) {
+				listener.answered(reply);
+			}
+			else if (now != ServiceFault.NO_ANSWER) {
+				listener.failed(true, "connection reset");
+			}
+		});
+		if (now == ServiceFault.NO_ANSWER) {
+			this.scheduler.schedule(call.deadlineMillis(), () -> listener.failed(true, "no answer in time"));
+		}
+	}
+
+	/**
+	 * Runs a call.
+	 * @param method name of the HTTP method
+	 * @param path path at the service
+	 * @param body request body, which names what is booked
+	 * @return the answer
+	 */
+	public synchronized Reply run(String method, String path, byte[] body) {
+		String booking = new String(body, StandardCharsets.UTF_8);
+		int count = this.runs.merge(method + ' ' + path + ' ' + booking, 1, Integer::sum);
+		String text = "{\"booked\":\"" + booking.replace('"', '\'') + "\",\"runs\":" + count + "}";
+		return new Reply(OK, List.of(new Header("Content-Type", "application/json")),
+				text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Switches a fault on, or all faults off.
+	 * @param value the fault
+	 */
+	public void fault(ServiceFault value) {
+		this.fault = value;
+	}
+
+	/**
+	 * Returns the fault switched on.
+	 * @return the fault
+	 */
+	public ServiceFault fault() {
+		return this.fault;
+	}
+
+	/**
+	 * Returns how often each call ran.
+	 * @return runs by method, path and body
+	 */
+	public synchronized Map<String, Integer> runs() {
+		return Map.copyOf(this.runs);
+	}
+
+	/**
+	 * Returns how often a body ran.
+	 * @param booking the body
+	 * @return number of runs, whatever method and path
+	 */
+	public synchronized int runsOf(String booking) {
+		return this.runs.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().endsWith(' ' + booking))
+			.mapToInt(Map.Entry::getValue)
+			.sum();
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in of a plain service that records what it ran.
+ */
+package io.dotterelcrank.standin.service;
