Failure tables over fakes on a manual clock; four faults they found

Cause: tables of fault points found (1) a keyed call to a target not yet linked was given up after 1.5 s although its link had opened, and tried elsewhere; (2) a refusal by workspace was reported as a lost generation; (3) after a refusal by the last target the caller heard NO_TARGET without advice in place of the refusal; (4) the assumed distribution of unknown lengths, uniform over the logarithm up to 100,000 tokens, let a fresh sidecar admit two generations into an empty engine. Change: the limit is cancelled when the session on which the call was sent begins; the refusal is passed on; the assumed lengths are log-normal with median 200; tables for at-most-once, one generation, stops, configuration and orders.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
@@ -143,12 +143,6 @@
 		this.loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
-	private static boolean control(Message message) {
-		return message instanceof Message.Hello || message instanceof Message.Welcome
-				|| message instanceof Message.Heartbeat || message instanceof Message.AskConfiguration
-				|| message instanceof Message.TellConfiguration;
-	}
-
 	/**
 	 * One connection. Messages sent before it is open wait in order.
 	 */
@@ -189,7 +183,7 @@
 		private void write(Channel open, Message message) {
 			try {
 				byte[] content = NettyTransport.this.codec.encode(message, NettyTransport.this.version.getAsLong());
-				LongAdder counter = control(message) ? NettyTransport.this.controlSent
+				LongAdder counter = Transport.control(message) ? NettyTransport.this.controlSent
 						: NettyTransport.this.requestSent;
 				counter.add(content.length + LENGTH_BYTES);
 				open.writeAndFlush(Unpooled.wrappedBuffer(content), open.voidPromise());
@@ -257,7 +251,7 @@
 				context.close();
 				return;
 			}
-			LongAdder counter = control(envelope.message()) ? NettyTransport.this.controlReceived
+			LongAdder counter = Transport.control(envelope.message()) ? NettyTransport.this.controlReceived
 					: NettyTransport.this.requestReceived;
 			counter.add(content.length + LENGTH_BYTES);
 			this.listener.received(this, envelope.version(), envelope.message());
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
@@ -44,6 +44,17 @@
 		return new NettyTransport(version);
 	}
 
+	/**
+	 * Tells whether a message is for control, and not part of a request.
+	 * @param message the message
+	 * @return {@code true} for introductions, heartbeats and configurations
+	 */
+	static boolean control(Message message) {
+		return message instanceof Message.Hello || message instanceof Message.Welcome
+				|| message instanceof Message.Heartbeat || message instanceof Message.AskConfiguration
+				|| message instanceof Message.TellConfiguration;
+	}
+
 	/**
 	 * Traffic counters, split into control and request messages. Immutable.
 	 *
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/LengthEstimator.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/LengthEstimator.java
@@ -22,8 +22,22 @@
 	/** Weight of the model's distribution, in lengths seen of the workspace. */
 	private static final float MODEL_WEIGHT = 4;
 
-	/** Weight of the uniform distribution over buckets, in lengths seen of the model. */
-	private static final float UNIFORM_WEIGHT = 2;
+	/**
+	 * Weight of the distribution assumed before any length is seen, in lengths seen of
+	 * the model.
+	 */
+	private static final float ASSUMED_WEIGHT = 2;
+
+	/** Median of the distribution assumed before any length is seen, in tokens. */
+	private static final double ASSUMED_MEDIAN = 200;
+
+	/** Standard deviation of the logarithm of the lengths assumed. */
+	private static final double ASSUMED_SPREAD = 1.4;
+
+	/**
+	 * Probability of each bucket before any length is seen: a log-normal distribution.
+	 */
+	private static final double[] ASSUMED = assumed();
 
 	/** Largest number of workspaces remembered. */
 	private static final int MOST_WORKSPACES = 4_096;
@@ -79,15 +93,29 @@
 	 */
 	public Distribution distribution(String workspace) {
 		float[] own = this.workspaces.getOrDefault(workspace, new float[BUCKETS]);
-		float modelTotal = total(this.model) + UNIFORM_WEIGHT;
+		float modelTotal = total(this.model) + ASSUMED_WEIGHT;
 		double[] weights = new double[BUCKETS];
 		for (int i = 0; i < BUCKETS; i++) {
-			float modelShare = (this.model[i] + UNIFORM_WEIGHT / BUCKETS) / modelTotal;
+			double modelShare = (this.model[i] + ASSUMED_WEIGHT * ASSUMED[i]) / modelTotal;
 			weights[i] = own[i] + MODEL_WEIGHT * modelShare;
 		}
 		return new Distribution(weights);
 	}
 
+	private static double[] assumed() {
+		double[] shares = new double[BUCKETS];
+		double sum = 0;
+		for (int i = 0; i < BUCKETS; i++) {
+			double deviation = Math.log(lengthOf(i) / ASSUMED_MEDIAN) / ASSUMED_SPREAD;
+			shares[i] = Math.exp(-deviation * deviation / 2);
+			sum += shares[i];
+		}
+		for (int i = 0; i < BUCKETS; i++) {
+			shares[i] /= sum;
+		}
+		return shares;
+	}
+
 	private static float total(float[] counts) {
 		float sum = 0;
 		for (float count : counts) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
@@ -75,6 +75,9 @@
 	/** Number of attempts so far. */
 	private int attempts;
 
+	/** How the last attempt was refused, or {@code null}. */
+	private Failure lastRefusal;
+
 	/** Whether the target was named by a claim. */
 	private boolean redirected;
 
@@ -126,14 +129,23 @@
 		Optional<TargetLink> choice = this.call.keyed() ? hinted(kind)
 				: this.entry.targets().choose(kind, this.call.workspace(), this.tried);
 		if (choice.isEmpty()) {
-			boolean exists = this.entry.targets().exists(kind);
-			fail(exists ? Failure.notRun(ResultCode.NO_TARGET, "no target takes the request now").withRetryAfter(1_000)
-					: Failure.notRun(ResultCode.UNKNOWN_SERVICE, "no target serves " + this.call.service()));
+			fail(noTarget(kind));
 			return;
 		}
 		attemptAt(choice.get());
 	}
 
+	private Failure noTarget(Predicate<HostList.Host> kind) {
+		if (this.lastRefusal != null) {
+			return this.lastRefusal;
+		}
+		if (this.entry.targets().exists(kind)) {
+			return Failure.notRun(ResultCode.NO_TARGET, "no target takes the request now")
+				.withRetryAfter(Entry.NO_TARGET_RETRY_MILLIS);
+		}
+		return Failure.notRun(ResultCode.UNKNOWN_SERVICE, "no target serves " + this.call.service());
+	}
+
 	/**
 	 * Finds the target that writes the claims of the key's partition. Any other target
 	 * would do as well: the log decides.
@@ -241,6 +253,7 @@
 			this.entry.targets().failed(this.target);
 		}
 		this.maybeRan |= failure.ran() != Ran.NO;
+		this.lastRefusal = failure;
 		boolean unconfirmed = failure.code() == ResultCode.CLAIM_UNCONFIRMED;
 		if (safe && another && !unconfirmed && !this.redirected && mayTryAgain(failure)) {
 			this.target.end(this.call.id());
@@ -306,6 +319,7 @@
 		}
 		if (this.stage == Stage.SENT && this.sentSession == this.target.session()) {
 			this.sentTo = incarnation;
+			this.resolveLimit.cancel();
 			return;
 		}
 		if (this.stage == Stage.SENT && this.sentTo != incarnation) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -52,6 +53,9 @@
 	/** Time within which a target must be reached, in milliseconds. */
 	static final long CONNECT_LIMIT_MILLIS = 1_500;
 
+	/** Advice on when to try again while no target takes work, in milliseconds. */
+	static final long NO_TARGET_RETRY_MILLIS = 1_000;
+
 	/** Time between checks whether a planned stop is complete, in milliseconds. */
 	private static final long LEAVE_CHECK_MILLIS = 100;
 
@@ -264,6 +268,19 @@
 		return this.leaving;
 	}
 
+	/**
+	 * Finds the target of an attempt. Belongs to the control thread.
+	 * @param attempt id of the attempt
+	 * @return name of the target, or nothing if the attempt has ended
+	 */
+	public Optional<String> targetOf(String attempt) {
+		return this.targets.all()
+			.stream()
+			.filter((target) -> target.has(attempt))
+			.map((target) -> target.host().name())
+			.findFirst();
+	}
+
 	Clock clock() {
 		return this.threads.clock();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -83,6 +83,9 @@
 	/** Number of the session on which the current attempt was sent. */
 	private long sentSession;
 
+	/** How the last attempt was refused, or {@code null}. */
+	private Failure lastRefusal;
+
 	/** Whether an earlier attempt may have run. */
 	private boolean maybeRan;
 
@@ -169,9 +172,7 @@
 				&& host.role() == HostList.Role.ENGINE;
 		Optional<TargetLink> choice = this.entry.targets().choose(kind, affinity(), this.tried);
 		if (choice.isEmpty()) {
-			boolean exists = this.entry.targets().exists(kind);
-			fail(exists ? Failure.notRun(ResultCode.NO_TARGET, "no target takes the request now").withRetryAfter(1_000)
-					: Failure.notRun(ResultCode.UNKNOWN_MODEL, "no target serves " + this.request.model()));
+			fail(noTarget(kind));
 			return;
 		}
 		this.attempts++;
@@ -186,6 +187,17 @@
 		sent();
 	}
 
+	private Failure noTarget(Predicate<HostList.Host> kind) {
+		if (this.lastRefusal != null) {
+			return this.lastRefusal;
+		}
+		if (this.entry.targets().exists(kind)) {
+			return Failure.notRun(ResultCode.NO_TARGET, "no target takes the request now")
+				.withRetryAfter(Entry.NO_TARGET_RETRY_MILLIS);
+		}
+		return Failure.notRun(ResultCode.UNKNOWN_MODEL, "no target serves " + this.request.model());
+	}
+
 	private String affinity() {
 		String prompt = this.request.prompt();
 		return this.request.workspace() + '\0' + prompt.substring(0, Math.min(AFFINITY_CHARACTERS, prompt.length()));
@@ -251,12 +263,13 @@
 			this.entry.targets().failed(this.target);
 		}
 		this.maybeRan |= failure.ran() != Ran.NO;
+		this.lastRefusal = failure;
 		boolean tryAgain = !kept && (lost || failure.code().anotherTargetMayServe());
 		if (tryAgain && mayTryAgain(failure)) {
 			startAgain();
 			return;
 		}
-		fail((kept && lost) ? lostFailure(failure.message()) : failure);
+		fail((kept && lost && !this.continued) ? lostFailure(failure.message()) : failure);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/TargetLink.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/TargetLink.java
@@ -290,6 +290,15 @@
 		return this.load;
 	}
 
+	/**
+	 * Tells whether an attempt is at the target.
+	 * @param id id of the attempt
+	 * @return {@code true} until the attempt ends
+	 */
+	boolean has(String id) {
+		return this.attempts.containsKey(id);
+	}
+
 	/**
 	 * Returns the number of attempts at the target.
 	 * @return attempts that have not ended
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
@@ -368,9 +368,17 @@
 	 * @return what a dump shows
 	 */
 	public Dump dump() {
+		return dumpLater().join();
+	}
+
+	/**
+	 * Asks for the state of the sidecar.
+	 * @return complete when the control thread has taken it
+	 */
+	public CompletableFuture<Dump> dumpLater() {
 		CompletableFuture<Dump> dump = new CompletableFuture<>();
 		this.scheduler.execute(() -> dump.complete(takeDump()));
-		return dump.join();
+		return dump;
 	}
 
 	private Dump takeDump() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationFeed.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationFeed.java
@@ -166,9 +166,11 @@
 	private void read(long waitMillis) {
 		try {
 			long startedMillis = this.clock.millis();
+			long before = this.log.fold().nextOffset();
 			this.log.read(waitMillis);
+			boolean more = this.log.fold().nextOffset() > before;
 			snapshotIfDue();
-			this.scheduler.execute(() -> succeeded(startedMillis, waitMillis));
+			this.scheduler.execute(() -> succeeded(startedMillis, more));
 		}
 		catch (PlatformException | RuntimeException ex) {
 			this.scheduler.execute(() -> failed(ex));
@@ -194,14 +196,15 @@
 		}
 	}
 
-	private void succeeded(long startedMillis, long waitMillis) {
+	private void succeeded(long startedMillis, boolean more) {
 		this.retryMillis = FIRST_RETRY_MILLIS;
 		if (this.log.fold().current()) {
 			this.holder.offer(this.log.fold().configuration(), "the log");
 			boolean newest = this.log.fold().configuration().version() == this.holder.current().version();
 			this.confirmedMillis = newest ? Math.max(this.confirmedMillis, startedMillis) : this.confirmedMillis;
 		}
-		this.scheduler.schedule((waitMillis > 0) ? 0 : CHECK_MILLIS, this::next);
+		long spentMillis = this.clock.millis() - startedMillis;
+		this.scheduler.schedule(more ? 0 : Math.max(0, CHECK_MILLIS - spentMillis), this::next);
 	}
 
 	private void failed(Exception cause) {
--- /dev/null
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FailureTableTests.java
@@ -0,0 +1,19 @@
+package io.dotterelcrank.standin;
+
+import io.cucumber.junit.platform.engine.Constants;
+import org.junit.platform.suite.api.ConfigurationParameter;
+import org.junit.platform.suite.api.IncludeEngines;
+import org.junit.platform.suite.api.SelectPackages;
+import org.junit.platform.suite.api.Suite;
+
+/**
+ * Runs the tables of failures.
+ */
+@Suite
+@IncludeEngines("cucumber")
+@SelectPackages("io.dotterelcrank.standin")
+@ConfigurationParameter(key = Constants.GLUE_PROPERTY_NAME, value = "io.dotterelcrank.standin")
+@ConfigurationParameter(key = Constants.PLUGIN_PUBLISH_QUIET_PROPERTY_NAME, value = "true")
+class FailureTableTests {
+
+}
--- /dev/null
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
@@ -0,0 +1,515 @@
+package io.dotterelcrank.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+
+import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.process.sidecar.Sidecar;
+import io.dotterelcrank.request.Generation;
+import io.dotterelcrank.request.Priority;
+import io.dotterelcrank.request.RequestException;
+import io.dotterelcrank.request.ResultCode;
+import io.dotterelcrank.standin.engine.EngineFault;
+import io.dotterelcrank.standin.platform.LogFault;
+import io.dotterelcrank.version.Change;
+import io.dotterelcrank.version.Configuration;
+import io.dotterelcrank.version.ConfigurationHolder;
+import io.dotterelcrank.version.ConfigurationPublisher;
+import io.dotterelcrank.version.Placement;
+import io.dotterelcrank.version.Setting;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Steps of the features on generations, stops, configuration and orders.
+ */
+public class FleetSteps {
+
+	private static final int TOKENS = 200;
+
+	private final TestFleet fleet = new TestFleet();
+
+	private final List<TestCaller> callers = new ArrayList<>();
+
+	private final Map<ConfigurationHolder, Long> versions = new HashMap<>();
+
+	private TestCaller caller;
+
+	private TestCaller second;
+
+	private CompletableFuture<Void> stop;
+
+	private boolean versionFell;
+
+	private RequestException refusal;
+
+	private int accepted;
+
+	@Given("a fleet with two engines and two entry hosts")
+	public void twoEngines() {
+		twoDataCentres();
+	}
+
+	private void twoDataCentres() {
+		this.fleet.addEngine("engine-a", "dc-a");
+		this.fleet.addEngine("engine-b", "dc-b");
+		this.fleet.addEntry("entry-a", "dc-a");
+		this.fleet.addEntry("entry-b", "dc-b");
+		this.fleet.advance(10_000);
+	}
+
+	@When("a {word} generation of 200 tokens meets the fault {string}")
+	public void generationMeetsFault(String mode, String fault) {
+		boolean early = fault.endsWith("before the first token");
+		if (fault.equals("end lost between sidecar and entry")) {
+			this.fleet.network.cutBefore(Message.Finished.class::isInstance);
+		}
+		this.caller = this.fleet.generate("entry-a", "bandmasters", TOKENS, mode.equals("streamed"), 600_000);
+		this.fleet.advance(early ? 5 : 1_000);
+		inject(fault);
+		this.fleet.advance(90_000);
+	}
+
+	private void inject(String fault) {
+		int port = this.fleet.sidecars.get("engine-a").port();
+		switch (fault) {
+			case "none", "end lost between sidecar and entry" -> {
+			}
+			case "link cut", "link cut before the first token" -> this.fleet.network.cut(port);
+			case "link cut twice" -> {
+				this.fleet.network.cut(port);
+				this.fleet.advance(500);
+				this.fleet.network.cut(port);
+			}
+			case "link stalled" -> {
+				this.fleet.network.stall(port);
+				this.fleet.advance(7_000);
+				this.fleet.network.resume(port);
+			}
+			case "old frames arrive after the new session" -> {
+				this.fleet.network.stallOpen(port);
+				this.fleet.advance(8_000);
+				this.fleet.network.resume(port);
+			}
+			case "engine streams cut" -> engineFault(EngineFault.CUT_STREAMS, 0);
+			case "engine dies before the first token", "engine dies after tokens" ->
+				engineFault(EngineFault.DIE, 3_000);
+			case "sidecar replaced" -> this.fleet.replaceSidecar("engine-a");
+			case "sidecar gone" -> this.fleet.killSidecar("engine-a");
+			default -> throw new IllegalArgumentException(fault);
+		}
+	}
+
+	private void engineFault(EngineFault fault, long value) {
+		this.fleet.engines.get("engine-a").fault(fault, value);
+	}
+
+	@Then("the caller hears the whole answer")
+	public void wholeAnswer() {
+		assertThat(this.caller.faults).isEmpty();
+		assertThat(this.caller.failure).isNull();
+		assertThat(this.caller.whole(TOKENS)).isTrue();
+	}
+
+	@Then("the caller hears GENERATION_LOST")
+	public void generationLost() {
+		assertThat(this.caller.faults).isEmpty();
+		assertThat(this.caller.failure.code()).isEqualTo(ResultCode.GENERATION_LOST);
+	}
+
+	@Then("no engine keeps a generation")
+	public void enginesEmpty() {
+		assertThat(this.fleet.engines.values()).allMatch((engine) -> engine.load() == 0);
+	}
+
+	@Then("no engine keeps a generation within {int} seconds")
+	public void enginesEmptyWithin(int seconds) {
+		this.fleet.advance(seconds * 1_000L);
+		enginesEmpty();
+	}
+
+	@When("the caller's entry host dies after some tokens")
+	public void entryDies() {
+		this.caller = this.fleet.stream("entry-a", "bandmasters", 3_000);
+		this.fleet.advance(1_000);
+		this.fleet.entries.get("entry-a").process().kill();
+		this.fleet.advance(2_000);
+	}
+
+	@When("the caller reconnects at the other entry host with the last event id")
+	public void reconnects() {
+		this.second = this.fleet.continueAfter("entry-b", this.caller);
+		this.fleet.advance(200_000);
+	}
+
+	@Then("both parts together are the whole answer")
+	public void partsTogether() {
+		assertThat(this.second.faults).isEmpty();
+		assertThat(this.second.firstIndex).isEqualTo(this.caller.tokens.size());
+		assertThat(this.second.whole(3_000)).as(String.valueOf(this.second.failure)).isTrue();
+		assertThat(this.second.generation).isEqualTo(this.caller.generation);
+	}
+
+	@When("another workspace sends the last event id of a running generation")
+	public void otherWorkspace() {
+		this.caller = this.fleet.stream("entry-a", "bandmasters", 3_000);
+		this.fleet.advance(1_000);
+		this.second = new TestCaller(true);
+		Generation request = new Generation("", "strangers", TestFleet.MODEL, Priority.NORMAL, "", 0, 0, 60_000);
+		this.fleet.entries.get("entry-b").entry().continueAfter(request, this.caller.lastEvent(), this.second);
+		this.fleet.advance(2_000);
+	}
+
+	@Then("it is refused with GENERATION_UNKNOWN")
+	public void refusedUnknown() {
+		assertThat(this.second.tokens).isEmpty();
+		assertThat(this.second.failure.code()).isEqualTo(ResultCode.GENERATION_UNKNOWN);
+	}
+
+	@When("the caller goes away after some tokens")
+	public void callerGoesAway() {
+		this.caller = this.fleet.stream("entry-a", "bandmasters", 3_000);
+		this.fleet.advance(1_000);
+		this.caller.handle.gone();
+	}
+
+	@Given("a fleet of two data centres with streams running")
+	public void streamsRunning() {
+		twoDataCentres();
+		for (int i = 0; i < 4; i++) {
+			this.callers.add(this.fleet.stream((i % 2 == 0) ? "entry-a" : "entry-b", "workspace-" + i, 1_500));
+		}
+		this.fleet.advance(1_000);
+	}
+
+	@When("data centre {string} is taken out while {}")
+	public void takenOut(String dataCentre, String condition) {
+		Change out = new Change.DataCentreOut(dataCentre, "cable work");
+		switch (condition) {
+			case "everything works" -> this.fleet.publish(out);
+			case "the host list cannot be read" -> {
+				this.fleet.hosts.down(true);
+				this.fleet.publish(out);
+			}
+			case "the log goes down after the change" -> {
+				this.fleet.publish(out);
+				this.fleet.advance(600);
+				this.fleet.log.fault(LogFault.DOWN);
+			}
+			case "only a sidecar has heard" -> hearsAlone(this.fleet.sidecars.get("engine-a").holder(), out);
+			case "only an entry host has heard" -> hearsAlone(this.fleet.entries.get("entry-a").holder(), out);
+			default -> throw new IllegalArgumentException(condition);
+		}
+	}
+
+	private void hearsAlone(ConfigurationHolder holder, Change change) {
+		this.fleet.log.fault(LogFault.DOWN);
+		holder.offer(change.apply(Configuration.INITIAL, 1).withVersion(1), "test");
+	}
+
+	@Then("{string} gets no new work after {int} seconds")
+	public void noNewWork(String place, int seconds) {
+		this.fleet.advance(seconds * 1_000L);
+		String target = place.startsWith("dc-") ? "engine" + place.substring(2) : place;
+		long before = this.fleet.engines.get(target).arrivals();
+		List<TestCaller> later = new ArrayList<>();
+		for (int i = 0; i < 40; i++) {
+			later.add(this.fleet.stream((i % 2 == 0) ? "entry-a" : "entry-b", "late-" + i, 10));
+			this.fleet.advance(500);
+		}
+		this.fleet.advance(5_000);
+		assertThat(this.fleet.engines.get(target).arrivals()).isEqualTo(before);
+		assertThat(later.stream().filter((late) -> !late.whole(10)).map(TestCaller::describe)).isEmpty();
+	}
+
+	@Then("every stream is whole")
+	public void everyStreamWhole() {
+		this.fleet.advance(120_000);
+		for (TestCaller stream : this.callers) {
+			assertThat(stream.faults).isEmpty();
+			assertThat(stream.whole(1_500)).as(String.valueOf(stream.failure)).isTrue();
+		}
+	}
+
+	@When("the sidecar of {string} leaves")
+	public void sidecarLeaves(String target) {
+		this.stop = this.fleet.sidecars.get(target).sidecar().leave();
+		this.fleet.advance(10);
+		assertThat(this.stop.isDone()).isEqualTo(this.fleet.engines.get(target).load() == 0);
+	}
+
+	@Then("the stop is complete")
+	public void stopComplete() {
+		assertThat(this.stop.isDone()).isTrue();
+	}
+
+	@When("host {string} is drained")
+	public void hostDrained(String host) {
+		this.fleet.publish(new Change.DrainHost(host, "new memory"));
+	}
+
+	@When("entry host {string} leaves")
+	public void entryLeaves(String name) {
+		this.stop = this.fleet.entries.get(name).entry().drained();
+		this.fleet.advance(1_000);
+	}
+
+	@Then("it has not stopped before its streams end")
+	public void notStoppedBefore() {
+		assertThat(this.stop.isDone()).isFalse();
+		this.fleet.advance(120_000);
+		assertThat(this.stop.isDone()).isTrue();
+	}
+
+	@When("data centre {string} returns")
+	public void returns(String dataCentre) {
+		this.fleet.advance(5_000);
+		this.fleet.publish(new Change.DataCentreBack(dataCentre));
+		this.fleet.advance(5_000);
+	}
+
+	@Then("the target {string} warms up anew")
+	public void warmsUp(String target) {
+		assertThat(dump(target).warm()).isFalse();
+		assertThat(dump(target).rampLimit()).isLessThanOrEqualTo(2 + 1_500 * 2 / 100);
+	}
+
+	private Sidecar.Dump dump(String target) {
+		return this.fleet.dump(target);
+	}
+
+	@Given("a fleet of three data centres")
+	public void threeDataCentres() {
+		for (String place : List.of("a", "b", "c")) {
+			this.fleet.addEngine("engine-" + place, "dc-" + place);
+			this.fleet.addEntry("entry-" + place + "1", "dc-" + place);
+			this.fleet.addEntry("entry-" + place + "2", "dc-" + place);
+			this.fleet.addEntry("entry-" + place + "3", "dc-" + place);
+		}
+		this.fleet.advance(10_000);
+		watchVersions();
+	}
+
+	private void watchVersions() {
+		this.fleet.holders().forEach((holder) -> holder.onChange((configuration) -> {
+			Long before = this.versions.put(holder, configuration.version());
+			this.versionFell |= before != null && before > configuration.version();
+		}));
+	}
+
+	@When("a change is accepted while {}")
+	public void changeAccepted(String fault) {
+		switch (fault) {
+			case "everything works" -> {
+			}
+			case "the log is down for 5 seconds" -> this.fleet.scheduler.schedule(1, () -> {
+				this.fleet.log.fault(LogFault.DOWN);
+				this.fleet.scheduler.schedule(5_000, () -> this.fleet.log.fault(LogFault.NONE));
+			});
+			case "a reader is dead" -> this.fleet.entries.get("entry-a1").process().kill();
+			case "a link is stalled" -> this.fleet.network.stallOpen(this.fleet.sidecars.get("engine-b").port());
+			default -> throw new IllegalArgumentException(fault);
+		}
+		this.fleet.publish(new Change.SetDefault(Setting.TOKEN_TARGET_MILLIS, 40));
+	}
+
+	@Then("it is in force everywhere within {int} seconds")
+	public void inForceWithin(int seconds) {
+		this.fleet.advance(seconds * 1_000L);
+		assertThat(this.fleet.holders()).allMatch((holder) -> holder.current().version() >= 1);
+	}
+
+	@Then("no process ever went back")
+	public void neverBack() {
+		assertThat(this.versionFell).isFalse();
+	}
+
+	@When("two operators publish changes based on the same version")
+	public void operatorsRace() {
+		publishAs(40);
+		publishAs(50);
+	}
+
+	private void publishAs(long value) {
+		try {
+			publisher().publish("operator", 0, List.of(new Change.SetDefault(Setting.TOKEN_TARGET_MILLIS, value)));
+			this.accepted++;
+		}
+		catch (RequestException ex) {
+			this.refusal = ex;
+		}
+	}
+
+	private ConfigurationPublisher publisher() {
+		return ConfigurationPublisher.of(this.fleet.log, Clock.system(), 1_000);
+	}
+
+	@Then("one change is accepted and the other is refused as a conflict")
+	public void oneConflict() {
+		assertThat(this.accepted).isEqualTo(1);
+		assertThat(this.refusal.failure().code()).isEqualTo(ResultCode.CONFIGURATION_CONFLICT);
+	}
+
+	@When("an operator publishes while the log's answers are lost")
+	public void answersLost() {
+		this.fleet.log.fault(LogFault.LOSE_ANSWERS);
+		publishAs(40);
+	}
+
+	@Then("the operator learns that the change is in force")
+	public void learns() {
+		assertThat(this.accepted).isEqualTo(1);
+	}
+
+	@Then("the log holds the change once")
+	public void heldOnce() {
+		assertThat(this.fleet.log.appends()).isEqualTo(1);
+	}
+
+	@When("the log goes down and a sidecar restarts")
+	public void logDownSidecarRestarts() {
+		this.fleet.advance(5_000);
+		this.fleet.log.fault(LogFault.DOWN);
+		this.fleet.replaceSidecar("engine-b");
+	}
+
+	@Then("the sidecar has the version in force within {int} seconds")
+	public void sidecarHasVersion(int seconds) {
+		this.fleet.advance(seconds * 1_000L);
+		assertThat(this.fleet.sidecars.get("engine-b").holder().current().version()).isEqualTo(1);
+	}
+
+	@Given("the log is down and nothing runs")
+	public void logDownNothingRuns() {
+		this.fleet.log.fault(LogFault.DOWN);
+	}
+
+	@When("an entry host starts")
+	public void entryStarts() {
+		this.fleet.addEntry("entry-x", "dc-x");
+		this.fleet.advance(30_000);
+	}
+
+	@Then("it is not ready")
+	public void notReady() {
+		this.caller = this.fleet.stream("entry-x", "bandmasters", 10);
+		this.fleet.advance(100);
+		assertThat(this.caller.failure.code()).isEqualTo(ResultCode.NOT_READY);
+	}
+
+	@Then("it is ready within {int} seconds of the log's return")
+	public void readyWithin(int seconds) {
+		this.fleet.log.fault(LogFault.NONE);
+		this.fleet.advance(seconds * 1_000L);
+		assertThat(this.fleet.entries.get("entry-x").entry().ready()).isTrue();
+	}
+
+	@When("all processes restart at once")
+	public void allRestart() {
+		List.copyOf(this.fleet.entries.values()).forEach((entry) -> entry.process().kill());
+		List.copyOf(this.fleet.sidecars.keySet()).forEach(this.fleet::killSidecar);
+		this.fleet.advance(10);
+		List.copyOf(this.fleet.sidecars.keySet())
+			.forEach((name) -> this.fleet.startSidecar(name, this.fleet.sidecars.get(name).dataCentre()));
+		List.copyOf(this.fleet.entries.keySet()).forEach((name) -> this.fleet.addEntry(name, "dc-" + name.charAt(6)));
+		watchVersions();
+	}
+
+	@When("two retention times pass")
+	public void retentionPasses() {
+		this.fleet.advance(2 * TestFleet.RETENTION_MILLIS);
+	}
+
+	@When("the log is down for an hour")
+	public void logDownForAnHour() {
+		this.fleet.log.fault(LogFault.DOWN);
+		this.fleet.advance(3_600_000);
+	}
+
+	@Then("requests without a key are still served")
+	public void served() {
+		this.caller = this.fleet.stream("entry-a1", "bandmasters", 50);
+		this.fleet.advance(10_000);
+		assertThat(this.caller.whole(50)).isTrue();
+	}
+
+	@Given("an engine that {word} fencing numbers")
+	public void engineThat(String checks) {
+		if (checks.equals("ignores")) {
+			this.fleet.engineSettings = this.fleet.engineSettings.ignoringFences();
+		}
+		this.fleet.addEngine("engine-a", "dc-a");
+		this.fleet.addEntry("entry-a", "dc-a");
+		this.fleet.advance(10_000);
+	}
+
+	@Given("three more engines")
+	public void threeMoreEngines() {
+		for (int i = 0; i < 3; i++) {
+			this.fleet.addEngine("engine-more-" + i, "dc-a");
+		}
+		this.fleet.advance(10_000);
+	}
+
+	@When("operators place model version {string}")
+	public void place(String version) {
+		this.fleet.publish(new Change.Place(placement(version, 0)));
+		this.fleet.advance(3_000);
+	}
+
+	private static Placement placement(String version, long fence) {
+		return new Placement(TestFleet.MODEL, TestFleet.MODEL, "", version, "serve", fence);
+	}
+
+	@When("an order for version {string} with an old fencing number arrives late")
+	public void lateOrder(String version) {
+		try {
+			this.fleet.engines.get("engine-a").order(placement(version, 0));
+		}
+		catch (PlatformException ex) {
+			assertThat(this.fleet.engineSettings.checksFences()).isTrue();
+		}
+	}
+
+	@Then("the engine holds version {string} within {int} seconds")
+	public void engineHolds(String version, int seconds) {
+		this.fleet.advance(seconds * 1_000L);
+		assertThat(this.fleet.engines.get("engine-a").held().modelVersion()).isEqualTo(version);
+	}
+
+	@When("the log is down for a minute and the engine comes back with version {string}")
+	public void logDownEngineOld(String version) {
+		place("2");
+		this.fleet.advance(10_000);
+		this.fleet.log.fault(LogFault.DOWN);
+		this.fleet.advance(10_000);
+		lateOrder(version);
+		this.fleet.advance(50_000);
+	}
+
+	@Then("the engine gets no order until the log is back")
+	public void noOrderUntilLog() {
+		assertThat(this.fleet.engines.get("engine-a").held().modelVersion()).isEqualTo("1");
+		this.fleet.log.fault(LogFault.NONE);
+		this.fleet.advance(20_000);
+		assertThat(this.fleet.engines.get("engine-a").held().modelVersion()).isEqualTo("2");
+	}
+
+	@Then("the store gave four permits, one a second")
+	public void fourPermits() {
+		assertThat(this.fleet.weights.permits()).isLessThanOrEqualTo(4);
+		this.fleet.advance(20_000);
+		assertThat(this.fleet.weights.permits()).isEqualTo(4);
+		assertThat(this.fleet.engines.values()).allMatch((engine) -> engine.held().modelVersion().equals("2"));
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/TestCallCaller.java
@@ -0,0 +1,40 @@
+package io.dotterelcrank.standin;
+
+import java.nio.charset.StandardCharsets;
+
+import io.dotterelcrank.process.entry.CallCaller;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Reply;
+
+/**
+ * A caller of a plain service that records what it hears.
+ */
+final class TestCallCaller implements CallCaller {
+
+	Reply reply;
+
+	Failure failure;
+
+	int ends;
+
+	@Override
+	public void answered(Reply answer) {
+		this.reply = answer;
+		this.ends++;
+	}
+
+	@Override
+	public void failed(Failure how) {
+		this.failure = how;
+		this.ends++;
+	}
+
+	String body() {
+		return (this.reply != null) ? new String(this.reply.body(), StandardCharsets.UTF_8) : "";
+	}
+
+	String ran() {
+		return (this.failure != null) ? this.failure.ran().word() : "answered";
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/at_most_once.feature
@@ -0,0 +1,103 @@
+Feature: A call that may not be repeated runs at most once, and "ran" is true
+
+  Scenario Outline: <fault> during a <kind> call
+    Given a fleet with two services
+    When a <kind> call meets the fault "<fault>"
+    Then the booking ran at most <most> times
+    And what the caller heard is true
+    And the caller heard exactly one end
+
+    Examples:
+      | kind           | fault                                | most |
+      | idempotent     | target refuses the connection        | 1    |
+      | idempotent     | target breaks before it runs         | 1    |
+      | idempotent     | target breaks after it ran           | 4    |
+      | idempotent     | target breaks mid-answer             | 4    |
+      | idempotent     | target never answers                 | 4    |
+      | idempotent     | link cut before the call             | 2    |
+      | idempotent     | link cut after the call              | 2    |
+      | idempotent     | answer lost between sidecar and entry| 2    |
+      | idempotent     | link stalled                         | 2    |
+      | idempotent     | sidecar killed before the call       | 2    |
+      | idempotent     | sidecar killed after the call        | 2    |
+      | idempotent     | sidecar replaced after the call      | 2    |
+      | non-idempotent | target refuses the connection        | 1    |
+      | non-idempotent | target breaks before it runs         | 1    |
+      | non-idempotent | target breaks after it ran           | 1    |
+      | non-idempotent | target breaks mid-answer             | 1    |
+      | non-idempotent | target never answers                 | 1    |
+      | non-idempotent | link cut before the call             | 1    |
+      | non-idempotent | link cut after the call              | 1    |
+      | non-idempotent | link cut before the reservation      | 1    |
+      | non-idempotent | answer lost between sidecar and entry| 1    |
+      | non-idempotent | link stalled                         | 1    |
+      | non-idempotent | sidecar killed before the call       | 1    |
+      | non-idempotent | sidecar killed after the call        | 1    |
+      | non-idempotent | sidecar replaced after the call      | 1    |
+      | non-idempotent | entry killed after the call          | 1    |
+      | keyed          | target refuses the connection        | 1    |
+      | keyed          | target breaks before it runs         | 1    |
+      | keyed          | target breaks after it ran           | 1    |
+      | keyed          | target breaks mid-answer             | 1    |
+      | keyed          | target never answers                 | 1    |
+      | keyed          | link cut before the call             | 1    |
+      | keyed          | link cut after the call              | 1    |
+      | keyed          | answer lost between sidecar and entry| 1    |
+      | keyed          | link stalled                         | 1    |
+      | keyed          | sidecar killed before the call       | 1    |
+      | keyed          | sidecar killed after the call        | 1    |
+      | keyed          | sidecar replaced after the call      | 1    |
+      | keyed          | entry killed after the call          | 1    |
+      | keyed          | log down                             | 1    |
+      | keyed          | log answers lost                     | 1    |
+      | keyed          | log appends late                     | 1    |
+
+  Scenario Outline: the same key at another entry host, after <fault>
+    Given a fleet with two services
+    When a keyed call meets the fault "<fault>"
+    And the fault ends
+    And the same key is sent to another entry host
+    Then the booking ran at most 1 times
+    And what the caller heard is true
+    And what the second caller heard is true
+
+    Examples:
+      | fault                                 |
+      | target refuses the connection         |
+      | target breaks before it runs          |
+      | target breaks after it ran            |
+      | target never answers                  |
+      | link cut before the call              |
+      | link cut after the call               |
+      | answer lost between sidecar and entry |
+      | link stalled                          |
+      | sidecar killed before the call        |
+      | sidecar killed after the call         |
+      | sidecar replaced after the call       |
+      | entry killed after the call           |
+      | log down                              |
+      | log answers lost                      |
+      | log appends late                      |
+
+  Scenario: the same key at two entry hosts at once
+    Given a fleet with two services
+    When the same key is sent to both entry hosts at once
+    Then the booking ran at most 1 times
+    And both callers heard the same answer
+
+  Scenario: the same key with other content
+    Given a fleet with two services
+    When a keyed call meets the fault "none"
+    And the same key is sent with other content
+    Then the second caller is refused with KEY_REUSED
+
+  Scenario: a claimant paused past its deadline
+    Given a fleet with two services
+    When the claimant is paused until the caller has given up
+    Then the booking ran at most 1 times
+    And what the caller heard is true
+
+  Scenario: a keyed call while the log is down is refused by its deadline
+    Given a fleet with two services
+    When a keyed call meets the fault "log down"
+    Then the caller is refused with CLAIM_UNCONFIRMED and "no"
--- /dev/null
+++ b/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/one_generation.feature
@@ -0,0 +1,53 @@
+Feature: Each token reaches the caller once, in order, from one generation
+
+  Scenario Outline: <fault> during a <mode> generation
+    Given a fleet with two engines and two entry hosts
+    When a <mode> generation of 200 tokens meets the fault "<fault>"
+    Then the caller hears <outcome>
+    And no engine keeps a generation
+
+    Examples:
+      | mode     | fault                                  | outcome         |
+      | streamed | none                                   | the whole answer|
+      | streamed | link cut                               | the whole answer|
+      | streamed | link cut twice                         | the whole answer|
+      | streamed | link cut before the first token        | the whole answer|
+      | streamed | link stalled                           | the whole answer|
+      | streamed | old frames arrive after the new session| the whole answer|
+      | streamed | engine streams cut                     | the whole answer|
+      | streamed | engine dies before the first token     | the whole answer|
+      | streamed | engine dies after tokens               | GENERATION_LOST |
+      | streamed | sidecar replaced                       | the whole answer|
+      | streamed | sidecar gone                           | GENERATION_LOST |
+      | streamed | end lost between sidecar and entry     | the whole answer|
+      | buffered | none                                   | the whole answer|
+      | buffered | link cut                               | the whole answer|
+      | buffered | link stalled                           | the whole answer|
+      | buffered | old frames arrive after the new session| the whole answer|
+      | buffered | engine streams cut                     | the whole answer|
+      | buffered | engine dies before the first token     | the whole answer|
+      | buffered | engine dies after tokens               | the whole answer|
+      | buffered | sidecar replaced                       | the whole answer|
+      | buffered | sidecar gone                           | the whole answer|
+      | buffered | end lost between sidecar and entry     | the whole answer|
+
+  Scenario: a caller goes on at another entry host after its own died
+    Given a fleet with two engines and two entry hosts
+    When the caller's entry host dies after some tokens
+    And the caller reconnects at the other entry host with the last event id
+    Then both parts together are the whole answer
+
+  Scenario: a caller of another workspace cannot resume a generation
+    Given a fleet with two engines and two entry hosts
+    When another workspace sends the last event id of a running generation
+    Then it is refused with GENERATION_UNKNOWN
+
+  Scenario: a caller that goes away frees the engine
+    Given a fleet with two engines and two entry hosts
+    When the caller goes away after some tokens
+    Then no engine keeps a generation within 3 seconds
+
+  Scenario: a generation whose entry host died is cancelled when nobody returns
+    Given a fleet with two engines and two entry hosts
+    When the caller's entry host dies after some tokens
+    Then no engine keeps a generation within 40 seconds
