The fleet on a manual clock is a stand-in of its own, for tests and measurements

Cause: the policy measurements need the same set-up as the failure tables. Change: VirtualFleet moves from the tests to the stand-ins; a case for a request under way when its sidecar hears of a removal.

--- a/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/AtMostOnceSteps.java
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/AtMostOnceSteps.java
@@ -9,6 +9,7 @@
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.ResultCode;
+import io.dotterelcrank.standin.fleet.VirtualFleet;
 import io.dotterelcrank.standin.platform.LogFault;
 import io.dotterelcrank.standin.service.ServiceFault;
 
@@ -25,7 +26,9 @@
 
 	private static final long LONG_MILLIS = 40_000;
 
-	private final TestFleet fleet = new TestFleet();
+	private final VirtualFleet fleet = VirtualFleet.of(VirtualFleet.Plan.standard());
+
+	private final TestFleet callers = new TestFleet(this.fleet);
 
 	private TestCallCaller caller;
 
@@ -53,9 +56,9 @@
 
 	private TestCallCaller call(String entry, String kind, String body) {
 		return switch (kind) {
-			case "idempotent" -> this.fleet.call(entry, "PUT", "", body, DEADLINE_MILLIS);
-			case "keyed" -> this.fleet.call(entry, "POST", "key-7", body, DEADLINE_MILLIS);
-			default -> this.fleet.call(entry, "POST", "", body, DEADLINE_MILLIS);
+			case "idempotent" -> this.callers.call(entry, "PUT", "", body, DEADLINE_MILLIS);
+			case "keyed" -> this.callers.call(entry, "POST", "key-7", body, DEADLINE_MILLIS);
+			default -> this.callers.call(entry, "POST", "", body, DEADLINE_MILLIS);
 		};
 	}
 
@@ -69,36 +72,39 @@
 			case "target breaks after it ran" -> serviceFault(ServiceFault.BREAK_AFTER_RUN);
 			case "target breaks mid-answer" -> serviceFault(ServiceFault.BREAK_MID_ANSWER);
 			case "target never answers" -> serviceFault(ServiceFault.NO_ANSWER);
-			case "link cut before the call" -> this.fleet.network.cutBefore(invocation);
-			case "link cut after the call" -> this.fleet.network.cutAfter(invocation);
-			case "link cut before the reservation" -> this.fleet.network.cutBefore(Message.Reserve.class::isInstance);
+			case "link cut before the call" -> this.fleet.network().cutBefore(invocation);
+			case "link cut after the call" -> this.fleet.network().cutAfter(invocation);
+			case "link cut before the reservation" -> this.fleet.network().cutBefore(Message.Reserve.class::isInstance);
 			case "answer lost between sidecar and entry" ->
-				this.fleet.network.cutBefore(Message.Answer.class::isInstance);
-			case "link stalled" -> this.fleet.network.cutAfter(this::stallBoth);
+				this.fleet.network().cutBefore(Message.Answer.class::isInstance);
+			case "link stalled" -> this.fleet.network().cutAfter(this::stallBoth);
 			case "sidecar killed before the call" ->
-				this.fleet.network.cutBefore((message) -> killOn(message, invocation, false));
+				this.fleet.network().cutBefore((message) -> killOn(message, invocation, false));
 			case "sidecar killed after the call" ->
-				this.fleet.network.cutAfter((message) -> killOn(message, invocation, false));
+				this.fleet.network().cutAfter((message) -> killOn(message, invocation, false));
 			case "sidecar replaced after the call" ->
-				this.fleet.network.cutAfter((message) -> killOn(message, invocation, true));
-			case "entry killed after the call" -> this.fleet.network.cutAfter(this::killEntryOn);
-			case "log down" -> this.fleet.log.fault(LogFault.DOWN);
-			case "log answers lost" -> this.fleet.log.fault(LogFault.LOSE_ANSWERS);
-			case "log appends late" -> this.fleet.log.fault(LogFault.LATE_APPENDS);
+				this.fleet.network().cutAfter((message) -> killOn(message, invocation, true));
+			case "entry killed after the call" -> this.fleet.network().cutAfter(this::killEntryOn);
+			case "log down" -> this.fleet.log().fault(LogFault.DOWN);
+			case "log answers lost" -> this.fleet.log().fault(LogFault.LOSE_ANSWERS);
+			case "log appends late" -> this.fleet.log().fault(LogFault.LATE_APPENDS);
 			default -> throw new IllegalArgumentException(fault);
 		}
 	}
 
 	private void serviceFault(ServiceFault fault) {
-		this.fleet.services.values().forEach((service) -> service.fault(fault));
+		this.fleet.services().values().forEach((service) -> service.fault(fault));
 	}
 
 	private boolean stallBoth(Message message) {
 		if (message instanceof Message.Invoke && !this.stalled) {
 			this.stalled = true;
-			this.fleet.sidecars.values().forEach((sidecar) -> this.fleet.network.stallOpen(sidecar.port()));
-			this.fleet.scheduler.schedule(20_000,
-					() -> this.fleet.sidecars.values().forEach((sidecar) -> this.fleet.network.resume(sidecar.port())));
+			this.fleet.sidecars().values().forEach((sidecar) -> this.fleet.network().stallOpen(sidecar.port()));
+			this.fleet.scheduler()
+				.schedule(20_000,
+						() -> this.fleet.sidecars()
+							.values()
+							.forEach((sidecar) -> this.fleet.network().resume(sidecar.port())));
 		}
 		return false;
 	}
@@ -108,10 +114,10 @@
 			return false;
 		}
 		String target = holderOf(((Message.Invoke) message).call().id());
-		this.fleet.scheduler.schedule(replace ? 2 : 0, () -> {
+		this.fleet.scheduler().schedule(replace ? 2 : 0, () -> {
 			if (replace) {
 				this.fleet.killSidecar(target);
-				this.fleet.startSidecar(target, this.fleet.sidecars.get(target).dataCentre());
+				this.fleet.startSidecar(target, this.fleet.sidecars().get(target).dataCentre());
 			}
 			else {
 				this.fleet.killSidecar(target);
@@ -121,7 +127,8 @@
 	}
 
 	private String holderOf(String attempt) {
-		return this.fleet.entries.get("entry-1")
+		return this.fleet.entries()
+			.get("entry-1")
 			.entry()
 			.targetOf(attempt)
 			.orElseThrow(() -> new IllegalStateException("no target has " + attempt));
@@ -130,7 +137,7 @@
 	private boolean killEntryOn(Message message) {
 		if (message instanceof Message.Invoke) {
 			this.entryKilled = true;
-			this.fleet.scheduler.schedule(0, () -> this.fleet.entries.get("entry-1").process().kill());
+			this.fleet.scheduler().schedule(0, () -> this.fleet.entries().get("entry-1").process().kill());
 		}
 		return false;
 	}
@@ -138,7 +145,7 @@
 	@When("the fault ends")
 	public void faultEnds() {
 		serviceFault(ServiceFault.NONE);
-		this.fleet.log.fault(LogFault.NONE);
+		this.fleet.log().fault(LogFault.NONE);
 		this.fleet.advance(LONG_MILLIS);
 	}
 
@@ -163,10 +170,10 @@
 
 	@When("the claimant is paused until the caller has given up")
 	public void claimantPaused() {
-		this.fleet.log.fault(LogFault.LATE_APPENDS);
+		this.fleet.log().fault(LogFault.LATE_APPENDS);
 		this.caller = call("entry-1", "keyed", BOOKING);
 		this.fleet.advance(DEADLINE_MILLIS + 1_000);
-		this.fleet.log.fault(LogFault.NONE);
+		this.fleet.log().fault(LogFault.NONE);
 		this.fleet.advance(LONG_MILLIS);
 	}
 
--- a/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
@@ -14,11 +14,10 @@
 import io.dotterelcrank.process.Clock;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.process.sidecar.Sidecar;
-import io.dotterelcrank.request.Generation;
-import io.dotterelcrank.request.Priority;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
 import io.dotterelcrank.standin.engine.EngineFault;
+import io.dotterelcrank.standin.fleet.VirtualFleet;
 import io.dotterelcrank.standin.platform.LogFault;
 import io.dotterelcrank.version.Change;
 import io.dotterelcrank.version.Configuration;
@@ -36,7 +35,9 @@
 
 	private static final int TOKENS = 200;
 
-	private final TestFleet fleet = new TestFleet();
+	private VirtualFleet fleet = VirtualFleet.of(VirtualFleet.Plan.standard());
+
+	private TestFleet requests = new TestFleet(this.fleet);
 
 	private final List<TestCaller> callers = new ArrayList<>();
 
@@ -54,6 +55,8 @@
 
 	private int accepted;
 
+	private long workBefore;
+
 	@Given("a fleet with two engines and two entry hosts")
 	public void twoEngines() {
 		twoDataCentres();
@@ -71,34 +74,34 @@
 	public void generationMeetsFault(String mode, String fault) {
 		boolean early = fault.endsWith("before the first token");
 		if (fault.equals("end lost between sidecar and entry")) {
-			this.fleet.network.cutBefore(Message.Finished.class::isInstance);
+			this.fleet.network().cutBefore(Message.Finished.class::isInstance);
 		}
-		this.caller = this.fleet.generate("entry-a", "bandmasters", TOKENS, mode.equals("streamed"), 600_000);
+		this.caller = this.requests.generate("entry-a", "bandmasters", TOKENS, mode.equals("streamed"), 600_000);
 		this.fleet.advance(early ? 5 : 1_000);
 		inject(fault);
 		this.fleet.advance(90_000);
 	}
 
 	private void inject(String fault) {
-		int port = this.fleet.sidecars.get("engine-a").port();
+		int port = this.fleet.sidecars().get("engine-a").port();
 		switch (fault) {
 			case "none", "end lost between sidecar and entry" -> {
 			}
-			case "link cut", "link cut before the first token" -> this.fleet.network.cut(port);
+			case "link cut", "link cut before the first token" -> this.fleet.network().cut(port);
 			case "link cut twice" -> {
-				this.fleet.network.cut(port);
+				this.fleet.network().cut(port);
 				this.fleet.advance(500);
-				this.fleet.network.cut(port);
+				this.fleet.network().cut(port);
 			}
 			case "link stalled" -> {
-				this.fleet.network.stall(port);
+				this.fleet.network().stall(port);
 				this.fleet.advance(7_000);
-				this.fleet.network.resume(port);
+				this.fleet.network().resume(port);
 			}
 			case "old frames arrive after the new session" -> {
-				this.fleet.network.stallOpen(port);
+				this.fleet.network().stallOpen(port);
 				this.fleet.advance(8_000);
-				this.fleet.network.resume(port);
+				this.fleet.network().resume(port);
 			}
 			case "engine streams cut" -> engineFault(EngineFault.CUT_STREAMS, 0);
 			case "engine dies before the first token", "engine dies after tokens" ->
@@ -110,7 +113,7 @@
 	}
 
 	private void engineFault(EngineFault fault, long value) {
-		this.fleet.engines.get("engine-a").fault(fault, value);
+		this.fleet.engines().get("engine-a").fault(fault, value);
 	}
 
 	@Then("the caller hears the whole answer")
@@ -128,7 +131,7 @@
 
 	@Then("no engine keeps a generation")
 	public void enginesEmpty() {
-		assertThat(this.fleet.engines.values()).allMatch((engine) -> engine.load() == 0);
+		assertThat(this.fleet.engines().values()).allMatch((engine) -> engine.load() == 0);
 	}
 
 	@Then("no engine keeps a generation within {int} seconds")
@@ -139,15 +142,15 @@
 
 	@When("the caller's entry host dies after some tokens")
 	public void entryDies() {
-		this.caller = this.fleet.stream("entry-a", "bandmasters", 3_000);
+		this.caller = this.requests.stream("entry-a", "bandmasters", 3_000);
 		this.fleet.advance(1_000);
-		this.fleet.entries.get("entry-a").process().kill();
+		this.fleet.entries().get("entry-a").process().kill();
 		this.fleet.advance(2_000);
 	}
 
 	@When("the caller reconnects at the other entry host with the last event id")
 	public void reconnects() {
-		this.second = this.fleet.continueAfter("entry-b", this.caller);
+		this.second = this.requests.continueAfter("entry-b", this.caller, "bandmasters");
 		this.fleet.advance(200_000);
 	}
 
@@ -161,11 +164,9 @@
 
 	@When("another workspace sends the last event id of a running generation")
 	public void otherWorkspace() {
-		this.caller = this.fleet.stream("entry-a", "bandmasters", 3_000);
+		this.caller = this.requests.stream("entry-a", "bandmasters", 3_000);
 		this.fleet.advance(1_000);
-		this.second = new TestCaller(true);
-		Generation request = new Generation("", "strangers", TestFleet.MODEL, Priority.NORMAL, "", 0, 0, 60_000);
-		this.fleet.entries.get("entry-b").entry().continueAfter(request, this.caller.lastEvent(), this.second);
+		this.second = this.requests.continueAfter("entry-b", this.caller, "strangers");
 		this.fleet.advance(2_000);
 	}
 
@@ -177,7 +178,7 @@
 
 	@When("the caller goes away after some tokens")
 	public void callerGoesAway() {
-		this.caller = this.fleet.stream("entry-a", "bandmasters", 3_000);
+		this.caller = this.requests.stream("entry-a", "bandmasters", 3_000);
 		this.fleet.advance(1_000);
 		this.caller.handle.gone();
 	}
@@ -186,7 +187,7 @@
 	public void streamsRunning() {
 		twoDataCentres();
 		for (int i = 0; i < 4; i++) {
-			this.callers.add(this.fleet.stream((i % 2 == 0) ? "entry-a" : "entry-b", "workspace-" + i, 1_500));
+			this.callers.add(this.requests.stream((i % 2 == 0) ? "entry-a" : "entry-b", "workspace-" + i, 1_500));
 		}
 		this.fleet.advance(1_000);
 	}
@@ -197,37 +198,52 @@
 		switch (condition) {
 			case "everything works" -> this.fleet.publish(out);
 			case "the host list cannot be read" -> {
-				this.fleet.hosts.down(true);
+				this.fleet.hosts().down(true);
 				this.fleet.publish(out);
 			}
 			case "the log goes down after the change" -> {
 				this.fleet.publish(out);
 				this.fleet.advance(600);
-				this.fleet.log.fault(LogFault.DOWN);
+				this.fleet.log().fault(LogFault.DOWN);
 			}
-			case "only a sidecar has heard" -> hearsAlone(this.fleet.sidecars.get("engine-a").holder(), out);
-			case "only an entry host has heard" -> hearsAlone(this.fleet.entries.get("entry-a").holder(), out);
+			case "only a sidecar has heard" -> hearsAlone(this.fleet.sidecars().get("engine-a").holder(), out);
+			case "only an entry host has heard" -> hearsAlone(this.fleet.entries().get("entry-a").holder(), out);
 			default -> throw new IllegalArgumentException(condition);
 		}
 	}
 
 	private void hearsAlone(ConfigurationHolder holder, Change change) {
-		this.fleet.log.fault(LogFault.DOWN);
+		this.fleet.log().fault(LogFault.DOWN);
 		holder.offer(change.apply(Configuration.INITIAL, 1).withVersion(1), "test");
 	}
 
+	@When("the sidecar of engine-a hears of the removal while a request is under way")
+	public void requestUnderWay() {
+		this.second = this.requests.stream("entry-a", "workspace-0", 10);
+		this.fleet.advance(0);
+		hearsAlone(this.fleet.sidecars().get("engine-a").holder(), new Change.DataCentreOut("dc-a", "cable work"));
+		this.workBefore = this.fleet.engines().get("engine-a").arrivals();
+		this.fleet.advance(1_000);
+	}
+
+	@Then("engine-a does not get the request, and its caller gets the whole answer")
+	public void requestElsewhere() {
+		assertThat(this.fleet.engines().get("engine-a").arrivals()).isEqualTo(this.workBefore);
+		assertThat(this.second.whole(10)).as(this.second.describe()).isTrue();
+	}
+
 	@Then("{string} gets no new work after {int} seconds")
 	public void noNewWork(String place, int seconds) {
 		this.fleet.advance(seconds * 1_000L);
 		String target = place.startsWith("dc-") ? "engine" + place.substring(2) : place;
-		long before = this.fleet.engines.get(target).arrivals();
+		long before = this.fleet.engines().get(target).arrivals();
 		List<TestCaller> later = new ArrayList<>();
 		for (int i = 0; i < 40; i++) {
-			later.add(this.fleet.stream((i % 2 == 0) ? "entry-a" : "entry-b", "late-" + i, 10));
+			later.add(this.requests.stream((i % 2 == 0) ? "entry-a" : "entry-b", "late-" + i, 10));
 			this.fleet.advance(500);
 		}
 		this.fleet.advance(5_000);
-		assertThat(this.fleet.engines.get(target).arrivals()).isEqualTo(before);
+		assertThat(this.fleet.engines().get(target).arrivals()).isEqualTo(before);
 		assertThat(later.stream().filter((late) -> !late.whole(10)).map(TestCaller::describe)).isEmpty();
 	}
 
@@ -242,9 +258,9 @@
 
 	@When("the sidecar of {string} leaves")
 	public void sidecarLeaves(String target) {
-		this.stop = this.fleet.sidecars.get(target).sidecar().leave();
+		this.stop = this.fleet.sidecars().get(target).sidecar().leave();
 		this.fleet.advance(10);
-		assertThat(this.stop.isDone()).isEqualTo(this.fleet.engines.get(target).load() == 0);
+		assertThat(this.stop.isDone()).isEqualTo(this.fleet.engines().get(target).load() == 0);
 	}
 
 	@Then("the stop is complete")
@@ -259,7 +275,7 @@
 
 	@When("entry host {string} leaves")
 	public void entryLeaves(String name) {
-		this.stop = this.fleet.entries.get(name).entry().drained();
+		this.stop = this.fleet.entries().get(name).entry().drained();
 		this.fleet.advance(1_000);
 	}
 
@@ -311,12 +327,12 @@
 		switch (fault) {
 			case "everything works" -> {
 			}
-			case "the log is down for 5 seconds" -> this.fleet.scheduler.schedule(1, () -> {
-				this.fleet.log.fault(LogFault.DOWN);
-				this.fleet.scheduler.schedule(5_000, () -> this.fleet.log.fault(LogFault.NONE));
+			case "the log is down for 5 seconds" -> this.fleet.scheduler().schedule(1, () -> {
+				this.fleet.log().fault(LogFault.DOWN);
+				this.fleet.scheduler().schedule(5_000, () -> this.fleet.log().fault(LogFault.NONE));
 			});
-			case "a reader is dead" -> this.fleet.entries.get("entry-a1").process().kill();
-			case "a link is stalled" -> this.fleet.network.stallOpen(this.fleet.sidecars.get("engine-b").port());
+			case "a reader is dead" -> this.fleet.entries().get("entry-a1").process().kill();
+			case "a link is stalled" -> this.fleet.network().stallOpen(this.fleet.sidecars().get("engine-b").port());
 			default -> throw new IllegalArgumentException(fault);
 		}
 		this.fleet.publish(new Change.SetDefault(Setting.TOKEN_TARGET_MILLIS, 40));
@@ -350,7 +366,7 @@
 	}
 
 	private ConfigurationPublisher publisher() {
-		return ConfigurationPublisher.of(this.fleet.log, Clock.system(), 1_000);
+		return ConfigurationPublisher.of(this.fleet.logClient(), Clock.system(), 1_000);
 	}
 
 	@Then("one change is accepted and the other is refused as a conflict")
@@ -361,7 +377,7 @@
 
 	@When("an operator publishes while the log's answers are lost")
 	public void answersLost() {
-		this.fleet.log.fault(LogFault.LOSE_ANSWERS);
+		this.fleet.log().fault(LogFault.LOSE_ANSWERS);
 		publishAs(40);
 	}
 
@@ -372,25 +388,25 @@
 
 	@Then("the log holds the change once")
 	public void heldOnce() {
-		assertThat(this.fleet.log.appends()).isEqualTo(1);
+		assertThat(this.fleet.log().appends()).isEqualTo(1);
 	}
 
 	@When("the log goes down and a sidecar restarts")
 	public void logDownSidecarRestarts() {
 		this.fleet.advance(5_000);
-		this.fleet.log.fault(LogFault.DOWN);
+		this.fleet.log().fault(LogFault.DOWN);
 		this.fleet.replaceSidecar("engine-b");
 	}
 
 	@Then("the sidecar has the version in force within {int} seconds")
 	public void sidecarHasVersion(int seconds) {
 		this.fleet.advance(seconds * 1_000L);
-		assertThat(this.fleet.sidecars.get("engine-b").holder().current().version()).isEqualTo(1);
+		assertThat(this.fleet.sidecars().get("engine-b").holder().current().version()).isEqualTo(1);
 	}
 
 	@Given("the log is down and nothing runs")
 	public void logDownNothingRuns() {
-		this.fleet.log.fault(LogFault.DOWN);
+		this.fleet.log().fault(LogFault.DOWN);
 	}
 
 	@When("an entry host starts")
@@ -401,43 +417,43 @@
 
 	@Then("it is not ready")
 	public void notReady() {
-		this.caller = this.fleet.stream("entry-x", "bandmasters", 10);
+		this.caller = this.requests.stream("entry-x", "bandmasters", 10);
 		this.fleet.advance(100);
 		assertThat(this.caller.failure.code()).isEqualTo(ResultCode.NOT_READY);
 	}
 
 	@Then("it is ready within {int} seconds of the log's return")
 	public void readyWithin(int seconds) {
-		this.fleet.log.fault(LogFault.NONE);
+		this.fleet.log().fault(LogFault.NONE);
 		this.fleet.advance(seconds * 1_000L);
-		assertThat(this.fleet.entries.get("entry-x").entry().ready()).isTrue();
+		assertThat(this.fleet.entries().get("entry-x").entry().ready()).isTrue();
 	}
 
 	@When("all processes restart at once")
 	public void allRestart() {
-		List.copyOf(this.fleet.entries.values()).forEach((entry) -> entry.process().kill());
-		List.copyOf(this.fleet.sidecars.keySet()).forEach(this.fleet::killSidecar);
+		List.copyOf(this.fleet.entries().values()).forEach((entry) -> entry.process().kill());
+		List.copyOf(this.fleet.sidecars().keySet()).forEach(this.fleet::killSidecar);
 		this.fleet.advance(10);
-		List.copyOf(this.fleet.sidecars.keySet())
-			.forEach((name) -> this.fleet.startSidecar(name, this.fleet.sidecars.get(name).dataCentre()));
-		List.copyOf(this.fleet.entries.keySet()).forEach((name) -> this.fleet.addEntry(name, "dc-" + name.charAt(6)));
+		List.copyOf(this.fleet.sidecars().keySet())
+			.forEach((name) -> this.fleet.startSidecar(name, this.fleet.sidecars().get(name).dataCentre()));
+		List.copyOf(this.fleet.entries().keySet()).forEach((name) -> this.fleet.addEntry(name, "dc-" + name.charAt(6)));
 		watchVersions();
 	}
 
 	@When("two retention times pass")
 	public void retentionPasses() {
-		this.fleet.advance(2 * TestFleet.RETENTION_MILLIS);
+		this.fleet.advance(2 * VirtualFleet.RETENTION_MILLIS);
 	}
 
 	@When("the log is down for an hour")
 	public void logDownForAnHour() {
-		this.fleet.log.fault(LogFault.DOWN);
+		this.fleet.log().fault(LogFault.DOWN);
 		this.fleet.advance(3_600_000);
 	}
 
 	@Then("requests without a key are still served")
 	public void served() {
-		this.caller = this.fleet.stream("entry-a1", "bandmasters", 50);
+		this.caller = this.requests.stream("entry-a1", "bandmasters", 50);
 		this.fleet.advance(10_000);
 		assertThat(this.caller.whole(50)).isTrue();
 	}
@@ -445,7 +461,9 @@
 	@Given("an engine that {word} fencing numbers")
 	public void engineThat(String checks) {
 		if (checks.equals("ignores")) {
-			this.fleet.engineSettings = this.fleet.engineSettings.ignoringFences();
+			VirtualFleet.Plan plan = VirtualFleet.Plan.standard();
+			this.fleet = VirtualFleet.of(plan.withEngine(plan.engine().ignoringFences()));
+			this.requests = new TestFleet(this.fleet);
 		}
 		this.fleet.addEngine("engine-a", "dc-a");
 		this.fleet.addEntry("entry-a", "dc-a");
@@ -467,30 +485,30 @@
 	}
 
 	private static Placement placement(String version, long fence) {
-		return new Placement(TestFleet.MODEL, TestFleet.MODEL, "", version, "serve", fence);
+		return new Placement(VirtualFleet.MODEL, VirtualFleet.MODEL, "", version, "serve", fence);
 	}
 
 	@When("an order for version {string} with an old fencing number arrives late")
 	public void lateOrder(String version) {
 		try {
-			this.fleet.engines.get("engine-a").order(placement(version, 0));
+			this.fleet.engines().get("engine-a").order(placement(version, 0));
 		}
 		catch (PlatformException ex) {
-			assertThat(this.fleet.engineSettings.checksFences()).isTrue();
+			assertThat(ex).hasMessageContaining("fencing number");
 		}
 	}
 
 	@Then("the engine holds version {string} within {int} seconds")
 	public void engineHolds(String version, int seconds) {
 		this.fleet.advance(seconds * 1_000L);
-		assertThat(this.fleet.engines.get("engine-a").held().modelVersion()).isEqualTo(version);
+		assertThat(this.fleet.engines().get("engine-a").held().modelVersion()).isEqualTo(version);
 	}
 
 	@When("the log is down for a minute and the engine comes back with version {string}")
 	public void logDownEngineOld(String version) {
 		place("2");
 		this.fleet.advance(10_000);
-		this.fleet.log.fault(LogFault.DOWN);
+		this.fleet.log().fault(LogFault.DOWN);
 		this.fleet.advance(10_000);
 		lateOrder(version);
 		this.fleet.advance(50_000);
@@ -498,18 +516,18 @@
 
 	@Then("the engine gets no order until the log is back")
 	public void noOrderUntilLog() {
-		assertThat(this.fleet.engines.get("engine-a").held().modelVersion()).isEqualTo("1");
-		this.fleet.log.fault(LogFault.NONE);
+		assertThat(this.fleet.engines().get("engine-a").held().modelVersion()).isEqualTo("1");
+		this.fleet.log().fault(LogFault.NONE);
 		this.fleet.advance(20_000);
-		assertThat(this.fleet.engines.get("engine-a").held().modelVersion()).isEqualTo("2");
+		assertThat(this.fleet.engines().get("engine-a").held().modelVersion()).isEqualTo("2");
 	}
 
 	@Then("the store gave four permits, one a second")
 	public void fourPermits() {
-		assertThat(this.fleet.weights.permits()).isLessThanOrEqualTo(4);
+		assertThat(this.fleet.weights().permits()).isLessThanOrEqualTo(4);
 		this.fleet.advance(20_000);
-		assertThat(this.fleet.weights.permits()).isEqualTo(4);
-		assertThat(this.fleet.engines.values()).allMatch((engine) -> engine.held().modelVersion().equals("2"));
+		assertThat(this.fleet.weights().permits()).isEqualTo(4);
+		assertThat(this.fleet.engines().values()).allMatch((engine) -> engine.held().modelVersion().equals("2"));
 	}
 
 }
--- a/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/planned_stops.feature
+++ b/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/planned_stops.feature
@@ -14,6 +14,11 @@
       | only a sidecar has heard           |
       | only an entry host has heard       |
 
+  Scenario: a request is under way when its target's sidecar hears of the removal
+    Given a fleet of two data centres with streams running
+    When the sidecar of engine-a hears of the removal while a request is under way
+    Then engine-a does not get the request, and its caller gets the whole answer
+
   Scenario: a sidecar leaves during long streams
     Given a fleet of two data centres with streams running
     When the sidecar of "engine-a" leaves
