--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
@@ -27,6 +27,7 @@
 import io.dotterelcrank.daemon.command.HelpVerb;
 import io.dotterelcrank.daemon.command.HostDrainVerb;
 import io.dotterelcrank.daemon.command.HostRestoreVerb;
+import io.dotterelcrank.daemon.command.LoadVerb;
 import io.dotterelcrank.daemon.command.PlacementSetVerb;
 import io.dotterelcrank.daemon.command.SidecarVerb;
 import io.dotterelcrank.daemon.command.StandinVerb;
@@ -92,7 +93,7 @@
 			.withDescription("Serves language-model generations of unknown length on crowded engines")
 			.withDefaultCommand(HelpVerb.class)
 			.withCommands(List.of(HelpVerb.class, DemoVerb.class, EntryVerb.class, SidecarVerb.class, StandinVerb.class,
-					StatusVerb.class, DumpVerb.class));
+					StatusVerb.class, DumpVerb.class, LoadVerb.class));
 		builder.withParser().withErrorHandler(new CollectAll());
 		builder.withGroup("config")
 			.withDescription("Publish, show and check the configuration")
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
@@ -0,0 +1,489 @@
+package io.dotterelcrank.daemon.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongFunction;
+import java.util.function.ToDoubleFunction;
+
+import io.dotterelcrank.connection.Link;
+import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.daemon.command.Table;
+import io.dotterelcrank.daemon.embedded.Pause;
+import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.process.admission.LengthEstimator;
+import io.dotterelcrank.process.claim.ClaimKey;
+import io.dotterelcrank.process.claim.ClaimLedger;
+import io.dotterelcrank.process.claim.ClaimRecord;
+import io.dotterelcrank.process.claim.Claims;
+import io.dotterelcrank.process.claim.ClaimsThroughLog;
+import io.dotterelcrank.process.entry.Entry;
+import io.dotterelcrank.process.entry.GenerationCaller;
+import io.dotterelcrank.process.platform.HostList;
+import io.dotterelcrank.process.platform.Json;
+import io.dotterelcrank.request.Call;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Generation;
+import io.dotterelcrank.request.Priority;
+import io.dotterelcrank.standin.fleet.VirtualFleet;
+import io.dotterelcrank.standin.platform.StandinLog;
+import io.dotterelcrank.version.Change;
+import io.dotterelcrank.version.Setting;
+
+/**
+ * Measures how messages, processor time and memory grow with the size of the fleet. Each
+ * slope is fitted through at least four sizes. Belongs to one thread.
+ */
+public final class CapacityBench {
+
+	/** Time over which idle traffic is measured, in milliseconds of the manual clock. */
+	private static final long IDLE_MILLIS = 60_000;
+
+	/** Time for links to open, in milliseconds of the manual clock. */
+	private static final long SETTLE_MILLIS = 8_000;
+
+	/** Milliseconds in a second. */
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	/** Nanoseconds in a microsecond. */
+	private static final double NANOS_PER_MICRO = 1_000;
+
+	/** Bytes in a kilobyte. */
+	private static final double BYTES_PER_KB = 1_024;
+
+	/** Numbers of links. */
+	private static final long[] LINKS = { 10, 20, 40, 80 };
+
+	/** Numbers of remembered claims. */
+	private static final long[] CLAIMS = { 20_000, 40_000, 80_000, 160_000 };
+
+	/** Numbers of workspaces. */
+	private static final long[] WORKSPACES = { 500, 1_000, 2_000, 4_000 };
+
+	/** Numbers of known targets. */
+	private static final long[] TARGETS = { 100, 200, 400, 800 };
+
+	/** Numbers of real connections. */
+	private static final long[] CONNECTIONS = { 50, 100, 200, 400 };
+
+	/** Claims per second. */
+	private static final long[] CLAIM_RATES = { 5, 20, 80, 320 };
+
+	/** Numbers of generations. */
+	private static final long[] GENERATIONS = { 100, 200, 400, 800 };
+
+	/** Tokens of each generation while the slope per request is measured. */
+	private static final int TOKENS = 50;
+
+	/** Slopes so far. */
+	private final List<Slope> slopes = new ArrayList<>();
+
+	/** Where progress is printed. */
+	private final PrintStream out;
+
+	private CapacityBench(PrintStream out) {
+		this.out = out;
+	}
+
+	/**
+	 * Measures and prints all slopes.
+	 * @param out where to
+	 * @param folder where the slopes are written as JSON
+	 * @throws IOException if a file cannot be written
+	 */
+	public static void run(PrintStream out, Path folder) throws IOException {
+		CapacityBench bench = new CapacityBench(out);
+		bench.measure();
+		List<List<String>> rows = new ArrayList<>();
+		rows.add(List.of("WHAT", "SLOPE", "AT 0", "RESIDUAL", "SIZE:VALUE"));
+		bench.slopes.forEach((slope) -> rows.add(slope.row()));
+		Table.print(out, rows);
+		Files.createDirectories(folder);
+		Files.write(folder.resolve("capacity.json"),
+				Json.mapper().writerWithDefaultPrettyPrinter().writeValueAsBytes(bench.slopes));
+		out.println("written to " + folder.resolve("capacity.json"));
+	}
+
+	private void measure() throws IOException {
+		List<Idle> idle = new ArrayList<>();
+		for (long links : LINKS) {
+			idle.add(idle(links, 1));
+		}
+		List<Idle> wide = new ArrayList<>();
+		for (long links : LINKS) {
+			wide.add(idle(1, links));
+		}
+		add("entry: control bytes sent and received", "B/s", "link", LINKS, (i) -> idle.get(i).entryBytes());
+		add("sidecar: control bytes sent and received", "B/s", "link", LINKS, (i) -> wide.get(i).sidecarBytes());
+		add("processor time of control, both ends", "us/s", "link", LINKS, (i) -> idle.get(i).micros());
+		add("control bytes of a change, both ends", "B", "link", LINKS, (i) -> idle.get(i).changeBytes());
+		add("processor time of a change, both ends", "us", "link", LINKS, (i) -> idle.get(i).changeMicros());
+		add("time until a change is in force", "ms", "link", LINKS, (i) -> idle.get(i).changeMillis());
+		requests();
+		claims();
+		add("entry: heap of known targets", "KB", "target", TARGETS, (i) -> targetHeap(TARGETS[i]));
+		add("both ends: heap of a connection", "KB", "connection", CONNECTIONS, (i) -> connectionHeap(CONNECTIONS[i]));
+		add("sidecar: heap of length distributions", "KB", "workspace", WORKSPACES,
+				(i) -> workspaceHeap(WORKSPACES[i]));
+		add("sidecar: heap of remembered claims", "KB", "claim", CLAIMS, (i) -> claimHeap(CLAIMS[i]));
+		add("both ends: heap of open streams of 50 tokens", "KB", "stream", GENERATIONS,
+				(i) -> streamHeap(GENERATIONS[i]));
+	}
+
+	private void add(String name, String unit, String per, long[] sizes, ToDoubleFunction<Integer> value) {
+		List<Slope.Point> points = new ArrayList<>();
+		for (int i = 0; i < sizes.length; i++) {
+			points.add(new Slope.Point(sizes[i], value.applyAsDouble(i)));
+		}
+		this.slopes.add(Slope.fit(name, unit, per, points));
+		this.out.println("done: " + name);
+	}
+
+	/**
+	 * Measures a fleet without requests: its heartbeats, and one change.
+	 * @param sidecars number of sidecars
+	 * @param entries number of entry processes
+	 * @return the figures
+	 */
+	private static Idle idle(long sidecars, long entries) {
+		VirtualFleet fleet = VirtualFleet.of(VirtualFleet.Plan.standard());
+		for (int i = 0; i < sidecars; i++) {
+			fleet.addEngine("engine-" + i, "dc");
+		}
+		for (int i = 0; i < entries; i++) {
+			fleet.addEntry("entry-" + i, "dc");
+		}
+		fleet.advance(SETTLE_MILLIS);
+		long bytesBefore = control(fleet.entries().get("entry-0").process());
+		long sidecarBefore = control(fleet.sidecars().get("engine-0").process());
+		long nanosBefore = cpuNanos();
+		fleet.advance(IDLE_MILLIS);
+		double seconds = IDLE_MILLIS / MILLIS_PER_SECOND;
+		double micros = (cpuNanos() - nanosBefore) / NANOS_PER_MICRO / seconds;
+		double entryBytes = (control(fleet.entries().get("entry-0").process()) - bytesBefore) / seconds;
+		double sidecarBytes = (control(fleet.sidecars().get("engine-0").process()) - sidecarBefore) / seconds;
+		return change(fleet, entryBytes, sidecarBytes, micros);
+	}
+
+	private static Idle change(VirtualFleet fleet, double entryBytes, double sidecarBytes, double micros) {
+		long bytesBefore = control(fleet.entries().get("entry-0").process());
+		long nanosBefore = cpuNanos();
+		long startMillis = fleet.clock().millis();
+		fleet.publish(new Change.SetDefault(Setting.TOKEN_TARGET_MILLIS, 40));
+		while (!fleet.holders().stream().allMatch((holder) -> holder.current().version() == 1)) {
+			fleet.advance(1);
+		}
+		long millis = fleet.clock().millis() - startMillis;
+		double idleBytes = entryBytes * millis / MILLIS_PER_SECOND;
+		double bytes = control(fleet.entries().get("entry-0").process()) - bytesBefore - idleBytes;
+		double changeMicros = (cpuNanos() - nanosBefore) / NANOS_PER_MICRO - micros * millis / MILLIS_PER_SECOND;
+		return new Idle(entryBytes, sidecarBytes, micros, bytes, Math.max(0, changeMicros), millis);
+	}
+
+	private static long control(Transport transport) {
+		Transport.Traffic traffic = transport.traffic();
+		return traffic.controlBytesSent() + traffic.controlBytesReceived();
+	}
+
+	private static long cpuNanos() {
+		return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+	}
+
+	private void requests() {
+		for (int round = 0; round < 2; round++) {
+			requestMicros(GENERATIONS[GENERATIONS.length - 1], TOKENS);
+		}
+		add("processor time of a request of 50 tokens, both ends", "us", "request", GENERATIONS,
+				(i) -> requestMicros(GENERATIONS[i], TOKENS));
+		long[] lengths = { 25, 50, 100, 200 };
+		add("processor time of a request by its tokens, both ends", "us", "token", lengths,
+				(i) -> requestMicros(GENERATIONS[1], (int) lengths[i]) / GENERATIONS[1]);
+	}
+
+	private static double requestMicros(long count, int tokens) {
+		VirtualFleet fleet = streamingFleet();
+		long nanosBefore = cpuNanos();
+		for (int i = 0; i < count; i++) {
+			send(fleet, tokens);
+			fleet.advance(20);
+		}
+		fleet.advance(IDLE_MILLIS / 2);
+		return (cpuNanos() - nanosBefore) / NANOS_PER_MICRO;
+	}
+
+	private static VirtualFleet streamingFleet() {
+		VirtualFleet fleet = VirtualFleet.of(VirtualFleet.Plan.standard());
+		for (int i = 0; i < 4; i++) {
+			fleet.addEngine("engine-" + i, "dc");
+		}
+		fleet.addEntry("entry-0", "dc");
+		fleet.advance(SETTLE_MILLIS);
+		return fleet;
+	}
+
+	private static void send(VirtualFleet fleet, int tokens) {
+		Generation request = new Generation("", "workspace", VirtualFleet.MODEL, Priority.NORMAL,
+				"[tokens=" + tokens + "]", 20, 4_096, 3_600_000);
+		SilentCaller caller = new SilentCaller();
+		caller.handle = fleet.entries().get("entry-0").entry().generate(request, caller);
+	}
+
+	private void claims() {
+		List<ClaimRun> runs = new ArrayList<>();
+		for (long rate : CLAIM_RATES) {
+			runs.add(claimRun(rate));
+		}
+		add("log appends of one partition's writer", "1/s", "claim/s", CLAIM_RATES, (i) -> runs.get(i).appends());
+		add("claim latency, mean", "ms", "claim/s", CLAIM_RATES, (i) -> runs.get(i).meanMillis());
+		add("processor time of claims", "us/s", "claim/s", CLAIM_RATES, (i) -> runs.get(i).micros());
+	}
+
+	private static ClaimRun claimRun(long rate) {
+		Clock.Manual clock = Clock.manual(0);
+		Scheduler.Manual scheduler = Scheduler.manual(clock);
+		StandinLog log = StandinLog.keeping(clock, VirtualFleet.RETENTION_MILLIS);
+		ClaimsThroughLog claims = ClaimsThroughLog.of("target", 1, log, clock, scheduler, scheduler,
+				Setting.KEY_MEMORY_MILLIS::standard);
+		int seconds = 20;
+		long[] latency = new long[2];
+		long nanosBefore = cpuNanos();
+		for (int i = 0; i < rate * seconds; i++) {
+			Call call = claimOf(0, i);
+			long sentMillis = clock.millis();
+			claims.claim(call, new CountingListener(() -> {
+				latency[0] += clock.millis() - sentMillis;
+				latency[1]++;
+			}));
+			scheduler.advance((i % rate == rate - 1) ? (long) MILLIS_PER_SECOND % rate : 0);
+			scheduler.advance((long) MILLIS_PER_SECOND / rate);
+		}
+		double micros = (cpuNanos() - nanosBefore) / NANOS_PER_MICRO / seconds;
+		return new ClaimRun((double) claims.appends() / seconds, (double) latency[0] / Math.max(1, latency[1]), micros);
+	}
+
+	/**
+	 * Returns a call whose key lies in a given partition.
+	 * @param partition number of the partition
+	 * @param number number of the call
+	 * @return the call
+	 */
+	private static Call claimOf(int partition, int number) {
+		int salt = 0;
+		while (true) {
+			Call call = new Call("attempt-" + number, "workspace", "service", Priority.NORMAL, number + "-" + salt,
+					"POST", "/orders", List.of(), "body".getBytes(StandardCharsets.UTF_8), 60_000);
+			if (ClaimKey.of(call.claimKey()).partition() == partition) {
+				return call;
+			}
+			salt++;
+		}
+	}
+
+	private static double heapKb(LongFunction<Object> maker, long size) {
+		long before = usedHeap();
+		Object held = maker.apply(size);
+		long after = usedHeap();
+		double kb = (after - before) / BYTES_PER_KB;
+		if (held.hashCode() == 0) {
+			throw new IllegalStateException("keeps the object alive until here");
+		}
+		return kb;
+	}
+
+	private static long usedHeap() {
+		Runtime runtime = Runtime.getRuntime();
+		for (int i = 0; i < 3; i++) {
+			System.gc();
+			Pause.millis(20);
+		}
+		return runtime.totalMemory() - runtime.freeMemory();
+	}
+
+	private static double targetHeap(long count) {
+		return heapKb((size) -> {
+			VirtualFleet fleet = VirtualFleet.of(VirtualFleet.Plan.standard());
+			for (int i = 0; i < size; i++) {
+				fleet.hosts()
+					.put(new HostList.Host("engine-" + i, HostList.Role.ENGINE, "far", "s", "m", "127.0.0.1", 1, 2,
+							false));
+			}
+			fleet.addEntry("entry-0", "dc");
+			fleet.advance(SETTLE_MILLIS);
+			return fleet;
+		}, count);
+	}
+
+	private static double connectionHeap(long count) {
+		return heapKb((size) -> {
+			Transport accepting = Transport.overTcp(() -> 1);
+			Transport opening = Transport.overTcp(() -> 1);
+			List<Object> held = new ArrayList<>(List.of(accepting, opening));
+			try {
+				InetSocketAddress address = accepting.listen(new InetSocketAddress("127.0.0.1", 0),
+						new SilentListener());
+				for (int i = 0; i < size; i++) {
+					Link link = opening.open(address, new SilentListener());
+					link.send(new Message.AskConfiguration());
+					held.add(link);
+				}
+			}
+			catch (IOException ex) {
+				throw new IllegalStateException("loopback ports are free", ex);
+			}
+			Pause.millis(500);
+			return held;
+		}, count);
+	}
+
+	private static double workspaceHeap(long count) {
+		return heapKb((size) -> {
+			LengthEstimator lengths = LengthEstimator.create();
+			for (int i = 0; i < size; i++) {
+				lengths.learn("workspace-" + i, 100);
+			}
+			return lengths;
+		}, count);
+	}
+
+	private static double claimHeap(long count) {
+		return heapKb((size) -> {
+			ClaimLedger ledger = ClaimLedger.create(VirtualFleet.RETENTION_MILLIS);
+			for (int i = 0; i < size; i++) {
+				ClaimRecord claim = new ClaimRecord.Claim(new ClaimKey(i, i), "entry-1-mx85auq8-" + i,
+						"0123456789abcdef0123456789abcdef", "desk-1", 1);
+				ledger.fold(i + 1, i, ClaimRecord.decode(ClaimRecord.encode(List.of(claim))));
+			}
+			return ledger;
+		}, count);
+	}
+
+	private static double streamHeap(long count) {
+		return heapKb((size) -> {
+			VirtualFleet fleet = streamingFleet();
+			for (int i = 0; i < size; i++) {
+				send(fleet, TOKENS);
+				fleet.advance(20);
+			}
+			return fleet;
+		}, count);
+	}
+
+	/**
+	 * Figures of a fleet without requests. Immutable.
+	 *
+	 * @param entryBytes control bytes at the entry process, per second
+	 * @param sidecarBytes control bytes at a sidecar, per second
+	 * @param micros processor time of all processes, in microseconds per second
+	 * @param changeBytes control bytes of a change at the entry process
+	 * @param changeMicros processor time of a change at all processes, in microseconds
+	 * @param changeMillis time until the change was in force everywhere, in milliseconds
+	 */
+	private record Idle(double entryBytes, double sidecarBytes, double micros, double changeBytes, double changeMicros,
+			double changeMillis) {
+	}
+
+	/**
+	 * Figures of claims at one partition. Immutable.
+	 *
+	 * @param appends appends per second
+	 * @param meanMillis mean latency of a claim, in milliseconds
+	 * @param micros processor time in microseconds per second
+	 */
+	private record ClaimRun(double appends, double meanMillis, double micros) {
+	}
+
+	/**
+	 * Hears claims that always win.
+	 *
+	 * @param whenWon what to do then
+	 */
+	private record CountingListener(Runnable whenWon) implements Claims.Listener {
+
+		@Override
+		public void won() {
+			this.whenWon.run();
+		}
+
+		@Override
+		public void lost(ClaimLedger.Holder holder) {
+			throw new IllegalStateException("every key is claimed once");
+		}
+
+		@Override
+		public void unconfirmed() {
+			throw new IllegalStateException("the log works");
+		}
+
+	}
+
+	/**
+	 * A caller that reads at once and keeps nothing.
+	 */
+	private static final class SilentCaller implements GenerationCaller {
+
+		/** Handle of the request. */
+		private Entry.Handle handle;
+
+		@Override
+		public boolean streams() {
+			return true;
+		}
+
+		@Override
+		public void tokens(String target, String generation, int firstIndex, List<String> tokens) {
+			this.handle.read(firstIndex + tokens.size());
+		}
+
+		@Override
+		public void finished(int count, String reason) {
+			this.handle = null;
+		}
+
+		@Override
+		public void failed(Failure failure) {
+			this.handle = null;
+		}
+
+		@Override
+		public void restarted() {
+			// Nothing is kept.
+		}
+
+	}
+
+	/**
+	 * A listener that does nothing.
+	 */
+	private static final class SilentListener implements Link.Listener {
+
+		@Override
+		public void opened(Link link) {
+			// Nothing to do.
+		}
+
+		@Override
+		public void received(Link link, long version, Message message) {
+			// Nothing to do.
+		}
+
+		@Override
+		public void writable(Link link) {
+			// Nothing to do.
+		}
+
+		@Override
+		public void closed(Link link) {
+			// Nothing to do.
+		}
+
+	}
+
+}
