--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/claim/ClaimLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/claim/ClaimLedger.java
@@ -116,13 +116,14 @@
 
 	private void foldRelease(long appendedAtMillis, ClaimRecord.Release release) {
 		Holder holder = current(release.key());
-		boolean holds = holder != null && holder.claim().claimId().equals(release.claimId()) && !holder.done();
+		boolean holds = holder != null && holder.claim().claimId().equals(release.claimId());
+		if (holds && holder.done()) {
+			return;
+		}
 		if (holds && holder.certain()) {
 			this.holders.remove(release.key());
 		}
-		if (holds || holder == null) {
-			spend(appendedAtMillis, release.key(), release.claimId());
-		}
+		spend(appendedAtMillis, release.key(), release.claimId());
 	}
 
 	private void foldDone(ClaimRecord.Done done) {
