--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/DisconnectWatch.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/DisconnectWatch.java
@@ -6,6 +6,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.ReadReadyHandler;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Notices that a caller has closed its connection while its request is open. Stateless.
@@ -27,25 +29,19 @@
 				|| connection.getExtraBytes() != null) {
 			return;
 		}
-		ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-		source.setReadListener((channel) -> readEnd(exchange, channel));
-		source.resumeReads();
-	}
-
-	private static void readEnd(HttpServerExchange exchange, ConduitStreamSourceChannel channel) {
-		try {
-			int read = channel.read(ByteBuffer.allocate(1));
-			if (read < 0) {
-				exchange.getConnection().close();
+		StreamSourceConduit source = connection.getOriginalSourceConduit();
+		ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
+		exchange.addExchangeCompleteListener((completed, next) -> {
+			source.suspendReads();
+			source.setReadReadyHandler(new ReadReadyHandler.ChannelListenerHandler<>(channel));
+			next.proceed();
+		});
+		exchange.getIoThread().execute(() -> {
+			if (!exchange.isComplete()) {
+				source.setReadReadyHandler(new EndHandler(exchange, source));
+				source.resumeReads();
 			}
-			else if (read > 0) {
-				exchange.setPersistent(false);
-				channel.suspendReads();
-			}
-		}
-		catch (IOException ex) {
-			closeQuietly(exchange);
-		}
+		});
 	}
 
 	private static void closeQuietly(HttpServerExchange exchange) {
@@ -57,4 +53,50 @@
 		}
 	}
 
+	/**
+	 * Is told when the connection can be read. When a further request comes before the
+	 * answer, the connection is closed after the answer.
+	 */
+	private static final class EndHandler implements ReadReadyHandler {
+
+		/** The exchange. */
+		private final HttpServerExchange exchange;
+
+		/** The connection's input. */
+		private final StreamSourceConduit source;
+
+		EndHandler(HttpServerExchange exchange, StreamSourceConduit source) {
+			this.exchange = exchange;
+			this.source = source;
+		}
+
+		@Override
+		public void readReady() {
+			try {
+				int read = this.source.read(ByteBuffer.allocate(1));
+				if (read < 0) {
+					this.exchange.getConnection().close();
+				}
+				else if (read > 0) {
+					this.exchange.setPersistent(false);
+					this.source.suspendReads();
+				}
+			}
+			catch (IOException ex) {
+				closeQuietly(this.exchange);
+			}
+		}
+
+		@Override
+		public void forceTermination() {
+			closeQuietly(this.exchange);
+		}
+
+		@Override
+		public void terminated() {
+			// The close listener tells that the caller is gone.
+		}
+
+	}
+
 }
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/HttpLogClientTests.java
@@ -0,0 +1,56 @@
+package io.dotterelcrank.daemon.client;
+
+import java.io.IOException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.process.platform.LogClient;
+import io.dotterelcrank.standin.http.PlatformServer;
+import io.dotterelcrank.standin.platform.LogFault;
+import io.dotterelcrank.standin.platform.StandinHostList;
+import io.dotterelcrank.standin.platform.StandinLog;
+import io.dotterelcrank.standin.platform.StandinWeightStore;
+
+/**
+ * The contract on {@link HttpLogClient}.
+ */
+class HttpLogClientTests extends LogClientContract {
+
+	private final Clock.Manual clock = Clock.manual(0);
+
+	private final StandinLog log = StandinLog.keeping(this.clock, RETENTION_MILLIS);
+
+	private PlatformServer server;
+
+	private HttpLogClient client;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.server = PlatformServer.start(this.log, StandinHostList.lagging(this.clock, 0),
+				StandinWeightStore.oneLoadEvery(this.clock, 0), 0);
+		this.client = HttpLogClient.at("http://127.0.0.1:" + this.server.port());
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.close();
+	}
+
+	@Override
+	LogClient client() {
+		return this.client;
+	}
+
+	@Override
+	void fault(LogFault fault) {
+		this.log.fault(fault);
+	}
+
+	@Override
+	void passRetention() {
+		this.clock.advance(RETENTION_MILLIS + 1);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/HttpServiceClientTests.java
@@ -0,0 +1,140 @@
+package io.dotterelcrank.daemon.client;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.undertow.Undertow;
+import io.undertow.util.HttpString;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.process.platform.ServiceClient;
+import io.dotterelcrank.request.Call;
+import io.dotterelcrank.request.Header;
+import io.dotterelcrank.request.Priority;
+import io.dotterelcrank.request.Reply;
+import io.dotterelcrank.standin.http.ServiceServer;
+import io.dotterelcrank.standin.service.ServiceFault;
+import io.dotterelcrank.standin.service.StandinService;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What {@link HttpServiceClient} does under each fault, and {@link StandinService} as
+ * well.
+ */
+class HttpServiceClientTests {
+
+	private static final long PATIENCE_SECONDS = 30;
+
+	private final Scheduler scheduler = Scheduler.singleThread("service");
+
+	private final StandinService service = StandinService.answeringAfter(this.scheduler, 1);
+
+	private ServiceServer server;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.server = ServiceServer.start(this.service, this.scheduler, 0);
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.close();
+		this.scheduler.close();
+	}
+
+	private static Call call(String method, long deadlineMillis) {
+		return new Call("a", "w", "s", Priority.NORMAL, "", method, "/orders", List.of(new Header("X-Trace", "1")),
+				"bell".getBytes(StandardCharsets.UTF_8), deadlineMillis);
+	}
+
+	private static String invoke(ServiceClient client, Call call) throws Exception {
+		CompletableFuture<String> heard = new CompletableFuture<>();
+		client.invoke(call, new ServiceClient.Listener() {
+
+			@Override
+			public void answered(Reply reply) {
+				heard.complete("answered " + reply.status());
+			}
+
+			@Override
+			public void failed(boolean reached, String message) {
+				heard.complete(reached ? "failed, reached" : "failed, not reached");
+			}
+
+		});
+		return heard.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private HttpServiceClient http() {
+		return HttpServiceClient.at("http://127.0.0.1:" + this.server.port());
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "NONE, answered 200, 1", "BREAK_BEFORE_RUN, 'failed, reached', 0",
+			"BREAK_AFTER_RUN, 'failed, reached', 1", "BREAK_MID_ANSWER, 'failed, reached', 1",
+			"NO_ANSWER, 'failed, reached', 1" })
+	void sendsOnceAndTellsTheTruth(ServiceFault fault, String heard, int runs) throws Exception {
+		this.service.fault(fault);
+		for (int i = 0; i < 3; i++) {
+			HttpServiceClient client = http();
+			assertThat(invoke(client, call("POST", 2_000))).isEqualTo(heard);
+			assertThat(this.service.runsOf("bell")).isEqualTo(runs * (i + 1));
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "NONE, answered 200, 1", "REFUSE_CONNECTION, 'failed, not reached', 0",
+			"BREAK_BEFORE_RUN, 'failed, reached', 0", "BREAK_AFTER_RUN, 'failed, reached', 1",
+			"NO_ANSWER, 'failed, reached', 1" })
+	void theStandInTellsTheSame(ServiceFault fault, String heard, int runs) throws Exception {
+		this.service.fault(fault);
+		assertThat(invoke(this.service, call("POST", 100))).isEqualTo(heard);
+		assertThat(this.service.runsOf("bell")).isEqualTo(runs);
+	}
+
+	@Test
+	void aRefusedConnectionIsNotReached() throws Exception {
+		HttpServiceClient client = http();
+		this.server.close();
+		assertThat(invoke(client, call("POST", 2_000))).isEqualTo("failed, not reached");
+	}
+
+	@Test
+	void aPooledConnectionThatDiedIsNotUsedTwice() throws Exception {
+		HttpServiceClient client = http();
+		assertThat(invoke(client, call("POST", 2_000))).isEqualTo("answered 200");
+		this.service.fault(ServiceFault.BREAK_AFTER_RUN);
+		assertThat(invoke(client, call("POST", 2_000))).isEqualTo("failed, reached");
+		assertThat(this.service.runsOf("bell")).isEqualTo(2);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "503, Retry-After, 0", "302, Location, /elsewhere", "307, Location, /elsewhere", "408, X, 1",
+			"421, X, 1", "401, WWW-Authenticate, Basic" })
+	void answersThatAskForRepetitionArePassedOn(int status, String header, String value) throws Exception {
+		AtomicInteger requests = new AtomicInteger();
+		Undertow asking = Undertow.builder().addHttpListener(0, "127.0.0.1").setHandler((exchange) -> {
+			requests.incrementAndGet();
+			exchange.setStatusCode(status);
+			exchange.getResponseHeaders().put(new HttpString(header), value);
+		}).build();
+		asking.start();
+		int port = ((InetSocketAddress) asking.getListenerInfo().get(0).getAddress()).getPort();
+		String heard = invoke(HttpServiceClient.at("http://127.0.0.1:" + port), call("POST", 2_000));
+		asking.stop();
+		assertThat(heard).isEqualTo("answered " + status);
+		assertThat(requests).hasValue(1);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/PlatformClientTests.java
@@ -0,0 +1,100 @@
+package io.dotterelcrank.daemon.client;
+
+import java.io.IOException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.process.platform.HostList;
+import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.process.platform.WeightStore;
+import io.dotterelcrank.standin.http.PlatformServer;
+import io.dotterelcrank.standin.platform.StandinHostList;
+import io.dotterelcrank.standin.platform.StandinLog;
+import io.dotterelcrank.standin.platform.StandinWeightStore;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * What every {@link HostList} and {@link WeightStore} does, on the stand-ins directly and
+ * over HTTP.
+ */
+class PlatformClientTests {
+
+	private static final long LAG_MILLIS = 100;
+
+	private static final HostList.Host HOST = new HostList.Host("engine-1", HostList.Role.ENGINE, "giza", "s", "m",
+			"127.0.0.1", 1, 2, false);
+
+	private final Clock.Manual clock = Clock.manual(0);
+
+	private final StandinHostList hosts = StandinHostList.lagging(this.clock, LAG_MILLIS);
+
+	private final StandinWeightStore weights = StandinWeightStore.oneLoadEvery(this.clock, 1_000);
+
+	private PlatformServer server;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.server = PlatformServer.start(StandinLog.keeping(this.clock, 1_000), this.hosts, this.weights, 0);
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.close();
+	}
+
+	private String address() {
+		return "http://127.0.0.1:" + this.server.port();
+	}
+
+	private HostList hostList(boolean http) {
+		return http ? HttpHostList.at(address()) : this.hosts;
+	}
+
+	private WeightStore weightStore(boolean http) {
+		return http ? HttpWeightStore.at(address()) : this.weights;
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void theListLags(boolean http) throws PlatformException {
+		this.hosts.put(HOST);
+		assertThat(hostList(http).hosts()).isEmpty();
+		this.clock.advance(LAG_MILLIS);
+		assertThat(hostList(http).hosts()).containsExactly(HOST);
+		this.hosts.remove(HOST.name());
+		assertThat(hostList(http).hosts()).hasSize(1);
+		this.clock.advance(LAG_MILLIS);
+		assertThat(hostList(http).hosts()).isEmpty();
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aListThatIsDownFails(boolean http) {
+		this.hosts.down(true);
+		assertThatExceptionOfType(PlatformException.class).isThrownBy(() -> hostList(http).hosts());
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void theStoreTellsWhenToAskAgain(boolean http) throws PlatformException {
+		assertThat(weightStore(http).permit("a model/with a slash")).isZero();
+		assertThat(weightStore(http).permit("m")).isEqualTo(1_000);
+		this.clock.advance(1_000);
+		assertThat(weightStore(http).permit("m")).isZero();
+	}
+
+	@Test
+	void aSystemThatIsGoneFails() {
+		String address = address();
+		this.server.close();
+		assertThatExceptionOfType(PlatformException.class).isThrownBy(() -> HttpHostList.at(address).hosts());
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/StandinEngineTests.java
@@ -0,0 +1,37 @@
+package io.dotterelcrank.daemon.client;
+
+import org.junit.jupiter.api.AfterEach;
+
+import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.process.platform.EngineClient;
+import io.dotterelcrank.standin.engine.EngineFault;
+import io.dotterelcrank.standin.engine.EngineSettings;
+import io.dotterelcrank.standin.engine.StandinEngine;
+
+/**
+ * The contract on {@link StandinEngine}.
+ */
+class StandinEngineTests extends EngineClientContract {
+
+	private final Scheduler scheduler = Scheduler.singleThread("engine");
+
+	private final StandinEngine engine = StandinEngine
+		.start(EngineSettings.standard().withStep(2_000, 0).startingWarm(), "s", "m", Clock.system(), this.scheduler);
+
+	@AfterEach
+	void stop() {
+		this.scheduler.close();
+	}
+
+	@Override
+	EngineClient client() {
+		return this.engine;
+	}
+
+	@Override
+	void fault(EngineFault fault, long value) {
+		this.engine.fault(fault, value);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/StandinLogTests.java
@@ -0,0 +1,32 @@
+package io.dotterelcrank.daemon.client;
+
+import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.process.platform.LogClient;
+import io.dotterelcrank.standin.platform.LogFault;
+import io.dotterelcrank.standin.platform.StandinLog;
+
+/**
+ * The contract on {@link StandinLog}.
+ */
+class StandinLogTests extends LogClientContract {
+
+	private final Clock.Manual clock = Clock.manual(0);
+
+	private final StandinLog log = StandinLog.keeping(this.clock, RETENTION_MILLIS);
+
+	@Override
+	LogClient client() {
+		return this.log;
+	}
+
+	@Override
+	void fault(LogFault fault) {
+		this.log.fault(fault);
+	}
+
+	@Override
+	void passRetention() {
+		this.clock.advance(RETENTION_MILLIS + 1);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/http/CallerHandlerTests.java
@@ -0,0 +1,172 @@
+package io.dotterelcrank.daemon.http;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import io.dotterelcrank.daemon.embedded.Demo;
+import io.dotterelcrank.daemon.embedded.Fleet;
+import io.dotterelcrank.daemon.embedded.Pause;
+import io.dotterelcrank.daemon.load.CallerClient;
+import io.dotterelcrank.daemon.load.Received;
+import io.dotterelcrank.process.platform.Json;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link CallerHandler} over real sockets.
+ */
+class CallerHandlerTests {
+
+	private static final int PATIENCE_STEPS = 600;
+
+	private static Fleet fleet;
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	@BeforeAll
+	static void start() throws IOException {
+		fleet = Demo.fleet(0);
+	}
+
+	@AfterAll
+	static void stop() {
+		fleet.close();
+	}
+
+	private static String address(int entry) {
+		return fleet.callerAddresses().get(entry);
+	}
+
+	private HttpResponse<String> post(String path, String body, String... headers) throws Exception {
+		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(address(0) + path))
+			.POST(HttpRequest.BodyPublishers.ofString(body));
+		for (int i = 0; i < headers.length; i += 2) {
+			request.header(headers[i], headers[i + 1]);
+		}
+		return this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+	}
+
+	@ParameterizedTest
+	@CsvSource(delimiter = '|',
+			value = { "not json                                     | 1001",
+					"null                                                     | 1001",
+					"{}                                                       | 1001",
+					"{\"model\":\"bench-model\"}                              | 1001",
+					"{\"model\":\"bench-model\",\"prompt\":\"p\",\"max_tokens\":0}     | 1001",
+					"{\"model\":\"bench-model\",\"prompt\":\"p\",\"max_tokens\":1e9}   | 1001",
+					"{\"model\":\"bench-model\",\"prompt\":7,\"max_tokens\":\"many\"}  | 1001",
+					"{\"model\":\"unknown\",\"prompt\":\"p\"}                 | 1003" })
+	void malformedRequestsAreNumberedErrors(String body, int number) throws Exception {
+		JsonNode error = Json.mapper().readTree(post("/v1/completions", body, "Workspace", "w").body()).path("error");
+		assertThat(error.path("number").asInt()).isEqualTo(number);
+		assertThat(error.path("ran").asText()).isEqualTo("no");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "Priority, urgent, 1001", "Deadline-Millis, soon, 1001", "Deadline-Millis, 0, 1001",
+			"Last-Event-ID, nonsense, 1005", "Last-Event-ID, unknown/g/1, 4004" })
+	void malformedHeadersAreNumberedErrors(String name, String value, int number) throws Exception {
+		String body = "{\"model\":\"bench-model\",\"prompt\":\"p\"}";
+		String answer = post("/v1/completions", body, "Workspace", "w", name, value).body();
+		assertThat(Json.mapper().readTree(answer).path("error").path("number").asInt()).isEqualTo(number);
+	}
+
+	@Test
+	void missingWorkspaceUnknownPathAndUnknownServiceAreNumberedErrors() throws Exception {
+		assertThat(post("/v1/completions", "{}").statusCode()).isEqualTo(400);
+		assertThat(post("/v2/else", "").statusCode()).isEqualTo(404);
+		assertThat(post("/v1/services/none/x", "", "Workspace", "w").body()).contains("1004");
+	}
+
+	@Test
+	void oversizedBodiesAreRefused() throws Exception {
+		String body = "x".repeat((int) HttpServer.MAX_BODY_BYTES + 1);
+		assertThat(post("/v1/completions", body, "Workspace", "w").statusCode()).isEqualTo(413);
+	}
+
+	@Test
+	void aMalformedRequestLineDoesNotDisturbOthers() throws Exception {
+		int port = URI.create(address(0)).getPort();
+		try (Socket socket = new Socket("127.0.0.1", port)) {
+			socket.getOutputStream().write("\u0000\u0001 nonsense\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+			socket.getOutputStream().flush();
+			socket.getInputStream().readAllBytes();
+		}
+		assertThat(stream(0, 5).end().get().whole()).isTrue();
+	}
+
+	private static Received stream(int entry, int tokens) {
+		return CallerClient.create()
+			.stream(address(entry),
+					new CallerClient.Wish("w", "bench-model", "[tokens=" + tokens + "]", 5_000, "high"));
+	}
+
+	private static void await(BooleanSupplier condition) {
+		for (int i = 0; i < PATIENCE_STEPS && !condition.getAsBoolean(); i++) {
+			Pause.millis(50);
+		}
+		assertThat(condition.getAsBoolean()).isTrue();
+	}
+
+	private static long running() {
+		return fleet.sidecars().values().stream().mapToLong((sidecar) -> sidecar.sidecar().dump().open()).sum();
+	}
+
+	@Test
+	void aStreamingCallerThatGoesAwayFreesTheEngine() {
+		Received stream = stream(0, 4_000);
+		await(() -> stream.count() > 5);
+		stream.breakOff();
+		await(() -> running() == 0);
+	}
+
+	@Test
+	void aBufferingCallerThatGoesAwayFreesTheEngine() {
+		Received answer = CallerClient.create()
+			.buffered(address(0), new CallerClient.Wish("w", "bench-model", "[tokens=4000]", 5_000, "high"));
+		await(() -> running() > 0);
+		answer.breakOff();
+		await(() -> running() == 0);
+	}
+
+	@Test
+	void aConnectionServesSeveralRequestsInTurn() throws Exception {
+		String body = "{\"model\":\"bench-model\",\"prompt\":\"[tokens=3]\"}";
+		for (int i = 0; i < 5; i++) {
+			HttpResponse<String> answer = post("/v1/completions", body, "Workspace", "w");
+			assertThat(answer.statusCode()).isEqualTo(200);
+			assertThat(answer.body()).contains("\"completion_tokens\":3");
+		}
+	}
+
+	@Test
+	void aCallerGoesOnAtAnotherEntryHost() throws Exception {
+		Received first = stream(0, 400);
+		await(() -> first.count() > 20);
+		first.breakOff();
+		first.end().get();
+		Received rest = CallerClient.create()
+			.continueAfter(address(1), new CallerClient.Wish("w", "bench-model", "", 5_000, "high"),
+					first.lastEventId());
+		rest.end().get();
+		boolean resumed = rest.whole() && rest.count() + first.count() == 400
+				&& rest.sequenceFault(first.count()).isEmpty();
+		boolean cancelledBefore = List.of(4002, 4004, 4006).contains(rest.errorNumber());
+		assertThat(resumed || cancelledBefore).as(rest.describe()).isTrue();
+	}
+
+}
