A generation whose target was never reached did not run

Cause: with one target gone and the other leaving, a caller heard 'unknown' for a generation that had never been sent. Change: the first message of a generation waits for an open session, as that of a call does.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -80,8 +80,10 @@
 	 */
 	private boolean continued;
 
-	/** Number of the session on which the current attempt was sent. */
-	private long sentSession;
+	/**
+	 * First message of the current attempt, if it waits for a session, or {@code null}.
+	 */
+	private Message unsent;
 
 	/** How the last attempt was refused, or {@code null}. */
 	private Failure lastRefusal;
@@ -138,13 +140,21 @@
 		this.request = this.request.withId(last.generation());
 		this.sequencer = TokenSequencer.of(last.generation(), this.readIndex);
 		this.target.begin(this);
-		sent(resumeMessage());
+		sendFirst(resumeMessage());
 	}
 
-	private void sent(Message message) {
-		this.target.send(message);
-		this.sentSession = this.target.session();
-		if (!this.target.open()) {
+	/**
+	 * Sends the attempt's first message, or keeps it until a session is open, so that an
+	 * attempt at a target that was never reached did not run.
+	 * @param message the message
+	 */
+	private void sendFirst(Message message) {
+		if (this.target.open()) {
+			this.unsent = null;
+			this.target.send(message);
+		}
+		else {
+			this.unsent = message;
 			waitForSession();
 		}
 	}
@@ -185,7 +195,7 @@
 		this.acknowledgedIndex = 0;
 		long leftMillis = this.deadlineMillis - this.entry.clock().millis();
 		this.target.begin(this);
-		sent(new Message.Generate(this.request.withDeadline(leftMillis)));
+		sendFirst(new Message.Generate(this.request.withDeadline(leftMillis)));
 	}
 
 	private Failure noTarget(Predicate<HostList.Host> kind) {
@@ -325,18 +335,29 @@
 		if (!this.ended && this.waiting) {
 			this.waiting = false;
 			cancelAttempt();
-			takeFailure(new Failure(keepsTokens() ? ResultCode.GENERATION_LOST : ResultCode.TARGET_LOST,
-					keepsTokens() ? Ran.YES : Ran.UNKNOWN, 0, "the target could not be reached in time"));
+			takeFailure(unreached());
 		}
 	}
 
+	private Failure unreached() {
+		String message = "the target could not be reached in time";
+		if (keepsTokens()) {
+			return lostFailure(message);
+		}
+		return (this.unsent != null) ? Failure.notRun(ResultCode.TARGET_LOST, message)
+				: Failure.unknown(ResultCode.TARGET_LOST, message);
+	}
+
 	@Override
 	public void sessionBegan(long incarnation) {
-		boolean sentHere = this.sentSession == this.target.session();
-		if (sentHere) {
+		if (this.ended) {
+			return;
+		}
+		if (this.unsent != null) {
 			sessionWorks();
+			sendFirst(this.unsent);
 		}
-		else if (!this.ended && this.waiting) {
+		else if (this.waiting) {
 			LogEvent.GENERATION_RESUMED.log(logger, this.request.id(), this.sequencer.nextIndex());
 			this.target.send(resumeMessage());
 		}
--- a/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
@@ -183,6 +183,20 @@
 		this.caller.handle.gone();
 	}
 
+	@When("a generation is asked for after both sidecars have died")
+	public void sidecarsDead() {
+		this.fleet.killSidecar("engine-a");
+		this.fleet.killSidecar("engine-b");
+		this.fleet.advance(3_000);
+		this.caller = this.requests.stream("entry-a", "bandmasters", 10);
+		this.fleet.advance(20_000);
+	}
+
+	@Then("the caller hears that it did not run")
+	public void didNotRun() {
+		assertThat(this.caller.failure.ran().word()).as(this.caller.failure.toString()).isEqualTo("no");
+	}
+
 	@Given("a fleet of two data centres with streams running")
 	public void streamsRunning() {
 		twoDataCentres();
--- a/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/one_generation.feature
+++ b/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/one_generation.feature
@@ -51,3 +51,8 @@
     Given a fleet with two engines and two entry hosts
     When the caller's entry host dies after some tokens
     Then no engine keeps a generation within 40 seconds
+
+  Scenario: a generation whose targets were never reached did not run
+    Given a fleet with two engines and two entry hosts
+    When a generation is asked for after both sidecars have died
+    Then the caller hears that it did not run
