A cold engine may warm up; heartbeats do not grow with links; told load is the forecast

Cause: (1) a cold engine makes steps of 48 ms, above the step bound of 45 ms, so one request at a time was admitted and the engine stayed cold: capacity 20 tokens/s where a warm one reaches 1,680. (2) With TCP and IP headers 93 links beat 8.9 KB/s. (3) Entry hosts heard that a target was full only when its memory was. Change: the ramp alone limits a warming target, whose steps teach nothing; an entry process sends one heartbeat each 125 ms in turn, a sidecar answers, and a link with open attempts is asked after a second of silence; the load told is the forecast peak.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/PeerExchange.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/PeerExchange.java
@@ -11,14 +11,13 @@
 import io.dotterelcrank.version.ConfigurationHolder;
 
 /**
- * What both sides of every link do alike: send heartbeats, and bring the older
- * configuration up to the newer one. Thread-safe.
+ * What both sides of every link do alike: bring the older configuration up to the newer
+ * one, and tell load and age of the configuration in heartbeats. Entry processes send
+ * heartbeats, sidecars answer them; both send one on every link when a new configuration
+ * comes into force. Thread-safe.
  */
 public final class PeerExchange {
 
-	/** Time between heartbeats on a link, in milliseconds. */
-	public static final long HEARTBEAT_MILLIS = 2_000;
-
 	/**
 	 * Smallest time between two requests for a configuration on a link, in milliseconds.
 	 */
@@ -39,7 +38,12 @@
 	/** Open links, with the time of the last request for a configuration. */
 	private final Map<Link, Long> links = new ConcurrentHashMap<>();
 
-	private PeerExchange(ConfigurationHolder holder, ConfigurationFeed feed, Supplier<Load> load, Clock clock) {
+	/** Whether heartbeats are answered. */
+	private final boolean answers;
+
+	private PeerExchange(ConfigurationHolder holder, ConfigurationFeed feed, Supplier<Load> load, Clock clock,
+			boolean answers) {
+		this.answers = answers;
 		this.holder = holder;
 		this.feed = feed;
 		this.load = load;
@@ -47,28 +51,50 @@
 	}
 
 	/**
-	 * Creates an exchange and starts its heartbeats.
+	 * Creates the exchange of an entry process, which sends heartbeats.
+	 * @param holder configuration in force
+	 * @param feed knows how old the configuration is
+	 * @param clock clock of the process
+	 * @param scheduler runs what follows a new configuration
+	 * @return a new exchange
+	 */
+	public static PeerExchange ofEntry(ConfigurationHolder holder, ConfigurationFeed feed, Clock clock,
+			Scheduler scheduler) {
+		return new PeerExchange(holder, feed, () -> Load.NONE, clock, false).tellingChanges(scheduler);
+	}
+
+	/**
+	 * Creates the exchange of a sidecar, which answers heartbeats.
 	 * @param holder configuration in force
 	 * @param feed knows how old the configuration is
 	 * @param load supplies the load to tell, on the scheduler's thread
 	 * @param clock clock of the process
-	 * @param scheduler runs the heartbeats
+	 * @param scheduler runs what follows a new configuration
 	 * @return a new exchange
 	 */
-	public static PeerExchange start(ConfigurationHolder holder, ConfigurationFeed feed, Supplier<Load> load,
+	public static PeerExchange ofSidecar(ConfigurationHolder holder, ConfigurationFeed feed, Supplier<Load> load,
 			Clock clock, Scheduler scheduler) {
-		PeerExchange exchange = new PeerExchange(holder, feed, load, clock);
-		scheduler.repeat(HEARTBEAT_MILLIS, exchange::beat);
-		holder.onChange((configuration) -> scheduler.execute(exchange::beat));
-		return exchange;
+		return new PeerExchange(holder, feed, load, clock, true).tellingChanges(scheduler);
+	}
+
+	private PeerExchange tellingChanges(Scheduler scheduler) {
+		this.holder.onChange((configuration) -> scheduler.execute(this::beatAll));
+		return this;
 	}
 
 	/**
 	 * Sends a heartbeat on every link.
 	 */
-	public void beat() {
-		Message heartbeat = new Message.Heartbeat(this.load.get(), this.feed.ageMillis());
-		this.links.keySet().forEach((link) -> link.send(heartbeat));
+	public void beatAll() {
+		this.links.keySet().forEach(this::beat);
+	}
+
+	/**
+	 * Sends a heartbeat.
+	 * @param link the link
+	 */
+	public void beat(Link link) {
+		link.send(new Message.Heartbeat(this.load.get(), this.feed.ageMillis()));
 	}
 
 	/**
@@ -77,7 +103,7 @@
 	 */
 	public void add(Link link) {
 		this.links.put(link, Long.MIN_VALUE / 2);
-		link.send(new Message.Heartbeat(this.load.get(), this.feed.ageMillis()));
+		beat(link);
 	}
 
 	/**
@@ -106,6 +132,7 @@
 		}
 		if (message instanceof Message.Heartbeat heartbeat) {
 			heard(version, heartbeat.configurationAgeMillis());
+			answer(link);
 		}
 		if (version > this.holder.current().version()) {
 			ask(link);
@@ -113,6 +140,12 @@
 		return false;
 	}
 
+	private void answer(Link link) {
+		if (this.answers) {
+			beat(link);
+		}
+	}
+
 	private void heard(long version, long ageMillis) {
 		Configuration current = this.holder.current();
 		boolean sameAndKnown = version == current.version() && ageMillis < Long.MAX_VALUE / 4;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionController.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionController.java
@@ -183,7 +183,7 @@
 	}
 
 	private int usedPercent(Limits current, int room) {
-		double memory = (this.state.memoryTokens() == 0) ? 0 : (double) memoryInUse() / this.state.memoryTokens();
+		double memory = forecastPart();
 		double step = this.state.steps().predict(this.state.count()) / current.tokenTargetMillis();
 		double ramp = this.state.ramp().warm() ? 0 : (double) this.state.count() / this.state.ramp().limit();
 		double calls = (this.state.memoryTokens() == 0) ? (double) this.state.count() / current.serviceRequests() : 0;
@@ -191,8 +191,17 @@
 		return (room == 0) ? Math.max(WHOLE_PERCENT, used) : Math.min(WHOLE_PERCENT - 1, used);
 	}
 
-	private long memoryInUse() {
-		return this.state.foreignTokens() + this.state.ownTokens();
+	/**
+	 * Returns the part of the memory that will be in use at the forecast peak. It tells
+	 * entry hosts earlier than the memory in use that a target fills up.
+	 * @return a part, which may exceed 1; 0 while the memory is unknown
+	 */
+	private double forecastPart() {
+		if (this.state.memoryTokens() == 0) {
+			return 0;
+		}
+		double peak = MemoryForecast.peak(this.state.running()) + this.state.foreignTokens();
+		return peak / this.state.memoryTokens();
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionPolicy.java
@@ -90,7 +90,8 @@
 	}
 
 	/**
-	 * Keeps the step time under its target.
+	 * Keeps the step time of a warm target under its bound. A warming target is slow
+	 * whatever it is given, and would never warm up under that bound; its ramp limits it.
 	 */
 	enum WithStepTarget implements AdmissionPolicy {
 
@@ -99,7 +100,9 @@
 
 		@Override
 		public boolean admits(Candidate candidate, TargetState state, Limits limits) {
-			return state.count() == 0 || state.steps().predict(state.count() + 1) <= limits.tokenTargetMillis();
+			boolean warming = !state.ramp().warm();
+			return warming || state.count() == 0
+					|| state.steps().predict(state.count() + 1) <= limits.tokenTargetMillis();
 		}
 
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/MemoryForecast.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/MemoryForecast.java
@@ -1,6 +1,8 @@
 package io.dotterelcrank.process.admission;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 
 /**
  * Forecasts the memory that running generations will hold. For a number of steps ahead, a
@@ -28,18 +30,29 @@
 	/**
 	 * Returns the largest forecast over all numbers of steps ahead.
 	 * @param running the running generations
-	 * @param candidate one more generation
 	 * @return memory in tokens
 	 */
-	static double peak(Collection<Running> running, Running candidate) {
-		double peak = at(running, candidate, 0);
+	static double peak(Collection<Running> running) {
+		double peak = at(running, 0);
 		for (double steps = FIRST_STEPS; steps < LAST_STEPS; steps *= STEPS_FACTOR) {
-			peak = Math.max(peak, at(running, candidate, steps));
+			peak = Math.max(peak, at(running, steps));
 		}
 		return peak;
 	}
 
-	private static double at(Collection<Running> running, Running candidate, double steps) {
+	/**
+	 * Returns the largest forecast with one more generation.
+	 * @param running the running generations
+	 * @param candidate one more generation
+	 * @return memory in tokens
+	 */
+	static double peak(Collection<Running> running, Running candidate) {
+		List<Running> all = new ArrayList<>(running);
+		all.add(candidate);
+		return peak(all);
+	}
+
+	private static double at(Collection<Running> running, double steps) {
 		double mean = 0;
 		double variance = 0;
 		for (Running generation : running) {
@@ -48,10 +61,6 @@
 			mean += tokens * probability;
 			variance += tokens * tokens * probability * (1 - probability);
 		}
-		double probability = candidate.stillRunning(steps);
-		double tokens = candidate.memoryTokens() + steps;
-		mean += tokens * probability;
-		variance += tokens * tokens * probability * (1 - probability);
 		return mean + DEVIATIONS * Math.sqrt(variance);
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
@@ -105,7 +105,7 @@
 	}
 
 	/**
-	 * Takes in a step time. Steps of a cold target do not teach the model.
+	 * Takes in a step time. Steps of a warming target do not teach the model.
 	 * @param batch number of running generations
 	 * @param millis duration of the step in milliseconds
 	 * @return whether this step shows that the target turned cold
@@ -114,7 +114,7 @@
 		this.stepMillis = millis;
 		double expected = this.ramp.warm() ? this.steps.predict(batch) : 0;
 		ColdDetector.Finding finding = this.detector.observe(expected, millis);
-		if (finding == ColdDetector.Finding.NORMAL) {
+		if (finding == ColdDetector.Finding.NORMAL && this.ramp.warm()) {
 			this.steps.learn(batch, millis);
 		}
 		if (finding == ColdDetector.Finding.TURNED_COLD) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -112,8 +112,7 @@
 		this.threads = threads;
 		this.feed = ConfigurationFeed.of(identity.name(), platform.log(), platform.holder(), threads.clock(),
 				threads.scheduler(), threads.io(), this::entryHosts);
-		this.exchange = PeerExchange.start(platform.holder(), this.feed, () -> Load.NONE, threads.clock(),
-				threads.scheduler());
+		this.exchange = PeerExchange.ofEntry(platform.holder(), this.feed, threads.clock(), threads.scheduler());
 		this.targets = new Targets(identity, platform.holder(), policy, transport, this.exchange, threads);
 	}
 
@@ -133,6 +132,7 @@
 		entry.feed.start();
 		threads.scheduler().execute(entry::readHostList);
 		threads.scheduler().repeat(CHECK_MILLIS, entry.targets::check);
+		threads.scheduler().repeat(Targets.HEARTBEAT_INTERVAL_MILLIS, entry.targets::beat);
 		return entry;
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/TargetLink.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/TargetLink.java
@@ -32,6 +32,12 @@
 	/** Longest delay before a broken link is opened again, in milliseconds. */
 	static final long LAST_RETRY_MILLIS = 5_000;
 
+	/**
+	 * Silence after which a link with attempts is asked for a sign of life, in
+	 * milliseconds.
+	 */
+	static final long PING_AFTER_MILLIS = 1_000;
+
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(TargetLink.class);
 
@@ -77,6 +83,12 @@
 	/** When a message last came, in milliseconds. */
 	private long heardMillis;
 
+	/** When a sign of life was last asked for, in milliseconds. */
+	private long pingedMillis;
+
+	/** Whether no message has come since. */
+	private boolean pingPending;
+
 	/** Delay before the next session, in milliseconds. */
 	private long retryMillis = FIRST_RETRY_MILLIS;
 
@@ -109,6 +121,7 @@
 	private void openSession() {
 		this.session++;
 		this.peerIncarnation = 0;
+		this.pingPending = false;
 		this.heardMillis = this.clock.millis();
 		InetSocketAddress address = new InetSocketAddress(this.host.address(), this.host.port());
 		SessionListener listener = new SessionListener(this.session);
@@ -147,17 +160,35 @@
 	}
 
 	/**
-	 * Replaces the session if it has been silent for too long.
+	 * Asks the sidecar for a sign of life.
+	 */
+	void ping() {
+		this.pingedMillis = this.clock.millis();
+		this.pingPending = true;
+		this.exchange.beat(this.link);
+	}
+
+	/**
+	 * Replaces the session if a sign of life is overdue. A link on which answers are
+	 * awaited is asked for one after a short silence.
 	 * @param silenceMillis longest silence, in milliseconds
 	 */
 	void check(long silenceMillis) {
-		long silentMillis = this.clock.millis() - this.heardMillis;
-		if (this.link != null && silentMillis > silenceMillis) {
+		long nowMillis = this.clock.millis();
+		long silentMillis = nowMillis - this.heardMillis;
+		if (this.link == null) {
+			return;
+		}
+		boolean overdue = this.pingPending && nowMillis - this.pingedMillis > silenceMillis - PING_AFTER_MILLIS;
+		if (overdue && silentMillis > silenceMillis - PING_AFTER_MILLIS || !open() && silentMillis > silenceMillis) {
 			LogEvent.LINK_STALLED.log(logger, this.host.name(), silentMillis);
 			Link stalled = this.link;
 			sessionEnded(this.session);
 			stalled.close();
 		}
+		else if (open() && !this.pingPending && !this.attempts.isEmpty() && silentMillis > PING_AFTER_MILLIS) {
+			ping();
+		}
 	}
 
 	private void sessionEnded(long number) {
@@ -202,6 +233,7 @@
 			return;
 		}
 		this.heardMillis = this.clock.millis();
+		this.pingPending = false;
 		if (message instanceof Message.Welcome welcome) {
 			welcome(welcome);
 			return;
@@ -329,6 +361,22 @@
 		return this.retryDue || this.retryMillis > FIRST_RETRY_MILLIS;
 	}
 
+	/**
+	 * Returns when a sign of life was last asked for.
+	 * @return time in milliseconds
+	 */
+	long pingedMillis() {
+		return this.pingedMillis;
+	}
+
+	/**
+	 * Tells whether a sign of life has been asked for, and has not come.
+	 * @return {@code true} until any message comes
+	 */
+	boolean pingPending() {
+		return this.pingPending;
+	}
+
 	/**
 	 * Returns the number of the current session.
 	 * @return a number that grows with each session
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Targets.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Targets.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +35,15 @@
  */
 final class Targets {
 
+	/**
+	 * Time between the heartbeats of an entry process, whatever the number of its links,
+	 * in milliseconds.
+	 */
+	static final long HEARTBEAT_INTERVAL_MILLIS = 125;
+
+	/** Smallest time between two heartbeats on a link, in milliseconds. */
+	static final long LINK_HEARTBEAT_MILLIS = 2_000;
+
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(Targets.class);
 
@@ -221,6 +231,20 @@
 		}
 	}
 
+	/**
+	 * Sends a heartbeat on the link that has waited longest for one, so that the control
+	 * traffic of a process does not grow with the number of its links.
+	 */
+	void beat() {
+		long nowMillis = this.threads.clock().millis();
+		this.links.values()
+			.stream()
+			.filter((target) -> target.open() && !target.pingPending()
+					&& nowMillis - target.pingedMillis() >= LINK_HEARTBEAT_MILLIS)
+			.min(Comparator.comparingLong(TargetLink::pingedMillis).thenComparing((target) -> target.host().name()))
+			.ifPresent(TargetLink::ping);
+	}
+
 	/**
 	 * Replaces links that have been silent for too long.
 	 */
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
@@ -107,7 +107,7 @@
 		this.sessions = new SessionFence(threads.clock());
 		this.generations = new Generations(identity, target.engine(), this.admission, holder, threads);
 		this.calls = new Calls(identity, target.service(), this.admission, target.claims(), threads);
-		this.exchange = PeerExchange.start(holder, feed, this::load, threads.clock(), this.scheduler);
+		this.exchange = PeerExchange.ofSidecar(holder, feed, this::load, threads.clock(), this.scheduler);
 		holder.onChange((configuration) -> this.scheduler.execute(() -> configurationChanged(configuration)));
 	}
 
@@ -331,7 +331,7 @@
 			if (!this.leaving) {
 				this.leaving = true;
 				LogEvent.PROCESS_LEAVING.log(logger, this.identity.target(), open());
-				this.exchange.beat();
+				this.exchange.beatAll();
 				checkLeft();
 			}
 		});
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/Setting.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/Setting.java
@@ -40,7 +40,7 @@
 	SPILL_LOAD_PERCENT("%", 80, 1, 1_000, "load above which requests spill to the next target"),
 
 	/** Silence after which a link is replaced. */
-	LINK_SILENCE_MILLIS("ms", 5_000, 100, 600_000, "silence after which a link is replaced"),
+	LINK_SILENCE_MILLIS("ms", 5_000, 2_000, 600_000, "silence after which a link is replaced"),
 
 	/** Time for which a sidecar keeps a generation whose entry host is gone. */
 	ORPHAN_MILLIS("ms", 30_000, 0, 600_000, "time for which a generation waits for its caller to come back"),
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/admission/AdmissionPolicyTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/admission/AdmissionPolicyTests.java
@@ -43,6 +43,7 @@
 
 	@Test
 	void withStepTargetStopsBeforeTheTarget() {
+		warmUp();
 		run(20, "a");
 		for (int i = 0; i < 40; i++) {
 			this.state.stepObserved(10, 20);
@@ -53,6 +54,15 @@
 		assertThat(AdmissionPolicy.WithStepTarget.INSTANCE.admits(candidate("x", "a"), this.state, LIMITS)).isFalse();
 	}
 
+	@Test
+	void withStepTargetLetsASlowTargetWarmUp() {
+		run(2, "a");
+		for (int i = 0; i < 40; i++) {
+			this.state.stepObserved(2, 90);
+		}
+		assertThat(AdmissionPolicy.WithStepTarget.INSTANCE.admits(candidate("x", "a"), this.state, LIMITS)).isTrue();
+	}
+
 	@Test
 	void withForecastMemoryLearnsLengths() {
 		this.state.reported(6_000, 0, 0);
@@ -79,6 +89,7 @@
 
 	@Test
 	void withFairShareKeepsTheLastPartForOthers() {
+		warmUp();
 		for (int i = 0; i < 40; i++) {
 			this.state.stepObserved(10, 20);
 			this.state.stepObserved(20, 40);
