Targets in doubt get nothing; a restarted engine starts low again

Two causes: three slow steps were seen only after 300 ms and more, and a restart was not taken for one. Change: nothing is admitted while a step is overdue, the last was slow, or streams are interrupted; lost generations, a refused connection or an unreadable report start the ramp again; looks every 50 ms.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionPolicy.java
@@ -75,7 +75,8 @@
 	}
 
 	/**
-	 * Keeps a warming target under its rising limit.
+	 * Keeps a warming target under its rising limit, and gives nothing to one that may
+	 * have turned cold.
 	 */
 	enum WithRamp implements AdmissionPolicy {
 
@@ -84,7 +85,7 @@
 
 		@Override
 		public boolean admits(Candidate candidate, TargetState state, Limits limits) {
-			return state.count() < state.ramp().limit();
+			return !state.doubtful() && state.count() < state.ramp().limit();
 		}
 
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
@@ -36,6 +36,15 @@
 	/** Number of generations that this sidecar did not admit. */
 	private int foreignRunning;
 
+	/** Whether the last step was far slower than expected. */
+	private boolean slow;
+
+	/** Whether the step in progress takes far longer than expected. */
+	private boolean overdue;
+
+	/** Number of generations whose streams are interrupted. */
+	private int interrupted;
+
 	/** Step time observed last, in milliseconds. */
 	private double stepMillis;
 
@@ -117,12 +126,41 @@
 		if (finding == ColdDetector.Finding.NORMAL && this.ramp.warm()) {
 			this.steps.learn(batch, millis);
 		}
+		this.slow = finding == ColdDetector.Finding.SLOW;
 		if (finding == ColdDetector.Finding.TURNED_COLD) {
 			this.ramp.restart();
 		}
 		return finding == ColdDetector.Finding.TURNED_COLD;
 	}
 
+	/**
+	 * Takes in that the streams of some generations are interrupted, so that the target
+	 * may have restarted.
+	 * @param count number of generations whose streams are interrupted now
+	 */
+	public void interrupted(int count) {
+		this.interrupted = count;
+	}
+
+	/**
+	 * Takes in how long no token has come, so that a step that takes far too long shows
+	 * before it ends.
+	 * @param millis time since the last token in milliseconds
+	 */
+	public void silent(long millis) {
+		double expected = this.ramp.warm() ? this.steps.predict(count()) : 0;
+		this.overdue = expected > 0 && millis > ColdDetector.SLOW_FACTOR * expected;
+	}
+
+	/**
+	 * Tells whether the target may have turned cold or restarted, which its next steps
+	 * will show.
+	 * @return {@code true} while nothing more should be given to it
+	 */
+	public boolean doubtful() {
+		return (this.slow || this.overdue || this.interrupted > 0) && count() > 0;
+	}
+
 	/**
 	 * Starts the ramp again, since the target restarted or came back.
 	 */
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Generations.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Generations.java
@@ -36,7 +36,7 @@
 final class Generations {
 
 	/** Time between looks at progress and step times, in milliseconds. */
-	static final long TICK_MILLIS = 100;
+	static final long TICK_MILLIS = 50;
 
 	/** Attempts to resume an interrupted engine stream. */
 	static final int ENGINE_RESUMES = 4;
@@ -74,6 +74,9 @@
 	/** Generations known, by id; changed by the control thread only. */
 	private final Map<String, Entry> entries = new ConcurrentHashMap<>();
 
+	/** Ids of generations whose engine streams are interrupted. */
+	private final Set<String> interrupted = new HashSet<>();
+
 	/** Ids of ended attempts, which must not start again. */
 	private final Set<String> spent = new HashSet<>();
 
@@ -107,6 +110,7 @@
 		entry.buffer.attach(link, 0);
 		this.entries.put(id, entry);
 		long deadlineMillis = this.clock.millis() + generation.deadlineMillis();
+		this.admission.state().silent(this.sampler.silentMillis());
 		apply(this.admission.offer(new Candidate(id, generation.workspace(), generation.priority(),
 				generation.promptTokens(), generation.maxTokens(), deadlineMillis)));
 	}
@@ -280,6 +284,8 @@
 		String id = entry.request.id();
 		this.spent.add(id);
 		this.sampler.ended(id);
+		this.interrupted.remove(id);
+		noteInterrupted();
 		scheduleForget(id);
 		apply(this.admission.ended(id, complete && !entry.inherited));
 	}
@@ -304,6 +310,7 @@
 		if (stepMillis >= 0 && this.admission.state().stepObserved(batch, stepMillis)) {
 			LogEvent.TARGET_COLD.log(logger, this.identity.target(), (long) stepMillis);
 		}
+		this.admission.state().silent(this.sampler.silentMillis());
 		apply(this.admission.poll());
 	}
 
@@ -312,6 +319,9 @@
 			return;
 		}
 		int produced = entry.buffer.nextIndex();
+		if (end == EngineClient.End.NOT_REACHED || end == EngineClient.End.UNKNOWN_GENERATION) {
+			this.admission.state().restarted();
+		}
 		switch (end) {
 			case REFUSED, NOT_REACHED -> end(entry.request.id(), Failure.notRun(ResultCode.TARGET_LOST, message));
 			case INTERRUPTED -> resumeFromEngine(entry, message);
@@ -321,6 +331,8 @@
 
 	private void resumeFromEngine(Entry entry, String message) {
 		entry.engineResumes++;
+		this.interrupted.add(entry.request.id());
+		noteInterrupted();
 		if (entry.engineResumes > ENGINE_RESUMES) {
 			cancelAtEngine(entry.request.id());
 			lose(entry, entry.buffer.nextIndex(), message);
@@ -334,6 +346,17 @@
 		});
 	}
 
+	private void noteInterrupted() {
+		this.admission.state().interrupted(this.interrupted.size());
+	}
+
+	private void streamWorks(Entry entry) {
+		entry.engineResumes = 0;
+		if (this.interrupted.remove(entry.request.id())) {
+			noteInterrupted();
+		}
+	}
+
 	private void lose(Entry entry, int produced, String message) {
 		LogEvent.GENERATION_LOST.log(logger, entry.request.id(), produced, message);
 		Ran ran = (produced > 0) ? Ran.YES : Ran.UNKNOWN;
@@ -419,7 +442,7 @@
 		public void token(int index, String text) {
 			if (!this.progressed) {
 				this.progressed = true;
-				Generations.this.scheduler.execute(() -> this.entry.engineResumes = 0);
+				Generations.this.scheduler.execute(() -> streamWorks(this.entry));
 			}
 			Generations.this.sampler.token(this.entry.request.id());
 			this.entry.buffer.append(index, text);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
@@ -297,6 +297,7 @@
 			}
 			catch (PlatformException ex) {
 				LogEvent.LOAD_UNREADABLE.log(logger, this.identity.target(), ex.getMessage());
+				this.scheduler.execute(() -> this.admission.state().restarted());
 			}
 			long intervalMillis = this.holder.current().value(Setting.LOAD_INTERVAL_MILLIS, this.identity.subject());
 			this.scheduler.schedule(intervalMillis, this::readReport);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/StepSampler.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/StepSampler.java
@@ -21,6 +21,9 @@
 	/** When the last token of each generation arrived, in milliseconds. */
 	private final Map<String, Long> lastMillis = new HashMap<>();
 
+	/** When any token last arrived, in milliseconds. */
+	private long lastTokenMillis;
+
 	/** Intervals between tokens since the last sample, in milliseconds. */
 	private final List<Long> intervals = new ArrayList<>();
 
@@ -34,6 +37,7 @@
 	 */
 	synchronized void token(String id) {
 		long nowMillis = this.clock.millis();
+		this.lastTokenMillis = nowMillis;
 		Long before = this.lastMillis.put(id, nowMillis);
 		if (before != null && this.intervals.size() < MOST_INTERVALS) {
 			this.intervals.add(nowMillis - before);
@@ -48,6 +52,14 @@
 		this.lastMillis.remove(id);
 	}
 
+	/**
+	 * Returns how long no token has come, while generations are between tokens.
+	 * @return time in milliseconds; 0 if no generation has had a token
+	 */
+	synchronized long silentMillis() {
+		return this.lastMillis.isEmpty() ? 0 : this.clock.millis() - this.lastTokenMillis;
+	}
+
 	/**
 	 * Takes the median of the intervals since the last sample.
 	 * @return duration of a step in milliseconds, or -1 without intervals
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/admission/AdmissionPolicyTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/admission/AdmissionPolicyTests.java
@@ -41,6 +41,23 @@
 		assertThat(AdmissionPolicy.WithRamp.INSTANCE.admits(candidate("x", "a"), this.state, LIMITS)).isFalse();
 	}
 
+	@Test
+	void withRampGivesNothingToATargetInDoubt() {
+		warmUp();
+		run(2, "a");
+		this.state.interrupted(1);
+		assertThat(AdmissionPolicy.WithRamp.INSTANCE.admits(candidate("x", "a"), this.state, LIMITS)).isFalse();
+		this.state.interrupted(0);
+		assertThat(AdmissionPolicy.WithRamp.INSTANCE.admits(candidate("x", "a"), this.state, LIMITS)).isTrue();
+		for (int i = 0; i < 20; i++) {
+			this.state.stepObserved(2, 20);
+		}
+		this.state.stepObserved(2, 90);
+		assertThat(AdmissionPolicy.WithRamp.INSTANCE.admits(candidate("x", "a"), this.state, LIMITS)).isFalse();
+		this.state.stepObserved(2, 20);
+		assertThat(AdmissionPolicy.WithRamp.INSTANCE.admits(candidate("x", "a"), this.state, LIMITS)).isTrue();
+	}
+
 	@Test
 	void withStepTargetStopsBeforeTheTarget() {
 		warmUp();
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/engine/EngineFault.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/engine/EngineFault.java
@@ -8,7 +8,10 @@
 	/** Loses everything, and starts again cold after the given milliseconds. */
 	DIE,
 
-	/** Turns cold without notice; the value is ignored. */
+	/**
+	 * Turns cold without notice: bears what it holds and a cold limit more; the value is
+	 * ignored.
+	 */
 	TURN_COLD,
 
 	/** Makes steps longer by the given factor in percent; 100 ends the fault. */
