The forecast grows cautious after preemptions, and is bolder before

Change: 1.25 standard deviations instead of 1.5, 0.25 more for each preemption reported, at most 2 more, fading by 1% with each report.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionController.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionController.java
@@ -200,7 +200,7 @@
 		if (this.state.memoryTokens() == 0) {
 			return 0;
 		}
-		double peak = MemoryForecast.peak(this.state.running()) + this.state.foreignTokens();
+		double peak = MemoryForecast.peak(this.state.running(), this.state.caution()) + this.state.foreignTokens();
 		return peak / this.state.memoryTokens();
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionPolicy.java
@@ -128,7 +128,7 @@
 			double usable = state.memoryTokens() * (WHOLE_PERCENT - limits.headroomPercent()) / (double) WHOLE_PERCENT
 					- state.foreignTokens();
 			boolean alone = state.count() == 0;
-			return alone || MemoryForecast.peak(state.running(), running) <= usable;
+			return alone || MemoryForecast.peak(state.running(), running, state.caution()) <= usable;
 		}
 
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/MemoryForecast.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/MemoryForecast.java
@@ -12,8 +12,8 @@
  */
 final class MemoryForecast {
 
-	/** Standard deviations above the mean. */
-	static final double DEVIATIONS = 1.5;
+	/** Standard deviations above the mean while the engine preempts nothing. */
+	static final double DEVIATIONS = 1.25;
 
 	/** First number of steps ahead that is looked at, after 0. */
 	private static final double FIRST_STEPS = 8;
@@ -30,12 +30,13 @@
 	/**
 	 * Returns the largest forecast over all numbers of steps ahead.
 	 * @param running the running generations
+	 * @param caution standard deviations added after preemptions
 	 * @return memory in tokens
 	 */
-	static double peak(Collection<Running> running) {
-		double peak = at(running, 0);
+	static double peak(Collection<Running> running, double caution) {
+		double peak = at(running, 0, caution);
 		for (double steps = FIRST_STEPS; steps < LAST_STEPS; steps *= STEPS_FACTOR) {
-			peak = Math.max(peak, at(running, steps));
+			peak = Math.max(peak, at(running, steps, caution));
 		}
 		return peak;
 	}
@@ -44,15 +45,16 @@
 	 * Returns the largest forecast with one more generation.
 	 * @param running the running generations
 	 * @param candidate one more generation
+	 * @param caution standard deviations added after preemptions
 	 * @return memory in tokens
 	 */
-	static double peak(Collection<Running> running, Running candidate) {
+	static double peak(Collection<Running> running, Running candidate, double caution) {
 		List<Running> all = new ArrayList<>(running);
 		all.add(candidate);
-		return peak(all);
+		return peak(all, caution);
 	}
 
-	private static double at(Collection<Running> running, double steps) {
+	private static double at(Collection<Running> running, double steps, double caution) {
 		double mean = 0;
 		double variance = 0;
 		for (Running generation : running) {
@@ -61,7 +63,7 @@
 			mean += tokens * probability;
 			variance += tokens * tokens * probability * (1 - probability);
 		}
-		return mean + DEVIATIONS * Math.sqrt(variance);
+		return mean + (DEVIATIONS + caution) * Math.sqrt(variance);
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
@@ -9,6 +9,15 @@
  */
 public final class TargetState {
 
+	/** Standard deviations added to the forecast for each preemption. */
+	private static final double CAUTION_PER_PREEMPTION = 0.25;
+
+	/** Most standard deviations added to the forecast. */
+	private static final double MOST_CAUTION = 2;
+
+	/** Factor by which caution fades with each load report. */
+	private static final double CAUTION_FADING = 0.99;
+
 	/** Generations and calls admitted here, by id. */
 	private final Map<String, Running> running = new HashMap<>();
 
@@ -36,6 +45,12 @@
 	/** Number of generations that this sidecar did not admit. */
 	private int foreignRunning;
 
+	/** Preemptions that the engine reported last. */
+	private long preemptions;
+
+	/** Standard deviations added to the forecast. */
+	private double caution;
+
 	/** Whether the last step was far slower than expected. */
 	private boolean slow;
 
@@ -142,6 +157,25 @@
 		this.interrupted = count;
 	}
 
+	/**
+	 * Takes in how many generations the engine has preempted. New ones make the forecast
+	 * more cautious for a time.
+	 * @param count preemptions since the engine started
+	 */
+	public void preempted(long count) {
+		long fresh = Math.max(0, count - this.preemptions);
+		this.preemptions = count;
+		this.caution = Math.min(MOST_CAUTION, this.caution * CAUTION_FADING + CAUTION_PER_PREEMPTION * fresh);
+	}
+
+	/**
+	 * Returns how much more cautious the forecast is than usual.
+	 * @return standard deviations to add
+	 */
+	public double caution() {
+		return this.caution;
+	}
+
 	/**
 	 * Takes in how long no token has come, so that a step that takes far too long shows
 	 * before it ends.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
@@ -314,6 +314,7 @@
 		long ownTokens = this.admission.state().ownTokens();
 		long foreignTokens = (foreign == 0) ? 0 : Math.max(0, report.usedTokens() - ownTokens);
 		this.admission.state().reported(report.memoryTokens(), foreignTokens, (int) foreign);
+		this.admission.state().preempted(report.preemptions());
 		this.preemptions = report.preemptions();
 		this.orders.reconcile(report.held());
 	}
