--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -45,7 +45,7 @@
 public final class Entry {
 
 	/** Time between readings of the host list, in milliseconds. */
-	static final long HOST_LIST_MILLIS = 2_000;
+	static final long HOST_LIST_MILLIS = 4_000;
 
 	/** Time between checks for silent links, in milliseconds. */
 	static final long CHECK_MILLIS = 500;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/HttpCaller.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/HttpCaller.java
@@ -31,6 +31,9 @@
 	/** Most exchanges at once. */
 	private static final int MOST_CALLS = 10_000;
 
+	/** Status of an answer that has not changed. */
+	private static final int NOT_MODIFIED = 304;
+
 	/** Type of bodies. */
 	private static final MediaType JSON = MediaType.get("application/json");
 
@@ -122,13 +125,28 @@
 	 * @throws PlatformException if the system cannot be reached or refuses
 	 */
 	<T> T send(Request request, JavaType type) throws PlatformException {
+		return this.<T>sendTagged(request, type).value();
+	}
+
+	/**
+	 * Sends a request and reads a JSON answer with its entity tag.
+	 * @param <T> type of the answer
+	 * @param request the request
+	 * @param type type of the answer
+	 * @return the answer, whose value is {@code null} if it has not changed
+	 * @throws PlatformException if the system cannot be reached or refuses
+	 */
+	<T> Tagged<T> sendTagged(Request request, JavaType type) throws PlatformException {
 		try (Response response = this.client.newCall(request).execute()) {
 			byte[] answer = response.body().bytes();
+			if (response.code() == NOT_MODIFIED) {
+				return new Tagged<>("", null);
+			}
 			if (!response.isSuccessful()) {
 				throw new PlatformException(request.url().encodedPath() + " answered " + response.code() + " "
 						+ new String(answer, StandardCharsets.UTF_8));
 			}
-			return Json.mapper().readValue(answer, type);
+			return new Tagged<>(response.header("ETag", ""), Json.mapper().readValue(answer, type));
 		}
 		catch (IOException ex) {
 			throw new PlatformException(request.url().encodedPath() + " failed: " + ex.getMessage(), ex);
@@ -159,4 +177,14 @@
 		}
 	}
 
+	/**
+	 * An answer with its entity tag. Immutable.
+	 *
+	 * @param <T> type of the answer
+	 * @param tag entity tag, or an empty string
+	 * @param value the answer, or {@code null} if it has not changed
+	 */
+	record Tagged<T>(String tag, T value) {
+	}
+
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
@@ -20,7 +20,12 @@
 import io.dotterelcrank.daemon.embedded.Pause;
 import io.dotterelcrank.process.Clock;
 import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.process.admission.AdmissionController;
+import io.dotterelcrank.process.admission.AdmissionPolicy;
+import io.dotterelcrank.process.admission.Candidate;
 import io.dotterelcrank.process.admission.LengthEstimator;
+import io.dotterelcrank.process.admission.Limits;
+import io.dotterelcrank.process.admission.TargetState;
 import io.dotterelcrank.process.claim.ClaimKey;
 import io.dotterelcrank.process.claim.ClaimLedger;
 import io.dotterelcrank.process.claim.ClaimRecord;
@@ -37,7 +42,9 @@
 import io.dotterelcrank.standin.fleet.VirtualFleet;
 import io.dotterelcrank.standin.platform.StandinLog;
 import io.dotterelcrank.version.Change;
+import io.dotterelcrank.version.Configuration;
 import io.dotterelcrank.version.Setting;
+import io.dotterelcrank.version.Subject;
 
 /**
  * Measures how messages, processor time and memory grow with the size of the fleet. Each
@@ -72,6 +79,12 @@
 	/** Runs of which the best one counts. */
 	private static final int REPETITIONS = 4;
 
+	/** Numbers of running generations. */
+	private static final long[] RUNNING = { 25, 50, 100, 200 };
+
+	/** Times that the load is told while its processor time is measured. */
+	private static final int TELLINGS = 2_000;
+
 	/** Numbers of remembered claims. */
 	private static final long[] CLAIMS = { 20_000, 40_000, 80_000, 160_000 };
 
@@ -138,6 +151,7 @@
 		add("processor time of a change, both ends", "us", "link", LINKS, (i) -> idle.get(i).changeMicros());
 		add("time until a change is in force in nine data centres", "ms", "process", PROCESSES,
 				(i) -> spreadMillis(PROCESSES[i] / (2 * DATA_CENTRES)));
+		add("sidecar: processor time of telling the load", "us", "running", RUNNING, (i) -> loadMicros(RUNNING[i]));
 		requests();
 		claims();
 		add("entry: heap of known targets", "KB", "target", TARGETS, (i) -> targetHeap(TARGETS[i]));
@@ -246,6 +260,26 @@
 		return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
 	}
 
+	private static double loadMicros(long running) {
+		TargetState state = TargetState.unknown(2);
+		state.reported(Long.MAX_VALUE / 2, 0, 0);
+		Limits limits = Limits.of(Configuration.INITIAL, Subject.FLEET);
+		AdmissionController controller = AdmissionController.of(AdmissionPolicy.forEngines(), state, () -> limits,
+				Clock.manual(0));
+		for (int i = 0; i < running; i++) {
+			state.admitted(new Candidate("g" + i, "w", Priority.NORMAL, 100, 4_096, 0));
+		}
+		double best = Double.MAX_VALUE;
+		for (int round = 0; round < REPETITIONS; round++) {
+			long nanosBefore = cpuNanos();
+			for (int i = 0; i < TELLINGS; i++) {
+				controller.load(false);
+			}
+			best = Math.min(best, (cpuNanos() - nanosBefore) / NANOS_PER_MICRO / TELLINGS);
+		}
+		return best;
+	}
+
 	private void requests() {
 		for (int round = 0; round < REPETITIONS; round++) {
 			requestMicros(GENERATIONS[GENERATIONS.length - 1], TOKENS);
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/PlatformClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/PlatformClientTests.java
@@ -74,6 +74,19 @@
 		assertThat(hostList(http).hosts()).isEmpty();
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void oneClientSeesEachChange(boolean http) throws PlatformException {
+		HostList list = hostList(http);
+		this.hosts.put(HOST);
+		this.clock.advance(LAG_MILLIS);
+		assertThat(list.hosts()).containsExactly(HOST);
+		assertThat(list.hosts()).containsExactly(HOST);
+		this.hosts.remove(HOST.name());
+		this.clock.advance(LAG_MILLIS);
+		assertThat(list.hosts()).isEmpty();
+	}
+
 	@ParameterizedTest
 	@ValueSource(booleans = { false, true })
 	void aListThatIsDownFails(boolean http) {
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/PlatformServer.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/PlatformServer.java
@@ -1,13 +1,16 @@
 package io.dotterelcrank.standin.http;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.process.platform.Json;
+import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.standin.platform.LogFault;
 import io.dotterelcrank.standin.platform.StandinHostList;
 import io.dotterelcrank.standin.platform.StandinLog;
@@ -20,6 +23,9 @@
  */
 public final class PlatformServer implements AutoCloseable {
 
+	/** Status of a list that has not changed. */
+	private static final int NOT_MODIFIED = 304;
+
 	/** The log. */
 	private final StandinLog log;
 
@@ -61,7 +67,7 @@
 			case "POST streams" ->
 				Exchanges.withBody(exchange, (body) -> Exchanges.send(exchange, this.log.append(name, body)));
 			case "GET streams" -> read(exchange, name);
-			case "GET hosts" -> Exchanges.blocking(exchange, () -> Exchanges.send(exchange, this.hosts.hosts()));
+			case "GET hosts" -> Exchanges.blocking(exchange, () -> sendHosts(exchange));
 			case "PUT hosts" -> Exchanges.withBody(exchange, (body) -> {
 				this.hosts.put(Json.mapper().readValue(body, HostList.Host.class));
 				Exchanges.send(exchange, "done");
@@ -80,6 +86,17 @@
 		}
 	}
 
+	private void sendHosts(HttpServerExchange exchange) throws IOException, PlatformException {
+		List<HostList.Host> listed = this.hosts.hosts();
+		String tag = Integer.toHexString(listed.hashCode());
+		if (tag.equals(exchange.getRequestHeaders().getFirst(Headers.IF_NONE_MATCH))) {
+			exchange.setStatusCode(NOT_MODIFIED).endExchange();
+			return;
+		}
+		exchange.getResponseHeaders().put(Headers.ETAG, tag);
+		Exchanges.send(exchange, listed);
+	}
+
 	private void read(HttpServerExchange exchange, String stream) {
 		long from = Exchanges.number(exchange, "from", 1);
 		long waitMillis = Exchanges.number(exchange, "wait", 0);
