--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
@@ -1,9 +1,7 @@
 package io.dotterelcrank.process.entry;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 
 import io.dotterelcrank.connection.Message;
@@ -22,10 +20,7 @@
  * new attempt follows only an attempt that did not run, or a call that is idempotent or
  * keyed; the caller hears one end. Belongs to the control thread.
  */
-final class CallRequest implements Attempt {
-
-	/** Most attempts. */
-	static final int MOST_ATTEMPTS = 4;
+final class CallRequest extends AbstractRequest {
 
 	/**
 	 * Time for which a lost target may come back to say what became of a call, in
@@ -39,42 +34,18 @@
 	/** Largest time left to the answer's way back, in milliseconds. */
 	private static final long MOST_MARGIN_MILLIS = 200;
 
-	/** The entry process. */
-	private final Entry entry;
-
 	/** The caller. */
 	private final CallCaller caller;
 
 	/** The request; its id is replaced with each attempt. */
 	private Call call;
 
-	/** When the caller gives up, in milliseconds. */
-	private final long deadlineMillis;
-
-	/** When the request came, in milliseconds. */
-	private final long startMillis;
-
-	/** Names of targets that have refused the request. */
-	private final Set<String> tried = new HashSet<>();
-
-	/** Target of the current attempt. */
-	private TargetLink target;
-
 	/** How far the current attempt has come. */
 	private Stage stage = Stage.CONNECTING;
 
 	/** Incarnation of the sidecar to which the call was sent; 0 if not known. */
 	private long sentTo;
 
-	/** Whether an earlier attempt may have run. */
-	private boolean maybeRan;
-
-	/** Number of attempts so far. */
-	private int attempts;
-
-	/** How the last attempt was refused, or {@code null}. */
-	private Failure lastRefusal;
-
 	/** Whether the target was named by a claim. */
 	private boolean redirected;
 
@@ -84,42 +55,26 @@
 	/** Whether a lost target is about to be given up. */
 	private boolean limitArmed;
 
-	/** Whether the caller has heard the end. */
-	private boolean ended;
-
-	/** Ends the request at its deadline. */
-	private Scheduler.Timer deadline = () -> {
-	};
-
 	/** Gives up a lost target. */
 	private Scheduler.Timer resolveLimit = () -> {
 	};
 
 	CallRequest(Entry entry, Call call, CallCaller caller) {
-		this.entry = entry;
+		super(entry, call.deadlineMillis());
 		this.call = call;
 		this.caller = caller;
-		this.startMillis = entry.clock().millis();
-		this.deadlineMillis = this.startMillis + call.deadlineMillis();
 	}
 
 	/**
 	 * Starts the call.
 	 */
 	void start() {
-		long leftMillis = this.deadlineMillis - this.entry.clock().millis();
-		this.deadline = this.entry.scheduler().schedule(leftMillis, this::deadlinePassed);
+		armDeadline();
 		attempt();
 	}
 
-	private void deadlinePassed() {
-		if (!this.ended) {
-			this.target.send(new Message.Cancel(this.call.id()));
-			fail(new Failure(ResultCode.DEADLINE_EXCEEDED, ranWithoutAnswer(), 0, "the deadline passed"));
-		}
-	}
-
-	private Ran ranWithoutAnswer() {
+	@Override
+	Ran ranWithoutAnswer() {
 		return (this.stage == Stage.SENT) ? Ran.UNKNOWN : Ran.NO;
 	}
 
@@ -127,25 +82,14 @@
 		Predicate<HostList.Host> kind = (host) -> host.service().equals(this.call.service())
 				&& host.role() == HostList.Role.SERVICE;
 		Optional<TargetLink> choice = this.call.keyed() ? hinted(kind)
-				: this.entry.targets().choose(kind, this.call.workspace(), this.tried);
+				: entry().targets().choose(kind, this.call.workspace(), tried());
 		if (choice.isEmpty()) {
-			fail(noTarget(kind));
+			fail(noTarget(kind, Failure.notRun(ResultCode.UNKNOWN_SERVICE, "no target serves " + this.call.service())));
 			return;
 		}
 		attemptAt(choice.get());
 	}
 
-	private Failure noTarget(Predicate<HostList.Host> kind) {
-		if (this.lastRefusal != null) {
-			return this.lastRefusal;
-		}
-		if (this.entry.targets().exists(kind)) {
-			return Failure.notRun(ResultCode.NO_TARGET, "no target takes the request now")
-				.withRetryAfter(Entry.NO_TARGET_RETRY_MILLIS);
-		}
-		return Failure.notRun(ResultCode.UNKNOWN_SERVICE, "no target serves " + this.call.service());
-	}
-
 	/**
 	 * Finds the target that writes the claims of the key's partition. Any other target
 	 * would do as well: the log decides.
@@ -154,26 +98,23 @@
 	 */
 	private Optional<TargetLink> hinted(Predicate<HostList.Host> kind) {
 		String partition = ClaimKey.stream(ClaimKey.of(this.call.claimKey()).partition());
-		List<HostList.Host> ranked = HashRank.rank(partition, this.entry.targets().candidates(kind),
-				HostList.Host::name);
+		List<HostList.Host> ranked = HashRank.rank(partition, entry().targets().candidates(kind), HostList.Host::name);
 		return ranked.stream()
-			.filter((host) -> !this.tried.contains(host.name()))
+			.filter((host) -> !tried().contains(host.name()))
 			.findFirst()
-			.flatMap((host) -> this.entry.targets().named(host.name()));
+			.flatMap((host) -> entry().targets().named(host.name()));
 	}
 
 	private void attemptAt(TargetLink choice) {
-		this.attempts++;
-		this.target = choice;
-		this.tried.add(choice.host().name());
-		this.call = this.call.withId(this.entry.nextId());
+		nextAttempt(choice);
+		this.call = this.call.withId(entry().nextId());
 		this.stage = Stage.CONNECTING;
 		choice.begin(this);
 		if (choice.open()) {
 			sendFirst();
 		}
 		else {
-			armLimit(this.entry.connectLimitMillis());
+			armLimit(entry().connectLimitMillis());
 		}
 	}
 
@@ -185,7 +126,7 @@
 		boolean reserve = !this.call.idempotent() && !this.call.keyed();
 		if (reserve) {
 			this.stage = Stage.RESERVING;
-			this.target.send(new Message.Reserve(this.call.id(), this.call.service(), this.call.workspace()));
+			target().send(new Message.Reserve(this.call.id(), this.call.service(), this.call.workspace()));
 		}
 		else {
 			sendCall();
@@ -194,16 +135,26 @@
 
 	private void sendCall() {
 		this.stage = Stage.SENT;
-		this.sentTo = this.target.peerIncarnation();
-		this.target.send(invocation());
+		this.sentTo = target().peerIncarnation();
+		target().send(invocation());
 	}
 
 	private Message invocation() {
-		long leftMillis = this.deadlineMillis - this.entry.clock().millis();
+		long leftMillis = leftMillis();
 		long marginMillis = Math.min(MOST_MARGIN_MILLIS, leftMillis / MARGIN_DIVISOR);
 		return new Message.Invoke(this.call.withDeadline(leftMillis - marginMillis));
 	}
 
+	@Override
+	void tell(Failure failure) {
+		this.caller.failed(failure);
+	}
+
+	@Override
+	void cancelAttempt() {
+		target().send(new Message.Cancel(this.call.id()));
+	}
+
 	@Override
 	public String id() {
 		return this.call.id();
@@ -211,7 +162,7 @@
 
 	@Override
 	public void received(Message message) {
-		if (this.ended) {
+		if (ended()) {
 			return;
 		}
 		cancelLimit();
@@ -219,7 +170,7 @@
 			sendCall();
 		}
 		else if (message instanceof Message.Answer answer) {
-			this.entry.targets().succeeded(this.target, this.entry.clock().millis() - this.startMillis);
+			entry().targets().succeeded(target(), sinceStartMillis());
 			finish();
 			this.caller.answered(answer.reply());
 		}
@@ -236,14 +187,14 @@
 	 * @param claimed who holds the claim
 	 */
 	private void follow(Message.ClaimedElsewhere claimed) {
-		Optional<TargetLink> holder = this.entry.targets().named(claimed.target());
+		Optional<TargetLink> holder = entry().targets().named(claimed.target());
 		this.done |= claimed.done();
-		this.maybeRan = true;
-		if (holder.isEmpty() || this.attempts >= MOST_ATTEMPTS) {
+		maybeRan(true);
+		if (holder.isEmpty() || attempts() >= MOST_ATTEMPTS) {
 			fail(claimLost());
 			return;
 		}
-		this.target.end(this.call.id());
+		target().end(this.call.id());
 		this.redirected = true;
 		attemptAt(holder.get());
 	}
@@ -259,14 +210,13 @@
 		boolean safe = failure.ran() == Ran.NO || this.call.idempotent() || lostWithKey;
 		boolean another = failure.code().anotherTargetMayServe() || failure.code() == ResultCode.TARGET_FAILED;
 		if (failure.code() == ResultCode.TARGET_LOST || failure.code() == ResultCode.TARGET_FAILED) {
-			this.entry.targets().failed(this.target);
+			entry().targets().failed(target());
 		}
-		this.maybeRan |= failure.ran() != Ran.NO;
-		this.maybeRan &= !settledByHolder(failure);
-		this.lastRefusal = failure;
+		noteFailure(failure);
+		maybeRan(maybeRan() && !settledByHolder(failure));
 		boolean unconfirmed = failure.code() == ResultCode.CLAIM_UNCONFIRMED;
 		if (safe && another && !unconfirmed && !this.redirected && mayTryAgain(failure)) {
-			this.target.end(this.call.id());
+			target().end(this.call.id());
 			attempt();
 			return;
 		}
@@ -283,14 +233,9 @@
 		return this.redirected && failure.ran() == Ran.NO && looked;
 	}
 
-	private boolean mayTryAgain(Failure failure) {
-		boolean free = failure.code() == ResultCode.DATA_CENTRE_OUT || failure.code() == ResultCode.TARGET_LEAVING;
-		return free || this.attempts < MOST_ATTEMPTS && this.entry.retryBudget().spend();
-	}
-
 	@Override
 	public void linkLost() {
-		if (this.ended) {
+		if (ended()) {
 			return;
 		}
 		if (this.stage == Stage.RESERVING || this.call.idempotent() && !this.call.keyed()) {
@@ -304,10 +249,11 @@
 	private void armLimit(long limitMillis) {
 		cancelLimit();
 		this.limitArmed = true;
-		this.resolveLimit = this.entry.scheduler().schedule(limitMillis, this::giveTargetUp);
+		this.resolveLimit = entry().scheduler().schedule(limitMillis, this::giveTargetUp);
 	}
 
-	private void cancelLimit() {
+	@Override
+	void cancelLimit() {
 		this.limitArmed = false;
 		this.resolveLimit.cancel();
 	}
@@ -317,21 +263,20 @@
 	 * not run, since the call itself was never sent.
 	 */
 	private void giveTargetUp() {
-		if (this.ended) {
+		if (ended()) {
 			return;
 		}
-		this.target.send(new Message.Cancel(this.call.id()));
+		cancelAttempt();
 		if (this.redirected) {
 			fail(claimLost());
 			return;
 		}
 		boolean notSent = this.stage != Stage.SENT;
-		this.maybeRan |= !notSent;
+		maybeRan(maybeRan() || !notSent);
 		boolean keyed = this.call.keyed();
-		this.tried.remove(this.target.host().name());
-		if ((notSent || keyed || this.call.idempotent()) && this.attempts < MOST_ATTEMPTS
-				&& this.entry.retryBudget().spend()) {
-			this.target.end(this.call.id());
+		tried().remove(target().host().name());
+		if ((notSent || keyed || this.call.idempotent()) && mayTryAgain()) {
+			target().end(this.call.id());
 			attempt();
 			return;
 		}
@@ -341,7 +286,7 @@
 
 	@Override
 	public void sessionBegan(long incarnation) {
-		if (this.ended) {
+		if (ended()) {
 			return;
 		}
 		if (this.stage == Stage.CONNECTING) {
@@ -351,33 +296,12 @@
 		}
 		if (this.stage == Stage.SENT && this.sentTo != incarnation) {
 			cancelLimit();
-			this.maybeRan = true;
+			maybeRan(true);
 			takeFailure(new Failure(ResultCode.TARGET_LOST, Ran.UNKNOWN, 0, "the target's process was replaced"));
 			return;
 		}
 		armLimit(RESOLVE_LIMIT_MILLIS);
-		this.target.send(new Message.Resolve(this.call.id()));
-	}
-
-	/**
-	 * Tells the caller how the request failed. If an earlier attempt may have run, the
-	 * answer cannot be that the request did not run.
-	 * @param failure how the last attempt failed
-	 */
-	private void fail(Failure failure) {
-		boolean doubtful = failure.ran() == Ran.NO && this.maybeRan;
-		finish();
-		this.caller.failed(doubtful ? failure.withRan(Ran.UNKNOWN) : failure);
-	}
-
-	private void finish() {
-		this.ended = true;
-		this.deadline.cancel();
-		cancelLimit();
-		if (this.target != null) {
-			this.target.end(this.call.id());
-		}
-		this.entry.ended(this);
+		target().send(new Message.Resolve(this.call.id()));
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -1,9 +1,7 @@
 package io.dotterelcrank.process.entry;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 
 import org.slf4j.Logger;
@@ -25,7 +23,7 @@
  * come from one generation, in order, each once; the caller hears one end. A generation
  * starts again only while the caller keeps no token of it. Belongs to the control thread.
  */
-final class GenerationRequest implements Attempt {
+final class GenerationRequest extends AbstractRequest {
 
 	/** Most attempts at different targets. */
 	static final int MOST_ATTEMPTS = 4;
@@ -42,33 +40,15 @@
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(GenerationRequest.class);
 
-	/** The entry process. */
-	private final Entry entry;
-
 	/** The caller. */
 	private final GenerationCaller caller;
 
 	/** The request; its id is replaced with each attempt. */
 	private Generation request;
 
-	/** When the caller gives up, in milliseconds. */
-	private final long deadlineMillis;
-
-	/** When the request came, in milliseconds. */
-	private final long startMillis;
-
-	/** Names of targets that have refused the request. */
-	private final Set<String> tried = new HashSet<>();
-
-	/** Target of the current attempt. */
-	private TargetLink target;
-
 	/** Puts the tokens of the current attempt in order. */
 	private TokenSequencer sequencer;
 
-	/** Number of attempts so far. */
-	private int attempts;
-
 	/** Index of the first token that the caller has not read. */
 	private int readIndex;
 
@@ -85,32 +65,17 @@
 	 */
 	private Message unsent;
 
-	/** How the last attempt was refused, or {@code null}. */
-	private Failure lastRefusal;
-
-	/** Whether an earlier attempt may have run. */
-	private boolean maybeRan;
-
-	/** Whether the caller has heard the end. */
-	private boolean ended;
-
 	/** Whether the session is gone and the generation waits for a new one. */
 	private boolean waiting;
 
-	/** Ends the request at its deadline. */
-	private Scheduler.Timer deadline = () -> {
-	};
-
 	/** Gives up a lost target. */
 	private Scheduler.Timer resumeLimit = () -> {
 	};
 
 	GenerationRequest(Entry entry, Generation request, GenerationCaller caller) {
-		this.entry = entry;
+		super(entry, request.deadlineMillis());
 		this.request = request;
 		this.caller = caller;
-		this.startMillis = entry.clock().millis();
-		this.deadlineMillis = this.startMillis + request.deadlineMillis();
 	}
 
 	/**
@@ -127,19 +92,19 @@
 	 * @param last id of the last event that the caller received
 	 */
 	void continueAfter(EventId last) {
-		Optional<TargetLink> known = this.entry.targets().named(last.target());
+		Optional<TargetLink> known = entry().targets().named(last.target());
 		if (known.isEmpty()) {
 			fail(new Failure(ResultCode.GENERATION_UNKNOWN, Ran.UNKNOWN, 0, "the target is not known"));
 			return;
 		}
 		armDeadline();
-		this.target = known.get();
+		nextAttempt(known.get());
 		this.continued = true;
 		this.readIndex = last.index() + 1;
 		this.acknowledgedIndex = this.readIndex;
 		this.request = this.request.withId(last.generation());
 		this.sequencer = TokenSequencer.of(last.generation(), this.readIndex);
-		this.target.begin(this);
+		target().begin(this);
 		sendFirst(resumeMessage());
 	}
 
@@ -149,9 +114,9 @@
 	 * @param message the message
 	 */
 	private void sendFirst(Message message) {
-		if (this.target.open()) {
+		if (target().open()) {
 			this.unsent = null;
-			this.target.send(message);
+			target().send(message);
 		}
 		else {
 			this.unsent = message;
@@ -159,19 +124,8 @@
 		}
 	}
 
-	private void armDeadline() {
-		long leftMillis = this.deadlineMillis - this.entry.clock().millis();
-		this.deadline = this.entry.scheduler().schedule(leftMillis, this::deadlinePassed);
-	}
-
-	private void deadlinePassed() {
-		if (!this.ended) {
-			cancelAttempt();
-			fail(new Failure(ResultCode.DEADLINE_EXCEEDED, ranSoFar(), 0, "the deadline passed"));
-		}
-	}
-
-	private Ran ranSoFar() {
+	@Override
+	Ran ranWithoutAnswer() {
 		if (this.sequencer == null) {
 			return Ran.NO;
 		}
@@ -181,39 +135,36 @@
 	private void attempt() {
 		Predicate<HostList.Host> kind = (host) -> host.model().equals(this.request.model())
 				&& host.role() == HostList.Role.ENGINE;
-		Optional<TargetLink> choice = this.entry.targets().choose(kind, affinity(), this.tried);
+		Optional<TargetLink> choice = entry().targets().choose(kind, affinity(), tried());
 		if (choice.isEmpty()) {
-			fail(noTarget(kind));
+			fail(noTarget(kind, Failure.notRun(ResultCode.UNKNOWN_MODEL, "no target serves " + this.request.model())));
 			return;
 		}
-		this.attempts++;
-		this.target = choice.get();
-		this.tried.add(this.target.host().name());
-		this.request = this.request.withId(this.entry.nextId());
+		nextAttempt(choice.get());
+		this.request = this.request.withId(entry().nextId());
 		this.sequencer = TokenSequencer.of(this.request.id(), 0);
 		this.readIndex = 0;
 		this.acknowledgedIndex = 0;
-		long leftMillis = this.deadlineMillis - this.entry.clock().millis();
-		this.target.begin(this);
+		long leftMillis = leftMillis();
+		target().begin(this);
 		sendFirst(new Message.Generate(this.request.withDeadline(leftMillis)));
 	}
 
-	private Failure noTarget(Predicate<HostList.Host> kind) {
-		if (this.lastRefusal != null) {
-			return this.lastRefusal;
-		}
-		if (this.entry.targets().exists(kind)) {
-			return Failure.notRun(ResultCode.NO_TARGET, "no target takes the request now")
-				.withRetryAfter(Entry.NO_TARGET_RETRY_MILLIS);
-		}
-		return Failure.notRun(ResultCode.UNKNOWN_MODEL, "no target serves " + this.request.model());
-	}
-
 	private String affinity() {
 		String prompt = this.request.prompt();
 		return this.request.workspace() + '\0' + prompt.substring(0, Math.min(AFFINITY_CHARACTERS, prompt.length()));
 	}
 
+	@Override
+	void tell(Failure failure) {
+		this.caller.failed(failure);
+	}
+
+	@Override
+	void cancelLimit() {
+		this.resumeLimit.cancel();
+	}
+
 	@Override
 	public String id() {
 		return this.request.id();
@@ -221,7 +172,7 @@
 
 	@Override
 	public void received(Message message) {
-		if (this.ended) {
+		if (ended()) {
 			return;
 		}
 		if (message instanceof Message.Tokens tokens) {
@@ -238,7 +189,7 @@
 	private void takeTokens(Message.Tokens tokens) {
 		sessionWorks();
 		if (this.sequencer.gapBefore(tokens.id(), tokens.firstIndex())) {
-			this.target.send(resumeMessage());
+			target().send(resumeMessage());
 			return;
 		}
 		int index = this.sequencer.nextIndex();
@@ -247,9 +198,9 @@
 			return;
 		}
 		if (index == 0) {
-			this.entry.targets().succeeded(this.target, this.entry.clock().millis() - this.startMillis);
+			entry().targets().succeeded(target(), sinceStartMillis());
 		}
-		this.caller.tokens(this.target.host().name(), this.request.id(), index, fresh);
+		this.caller.tokens(target().host().name(), this.request.id(), index, fresh);
 		if (!this.caller.streams()) {
 			read(this.sequencer.nextIndex());
 		}
@@ -259,7 +210,7 @@
 		sessionWorks();
 		this.sequencer.end(finished.id(), finished.count());
 		if (!this.sequencer.complete()) {
-			this.target.send(resumeMessage());
+			target().send(resumeMessage());
 			return;
 		}
 		finish();
@@ -271,10 +222,9 @@
 		boolean kept = this.continued || this.caller.streams() && this.sequencer.nextIndex() > 0;
 		boolean lost = failure.code() == ResultCode.GENERATION_LOST || failure.code() == ResultCode.GENERATION_UNKNOWN;
 		if (lost) {
-			this.entry.targets().failed(this.target);
+			entry().targets().failed(target());
 		}
-		this.maybeRan |= failure.ran() != Ran.NO;
-		this.lastRefusal = failure;
+		noteFailure(failure);
 		boolean tryAgain = !kept && (lost || failure.code().anotherTargetMayServe());
 		if (tryAgain && mayTryAgain(failure)) {
 			startAgain();
@@ -283,19 +233,8 @@
 		fail((kept && lost && !this.continued) ? lostFailure(failure.message()) : failure);
 	}
 
-	/**
-	 * Refusals because of a removal or a stop cost nothing and are not charged to the
-	 * retry budget.
-	 * @param failure how the attempt failed
-	 * @return whether another attempt is allowed
-	 */
-	private boolean mayTryAgain(Failure failure) {
-		boolean free = failure.code() == ResultCode.DATA_CENTRE_OUT || failure.code() == ResultCode.TARGET_LEAVING;
-		return free || this.attempts < MOST_ATTEMPTS && this.entry.retryBudget().spend();
-	}
-
 	private void startAgain() {
-		this.target.end(this.request.id());
+		target().end(this.request.id());
 		if (this.sequencer.nextIndex() > 0) {
 			this.caller.restarted();
 		}
@@ -308,7 +247,7 @@
 
 	@Override
 	public void linkLost() {
-		if (!this.ended) {
+		if (!ended()) {
 			waitForSession();
 		}
 	}
@@ -318,8 +257,8 @@
 			return;
 		}
 		this.waiting = true;
-		long limitMillis = keepsTokens() ? RESUME_LIMIT_MILLIS : this.entry.connectLimitMillis();
-		this.resumeLimit = this.entry.scheduler().schedule(limitMillis, this::giveTargetUp);
+		long limitMillis = keepsTokens() ? RESUME_LIMIT_MILLIS : entry().connectLimitMillis();
+		this.resumeLimit = entry().scheduler().schedule(limitMillis, this::giveTargetUp);
 	}
 
 	private boolean keepsTokens() {
@@ -332,7 +271,7 @@
 	}
 
 	private void giveTargetUp() {
-		if (!this.ended && this.waiting) {
+		if (!ended() && this.waiting) {
 			this.waiting = false;
 			cancelAttempt();
 			takeFailure(unreached());
@@ -350,7 +289,7 @@
 
 	@Override
 	public void sessionBegan(long incarnation) {
-		if (this.ended) {
+		if (ended()) {
 			return;
 		}
 		if (this.unsent != null) {
@@ -359,7 +298,7 @@
 		}
 		else if (this.waiting) {
 			LogEvent.GENERATION_RESUMED.log(logger, this.request.id(), this.sequencer.nextIndex());
-			this.target.send(resumeMessage());
+			target().send(resumeMessage());
 		}
 	}
 
@@ -373,9 +312,9 @@
 	 */
 	void read(int nextIndex) {
 		this.readIndex = Math.max(this.readIndex, nextIndex);
-		if (!this.ended && this.readIndex - this.acknowledgedIndex >= ACKNOWLEDGE_TOKENS) {
+		if (!ended() && this.readIndex - this.acknowledgedIndex >= ACKNOWLEDGE_TOKENS) {
 			this.acknowledgedIndex = this.readIndex;
-			this.target.send(new Message.Acknowledge(this.request.id(), this.readIndex));
+			target().send(new Message.Acknowledge(this.request.id(), this.readIndex));
 		}
 	}
 
@@ -383,32 +322,17 @@
 	 * Gives the request up, since its caller is gone.
 	 */
 	void callerGone() {
-		if (!this.ended) {
+		if (!ended()) {
 			cancelAttempt();
 			finish();
 		}
 	}
 
-	private void cancelAttempt() {
-		if (this.target != null) {
-			this.target.send(new Message.Cancel(this.request.id()));
-		}
-	}
-
-	private void fail(Failure failure) {
-		boolean doubtful = failure.ran() == Ran.NO && this.maybeRan;
-		finish();
-		this.caller.failed(doubtful ? failure.withRan(Ran.UNKNOWN) : failure);
-	}
-
-	private void finish() {
-		this.ended = true;
-		this.deadline.cancel();
-		this.resumeLimit.cancel();
-		if (this.target != null) {
-			this.target.end(this.request.id());
+	@Override
+	void cancelAttempt() {
+		if (target() != null) {
+			target().send(new Message.Cancel(this.request.id()));
 		}
-		this.entry.ended(this);
 	}
 
 }
