--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/LoadVerb.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/LoadVerb.java
@@ -123,7 +123,7 @@
 		out.println("written to " + path);
 	}
 
-	private PolicyBench.Settings settings(SettingsReader reader) throws RequestException {
+	private PolicyBench.Settings settings(SettingsReader reader) {
 		List<Long> seedList = new ArrayList<>();
 		for (String seed : reader.word("seeds", this.seeds, "1,2,3", "[0-9]{1,9}(,[0-9]{1,9})*").split(",")) {
 			seedList.add(seed.isEmpty() ? 0L : Long.parseLong(seed));
@@ -140,8 +140,19 @@
 		int loadPercent = (int) reader.number("load-percent", this.load, "80", 1, MOST_LOAD);
 		long measured = reader.number("seconds", this.seconds, "120", 1, MOST_SECONDS) * MILLIS_PER_SECOND;
 		int threads = Math.max(1, Runtime.getRuntime().availableProcessors() - 1);
-		return new PolicyBench.Settings(Preset.named(reader.text("preset", this.preset, "nile")), pairs, seedList,
-				loadPercent, 0, measured, scenario(reader), this.coldStart, threads);
+		return new PolicyBench.Settings(preset(reader), pairs, seedList, loadPercent, 0, measured, scenario(reader),
+				this.coldStart, threads);
+	}
+
+	private Preset preset(SettingsReader reader) {
+		String name = reader.text("preset", this.preset, "nile");
+		try {
+			return Preset.named(name);
+		}
+		catch (RequestException ex) {
+			reader.fault(ex.failure().message());
+			return null;
+		}
 	}
 
 	private Scenario scenario(SettingsReader reader) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/VirtualRun.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/VirtualRun.java
@@ -58,7 +58,7 @@
 	}
 
 	/**
-	 * Runs, and returns the tail of each of some workspaces as well.
+	 * Runs, and returns the tail of one workspace.
 	 * @param setup what is run
 	 * @param workspace the workspace
 	 * @return time between tokens at the 99th percentile, in milliseconds
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/load/VirtualRunTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/load/VirtualRunTests.java
@@ -30,4 +30,11 @@
 		assertThat(VirtualRun.run(setup.withPolicies("forecast-without-ramp", "affinity")).fallOvers()).isPositive();
 	}
 
+	@Test
+	void aFloodingWorkspaceDoesNotMoveAnothersTail() throws RequestException {
+		VirtualRun.Setup flood = setup().withScenario(Scenario.FLOOD).withRate(4);
+		assertThat(VirtualRun.tail(flood, "workspace-0")).isPositive()
+			.isLessThanOrEqualTo(Measurement.TOKEN_TARGET_MILLIS);
+	}
+
 }
