Attempt ids carry their workspace; reservations keep their priority; unused messages go

Cause: beside a new sidecar, another workspace could resume a generation of the predecessor by guessing its id; a reservation waited with normal priority whatever the caller asked for; one message and one field were never used. Change: AttemptId with a digest of the workspace, checked before any resume; the priority rides on Reserve.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -5,6 +5,7 @@
 import io.dotterelcrank.request.Call;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Generation;
+import io.dotterelcrank.request.Priority;
 import io.dotterelcrank.request.Reply;
 import io.dotterelcrank.version.Configuration;
 
@@ -45,15 +46,14 @@
 	}
 
 	/**
-	 * Continues a generation on this session, whichever session started it.
+	 * Continues a generation on this session, whichever session started it. An attempt
+	 * that the sidecar does not know is refused for ever.
 	 *
 	 * @param id id of the generation
 	 * @param workspace workspace of the caller
-	 * @param fromIndex index of the first token wanted
-	 * @param neverStart whether the sidecar must refuse the attempt for ever if it does
-	 * not know it
+	 * @param fromIndex index of the first token wanted not know it
 	 */
-	record Resume(String id, String workspace, int fromIndex, boolean neverStart) implements Message {
+	record Resume(String id, String workspace, int fromIndex) implements Message {
 	}
 
 	/**
@@ -77,10 +77,10 @@
 	 * Asks for a place, without running anything yet.
 	 *
 	 * @param id id of the attempt
-	 * @param service plain service wanted
 	 * @param workspace workspace of the caller
+	 * @param priority admission priority
 	 */
-	record Reserve(String id, String service, String workspace) implements Message {
+	record Reserve(String id, String workspace, Priority priority) implements Message {
 	}
 
 	/**
@@ -127,14 +127,6 @@
 	record ClaimedElsewhere(String id, String target, boolean done) implements Message {
 	}
 
-	/**
-	 * The engine has started the generation.
-	 *
-	 * @param id id of the generation
-	 */
-	record Started(String id) implements Message {
-	}
-
 	/**
 	 * Tokens of a generation.
 	 *
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
@@ -23,8 +23,8 @@
 	private static final List<Class<? extends Message>> TYPES = List.of(Message.Hello.class, Message.Welcome.class,
 			Message.Generate.class, Message.Resume.class, Message.Acknowledge.class, Message.Cancel.class,
 			Message.Reserve.class, Message.Reserved.class, Message.Invoke.class, Message.Resolve.class,
-			Message.Answer.class, Message.ClaimedElsewhere.class, Message.Started.class, Message.Tokens.class,
-			Message.Finished.class, Message.Failed.class, Message.Heartbeat.class, Message.AskConfiguration.class,
+			Message.Answer.class, Message.ClaimedElsewhere.class, Message.Tokens.class, Message.Finished.class,
+			Message.Failed.class, Message.Heartbeat.class, Message.AskConfiguration.class,
 			Message.TellConfiguration.class);
 
 	/** Writes and reads records as arrays. */
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
@@ -107,7 +107,7 @@
 
 	private void attemptAt(TargetLink choice) {
 		nextAttempt(choice);
-		this.call = this.call.withId(entry().nextId());
+		this.call = this.call.withId(entry().nextId(this.call.workspace()));
 		this.stage = Stage.CONNECTING;
 		choice.begin(this);
 		if (choice.open()) {
@@ -126,7 +126,7 @@
 		boolean reserve = !this.call.idempotent() && !this.call.keyed();
 		if (reserve) {
 			this.stage = Stage.RESERVING;
-			target().send(new Message.Reserve(this.call.id(), this.call.service(), this.call.workspace()));
+			target().send(new Message.Reserve(this.call.id(), this.call.workspace(), this.call.priority()));
 		}
 		else {
 			sendCall();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -27,6 +27,7 @@
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.process.routing.RetryBudget;
 import io.dotterelcrank.process.routing.RoutingPolicy;
+import io.dotterelcrank.request.AttemptId;
 import io.dotterelcrank.request.Call;
 import io.dotterelcrank.request.EventId;
 import io.dotterelcrank.request.Failure;
@@ -59,9 +60,6 @@
 	/** Time between checks whether a planned stop is complete, in milliseconds. */
 	private static final long LEAVE_CHECK_MILLIS = 100;
 
-	/** Base in which ids are written. */
-	private static final int ID_BASE = 36;
-
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(Entry.class);
 
@@ -301,9 +299,8 @@
 		return CONNECT_LIMIT_MILLIS;
 	}
 
-	String nextId() {
-		return this.identity.name() + '-' + Long.toString(this.identity.incarnation(), ID_BASE) + '-'
-				+ Long.toString(++this.ids, ID_BASE);
+	String nextId(String workspace) {
+		return AttemptId.of(this.identity.name(), this.identity.incarnation(), ++this.ids, workspace);
 	}
 
 	void ended(Attempt request) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -141,7 +141,7 @@
 			return;
 		}
 		nextAttempt(choice.get());
-		this.request = this.request.withId(entry().nextId());
+		this.request = this.request.withId(entry().nextId(this.request.workspace()));
 		this.sequencer = TokenSequencer.of(this.request.id(), 0);
 		this.readIndex = 0;
 		this.acknowledgedIndex = 0;
@@ -303,7 +303,7 @@
 	}
 
 	private Message resumeMessage() {
-		return new Message.Resume(this.request.id(), this.request.workspace(), this.sequencer.nextIndex(), true);
+		return new Message.Resume(this.request.id(), this.request.workspace(), this.sequencer.nextIndex());
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Calls.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Calls.java
@@ -91,7 +91,7 @@
 			attempt.send(new Message.Reserved(reserve.id()));
 			this.scheduler.schedule(RESERVATION_MILLIS, () -> expireReservation(attempt));
 		};
-		offer(reserve.id(), reserve.workspace(), Priority.NORMAL, RESERVATION_MILLIS);
+		offer(reserve.id(), reserve.workspace(), reserve.priority(), RESERVATION_MILLIS);
 	}
 
 	private void expireReservation(Attempt attempt) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Generations.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Generations.java
@@ -20,6 +20,7 @@
 import io.dotterelcrank.process.admission.Candidate;
 import io.dotterelcrank.process.platform.EngineClient;
 import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.request.AttemptId;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Generation;
 import io.dotterelcrank.request.Priority;
@@ -139,15 +140,15 @@
 	 * @param resume what is wanted
 	 */
 	void resume(Link link, Message.Resume resume) {
+		if (!AttemptId.belongsTo(resume.id(), resume.workspace())) {
+			refuse(link, resume.id(), Failure.notRun(ResultCode.GENERATION_UNKNOWN, "no such generation"));
+			return;
+		}
 		Entry entry = this.entries.get(resume.id());
 		if (entry == null) {
 			resumeUnknown(link, resume);
 			return;
 		}
-		if (!entry.request.workspace().equals(resume.workspace())) {
-			refuse(link, resume.id(), Failure.notRun(ResultCode.GENERATION_UNKNOWN, "no such generation"));
-			return;
-		}
 		if (!entry.buffer.attach(link, resume.fromIndex())) {
 			refuse(link, resume.id(), gone());
 			return;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
@@ -40,10 +40,10 @@
 				.apply(new Change.DataCentreOut("dc", "why").apply(Configuration.INITIAL, 1), 1), 1);
 		return List.of(new Message.Hello("entry", 5, 6, "dc"), new Message.Welcome("engine", 7, load),
 				new Message.Generate(new Generation("g", "w", "m", Priority.HIGH, "p", 1, 2, 3)),
-				new Message.Resume("g", "w", 4, true), new Message.Acknowledge("g", 5), new Message.Cancel("g"),
-				new Message.Reserve("c", "s", "w"), new Message.Reserved("c"), new Message.Resolve("c"),
-				new Message.ClaimedElsewhere("c", "t", true), new Message.Started("g"),
-				new Message.Tokens("g", 3, List.of("a", "ü")), new Message.Finished("g", 9, "stop", load),
+				new Message.Resume("g", "w", 4), new Message.Acknowledge("g", 5), new Message.Cancel("g"),
+				new Message.Reserve("c", "w", Priority.HIGH), new Message.Reserved("c"), new Message.Resolve("c"),
+				new Message.ClaimedElsewhere("c", "t", true), new Message.Tokens("g", 3, List.of("a", "ü")),
+				new Message.Finished("g", 9, "stop", load),
 				new Message.Failed("g", new Failure(ResultCode.OVERLOADED, Ran.NO, 5, "why"), load),
 				new Message.Heartbeat(load, 12), new Message.AskConfiguration(),
 				new Message.TellConfiguration(configuration));
--- a/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
@@ -170,6 +170,15 @@
 		this.fleet.advance(2_000);
 	}
 
+	@When("another workspace sends the last event id after the sidecar was replaced")
+	public void otherWorkspaceAtNewSidecar() {
+		this.caller = this.requests.stream("entry-a", "bandmasters", 3_000);
+		this.fleet.advance(1_000);
+		this.fleet.replaceSidecar("engine-a");
+		this.second = this.requests.continueAfter("entry-b", this.caller, "strangers");
+		this.fleet.advance(12_000);
+	}
+
 	@Then("it is refused with GENERATION_UNKNOWN")
 	public void refusedUnknown() {
 		assertThat(this.second.tokens).isEmpty();
--- a/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/one_generation.feature
+++ b/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/one_generation.feature
@@ -42,6 +42,11 @@
     When another workspace sends the last event id of a running generation
     Then it is refused with GENERATION_UNKNOWN
 
+  Scenario: nor after the sidecar was replaced
+    Given a fleet with two engines and two entry hosts
+    When another workspace sends the last event id after the sidecar was replaced
+    Then it is refused with GENERATION_UNKNOWN
+
   Scenario: a caller that goes away frees the engine
     Given a fleet with two engines and two entry hosts
     When the caller goes away after some tokens
