Time, threads, hashes and log events have a package of their own

Cause: connection, version and request used the process package for its clock, so packages leaned on each other in circles. Change: they move to 'common', which uses nothing else of the project. Left: version and process.platform still know each other's records.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/HashRank.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/HashRank.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process;
+package io.dotterelcrank.common;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process;
+package io.dotterelcrank.common;
 
 import org.slf4j.Logger;
 import org.slf4j.event.Level;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
@@ -30,7 +30,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.dotterelcrank.process.LogEvent;
+import io.dotterelcrank.common.LogEvent;
 
 /**
  * Links over TCP with a four-byte length before each frame. The length is checked against
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/PeerExchange.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/PeerExchange.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.version.Configuration;
 import io.dotterelcrank.version.ConfigurationFeed;
 import io.dotterelcrank.version.ConfigurationHolder;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionController.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/AdmissionController.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.Load;
-import io.dotterelcrank.process.Clock;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Priority;
 import io.dotterelcrank.request.ResultCode;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/claim/ClaimsThroughLog.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/claim/ClaimsThroughLog.java
@@ -13,9 +13,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.LogEvent;
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.platform.LogClient;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.request.Call;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/AbstractRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/AbstractRequest.java
@@ -4,7 +4,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Ran;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
@@ -4,9 +4,9 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import io.dotterelcrank.common.HashRank;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.Message;
-import io.dotterelcrank.process.HashRank;
-import io.dotterelcrank.process.Scheduler;
 import io.dotterelcrank.process.claim.ClaimKey;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.request.Call;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -15,13 +15,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.common.Threads;
 import io.dotterelcrank.connection.Load;
 import io.dotterelcrank.connection.PeerExchange;
 import io.dotterelcrank.connection.Transport;
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.LogEvent;
-import io.dotterelcrank.process.Scheduler;
-import io.dotterelcrank.process.Threads;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.process.platform.LogClient;
 import io.dotterelcrank.process.platform.PlatformException;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -7,9 +7,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.Message;
-import io.dotterelcrank.process.LogEvent;
-import io.dotterelcrank.process.Scheduler;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.request.EventId;
 import io.dotterelcrank.request.Failure;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Targets.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Targets.java
@@ -14,11 +14,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Threads;
 import io.dotterelcrank.connection.Load;
 import io.dotterelcrank.connection.PeerExchange;
 import io.dotterelcrank.connection.Transport;
-import io.dotterelcrank.process.LogEvent;
-import io.dotterelcrank.process.Threads;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.process.routing.Ejection;
 import io.dotterelcrank.process.routing.RoutingPolicy;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/package-info.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/package-info.java
@@ -1,4 +1,4 @@
 /**
- * What lives as long as a process: clock, identity, result of control work.
+ * What lives as long as a process; the sub-packages have the parts.
  */
 package io.dotterelcrank.process;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/routing/Ejection.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/routing/Ejection.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 
 /**
  * Ejects targets that fail, or that answer far more slowly than their peers, for a time
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/routing/RoutingPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/routing/RoutingPolicy.java
@@ -6,7 +6,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 
-import io.dotterelcrank.process.HashRank;
+import io.dotterelcrank.common.HashRank;
 
 /**
  * Chooses the target of a request. Not thread-safe unless stated; belongs to the control
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Calls.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Calls.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.common.Threads;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
-import io.dotterelcrank.process.Threads;
 import io.dotterelcrank.process.admission.AdmissionController;
 import io.dotterelcrank.process.admission.Candidate;
 import io.dotterelcrank.process.claim.ClaimKey;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Generations.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Generations.java
@@ -10,12 +10,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.common.Threads;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.LogEvent;
-import io.dotterelcrank.process.Scheduler;
-import io.dotterelcrank.process.Threads;
 import io.dotterelcrank.process.admission.AdmissionController;
 import io.dotterelcrank.process.admission.Candidate;
 import io.dotterelcrank.process.platform.EngineClient;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/SessionFence.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/SessionFence.java
@@ -4,9 +4,9 @@
 import java.util.IdentityHashMap;
 import java.util.Map;
 
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
-import io.dotterelcrank.process.Clock;
 
 /**
  * Keeps at most one session of each entry process. Invariant: once a session has been
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/StepSampler.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/StepSampler.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 
 /**
  * Measures the step time of an engine from the times at which tokens arrive. Thread-safe.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/request/AttemptId.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/AttemptId.java
@@ -1,6 +1,6 @@
 package io.dotterelcrank.request;
 
-import io.dotterelcrank.process.HashRank;
+import io.dotterelcrank.common.HashRank;
 
 /**
  * Makes and checks ids of attempts. An id carries a digest of its workspace, so that a
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationHolder.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationHolder.java
@@ -7,7 +7,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.dotterelcrank.process.LogEvent;
+import io.dotterelcrank.common.LogEvent;
 
 /**
  * Holds the configuration in force in a process. Invariant: the version never falls.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationPublisher.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationPublisher.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import java.util.UUID;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.platform.LogClient;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.request.Failure;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/admission/AdmissionControllerProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/admission/AdmissionControllerProperties.java
@@ -9,7 +9,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.request.Priority;
 import io.dotterelcrank.request.Ran;
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/routing/EjectionTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/routing/EjectionTests.java
@@ -8,7 +8,7 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/sidecar/SessionFenceTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/sidecar/SessionFenceTests.java
@@ -2,9 +2,9 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
-import io.dotterelcrank.process.Clock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/AbstractChangeVerb.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/AbstractChangeVerb.java
@@ -7,9 +7,9 @@
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Option;
 
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.daemon.client.HttpLogClient;
 import io.dotterelcrank.daemon.settings.SettingsReader;
-import io.dotterelcrank.process.Clock;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/StandinVerb.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/StandinVerb.java
@@ -8,11 +8,11 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.daemon.embedded.Fleet;
 import io.dotterelcrank.daemon.settings.SettingsReader;
 import io.dotterelcrank.daemon.wiring.Daemon;
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.standin.engine.EngineSettings;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/embedded/Demo.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/embedded/Demo.java
@@ -9,10 +9,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.daemon.client.HttpLogClient;
 import io.dotterelcrank.daemon.load.CallerClient;
 import io.dotterelcrank.daemon.load.Received;
-import io.dotterelcrank.process.Clock;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.standin.engine.EngineSettings;
 import io.dotterelcrank.version.Change;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/embedded/Fleet.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/embedded/Fleet.java
@@ -6,14 +6,14 @@
 import java.util.List;
 import java.util.Map;
 
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.daemon.settings.EntrySettings;
 import io.dotterelcrank.daemon.settings.PlatformSettings;
 import io.dotterelcrank.daemon.settings.SidecarSettings;
 import io.dotterelcrank.daemon.wiring.Daemon;
 import io.dotterelcrank.daemon.wiring.EntryDaemon;
 import io.dotterelcrank.daemon.wiring.SidecarDaemon;
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.standin.engine.EngineSettings;
 import io.dotterelcrank.standin.engine.StandinEngine;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CallerClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CallerClient.java
@@ -15,7 +15,7 @@
 import okhttp3.Response;
 import okio.BufferedSource;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.platform.Json;
 
 /**
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
@@ -13,13 +13,13 @@
 import java.util.function.LongFunction;
 import java.util.function.ToDoubleFunction;
 
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.connection.Transport;
 import io.dotterelcrank.daemon.command.Table;
 import io.dotterelcrank.daemon.embedded.Pause;
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
 import io.dotterelcrank.process.admission.AdmissionController;
 import io.dotterelcrank.process.admission.AdmissionPolicy;
 import io.dotterelcrank.process.admission.Candidate;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/LiveLoad.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/LiveLoad.java
@@ -6,11 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.daemon.client.HttpLogClient;
 import io.dotterelcrank.daemon.command.Table;
 import io.dotterelcrank.daemon.embedded.Fleet;
 import io.dotterelcrank.daemon.embedded.Pause;
-import io.dotterelcrank.process.Clock;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.standin.engine.EngineSettings;
 import io.dotterelcrank.standin.fleet.VirtualFleet;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/CommonModule.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/CommonModule.java
@@ -9,14 +9,14 @@
 import dagger.Module;
 import dagger.Provides;
 
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.common.Threads;
 import io.dotterelcrank.connection.Transport;
 import io.dotterelcrank.daemon.client.HttpHostList;
 import io.dotterelcrank.daemon.client.HttpLogClient;
 import io.dotterelcrank.daemon.client.HttpWeightStore;
 import io.dotterelcrank.daemon.settings.PlatformSettings;
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
-import io.dotterelcrank.process.Threads;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.process.platform.LogClient;
 import io.dotterelcrank.process.platform.WeightStore;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/EntryModule.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/EntryModule.java
@@ -6,10 +6,10 @@
 import dagger.Provides;
 import org.apache.commons.rng.simple.RandomSource;
 
+import io.dotterelcrank.common.Threads;
 import io.dotterelcrank.connection.Transport;
 import io.dotterelcrank.daemon.settings.EntrySettings;
 import io.dotterelcrank.daemon.settings.PlatformSettings;
-import io.dotterelcrank.process.Threads;
 import io.dotterelcrank.process.entry.Entry;
 import io.dotterelcrank.process.entry.EntryIdentity;
 import io.dotterelcrank.process.platform.HostList;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/SidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/SidecarDaemon.java
@@ -10,12 +10,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.Transport;
 import io.dotterelcrank.daemon.http.HttpServer;
 import io.dotterelcrank.daemon.http.OperatorHandler;
 import io.dotterelcrank.daemon.settings.SidecarSettings;
-import io.dotterelcrank.process.LogEvent;
-import io.dotterelcrank.process.Scheduler;
 import io.dotterelcrank.process.sidecar.Sidecar;
 import io.dotterelcrank.version.ConfigurationHolder;
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/SidecarModule.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/wiring/SidecarModule.java
@@ -7,11 +7,11 @@
 import dagger.Module;
 import dagger.Provides;
 
+import io.dotterelcrank.common.Threads;
 import io.dotterelcrank.daemon.client.HttpEngineClient;
 import io.dotterelcrank.daemon.client.HttpServiceClient;
 import io.dotterelcrank.daemon.settings.PlatformSettings;
 import io.dotterelcrank.daemon.settings.SidecarSettings;
-import io.dotterelcrank.process.Threads;
 import io.dotterelcrank.process.admission.AdmissionPolicy;
 import io.dotterelcrank.process.claim.Claims;
 import io.dotterelcrank.process.claim.ClaimsThroughLog;
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/CatalogueTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/CatalogueTests.java
@@ -9,7 +9,7 @@
 
 import org.junit.jupiter.api.Test;
 
-import io.dotterelcrank.process.LogEvent;
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.request.ResultCode;
 import io.dotterelcrank.version.Setting;
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/MainTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/MainTests.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.daemon.command.ExitCode;
-import io.dotterelcrank.process.Clock;
 import io.dotterelcrank.standin.http.PlatformServer;
 import io.dotterelcrank.standin.platform.StandinHostList;
 import io.dotterelcrank.standin.platform.StandinLog;
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/HttpEngineClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/HttpEngineClientTests.java
@@ -5,8 +5,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.platform.EngineClient;
 import io.dotterelcrank.standin.engine.EngineFault;
 import io.dotterelcrank.standin.engine.EngineSettings;
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/HttpLogClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/HttpLogClientTests.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.platform.LogClient;
 import io.dotterelcrank.standin.http.PlatformServer;
 import io.dotterelcrank.standin.platform.LogFault;
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/HttpServiceClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/HttpServiceClientTests.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.platform.ServiceClient;
 import io.dotterelcrank.request.Call;
 import io.dotterelcrank.request.Header;
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/PlatformClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/PlatformClientTests.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.process.platform.WeightStore;
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/StandinEngineTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/StandinEngineTests.java
@@ -2,8 +2,8 @@
 
 import org.junit.jupiter.api.AfterEach;
 
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.platform.EngineClient;
 import io.dotterelcrank.standin.engine.EngineFault;
 import io.dotterelcrank.standin.engine.EngineSettings;
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/StandinLogTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/StandinLogTests.java
@@ -1,6 +1,6 @@
 package io.dotterelcrank.daemon.client;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.platform.LogClient;
 import io.dotterelcrank.standin.platform.LogFault;
 import io.dotterelcrank.standin.platform.StandinLog;
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/engine/StandinEngine.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/engine/StandinEngine.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.platform.EngineClient;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.request.Generation;
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/engine/StandinGeneration.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/engine/StandinGeneration.java
@@ -5,7 +5,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import io.dotterelcrank.process.HashRank;
+import io.dotterelcrank.common.HashRank;
 import io.dotterelcrank.process.platform.EngineClient;
 import io.dotterelcrank.request.Generation;
 
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/fleet/VirtualFleet.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/fleet/VirtualFleet.java
@@ -10,9 +10,9 @@
 
 import org.apache.commons.rng.simple.RandomSource;
 
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
-import io.dotterelcrank.process.Threads;
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.common.Threads;
 import io.dotterelcrank.process.admission.AdmissionPolicy;
 import io.dotterelcrank.process.claim.Claims;
 import io.dotterelcrank.process.claim.ClaimsThroughLog;
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/ServiceServer.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/ServiceServer.java
@@ -8,7 +8,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.request.Reply;
 import io.dotterelcrank.standin.service.ServiceFault;
 import io.dotterelcrank.standin.service.StandinService;
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/platform/StandinHostList.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/platform/StandinHostList.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.process.platform.PlatformException;
 
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/platform/StandinLog.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/platform/StandinLog.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.platform.LogClient;
 import io.dotterelcrank.process.platform.PlatformException;
 
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/platform/StandinWeightStore.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/platform/StandinWeightStore.java
@@ -1,6 +1,6 @@
 package io.dotterelcrank.standin.platform;
 
-import io.dotterelcrank.process.Clock;
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.process.platform.WeightStore;
 
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/service/StandinService.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/service/StandinService.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.platform.ServiceClient;
 import io.dotterelcrank.request.Call;
 import io.dotterelcrank.request.Header;
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/transport/StandinNetwork.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/transport/StandinNetwork.java
@@ -11,11 +11,11 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.connection.MessageCodec;
 import io.dotterelcrank.connection.Transport;
-import io.dotterelcrank.process.Scheduler;
 
 /**
  * A network in one process. Frames are really encoded and decoded, and arrive in order
--- a/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/ClaimsThroughLogProperties.java
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/ClaimsThroughLogProperties.java
@@ -13,8 +13,8 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
-import io.dotterelcrank.process.Clock;
-import io.dotterelcrank.process.Scheduler;
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.claim.ClaimKey;
 import io.dotterelcrank.process.claim.ClaimLedger;
 import io.dotterelcrank.process.claim.Claims;
--- a/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
@@ -10,8 +10,8 @@
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 
+import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.Message;
-import io.dotterelcrank.process.Clock;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.process.sidecar.Sidecar;
 import io.dotterelcrank.request.RequestException;
