Paths keep their escapes on the way to a plain service; event ids are made of plain characters

Cause: reading the HTTP surface as a newcomer: the decoded path was sent on, so a%2Fb became a/b, and a crafted event id could put a question mark into an engine's path. Change: the raw path is passed on; ids with other characters are refused with 1005. Measured: both tests failed before and pass now.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/request/EventId.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/EventId.java
@@ -13,6 +13,9 @@
 	/** Separates the parts; neither target names nor ids contain it. */
 	private static final String SEPARATOR = "/";
 
+	/** What names and ids are made of. */
+	private static final String NAME = "[A-Za-z0-9._-]+";
+
 	/** Number of parts. */
 	private static final int PARTS = 3;
 
@@ -27,7 +30,8 @@
 	 */
 	public static EventId parse(String text) throws RequestException {
 		String[] parts = (text.length() > LONGEST) ? new String[0] : text.split(SEPARATOR, -1);
-		if (parts.length != PARTS || !parts[2].matches("[0-9]{1,9}")) {
+		boolean names = parts.length == PARTS && parts[0].matches(NAME) && parts[1].matches(NAME);
+		if (!names || !parts[2].matches("[0-9]{1,9}")) {
 			throw Failure.notRun(ResultCode.INVALID_EVENT_ID, "Last-Event-ID is not an id of this system")
 				.toException();
 		}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/request/EventIdTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/request/EventIdTests.java
@@ -19,7 +19,8 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(strings = { "", "a", "a/b", "a/b/c", "a/b/-1", "a/b/1/2", "a/b/99999999999" })
+	@ValueSource(strings = { "", "a", "a/b", "a/b/c", "a/b/-1", "a/b/1/2", "a/b/99999999999", "a/b?c/1", "a b/c/1",
+			"/b/1", "a/%2e/1" })
 	void refusesOtherTexts(String text) {
 		assertThatExceptionOfType(RequestException.class).isThrownBy(() -> EventId.parse(text))
 			.satisfies((ex) -> assertThat(ex.failure().code()).isEqualTo(ResultCode.INVALID_EVENT_ID));
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/CallerHandler.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/CallerHandler.java
@@ -175,7 +175,7 @@
 
 	private void call(HttpServerExchange exchange, byte[] body) throws RequestException {
 		CallerHeaders headers = CallerHeaders.forCall(exchange);
-		String rest = exchange.getRequestPath().substring(SERVICES.length());
+		String rest = rawPath(exchange).substring(SERVICES.length());
 		int slash = rest.indexOf('/');
 		String service = (slash < 0) ? rest : rest.substring(0, slash);
 		String path = (slash < 0) ? "/" : rest.substring(slash);
@@ -189,6 +189,17 @@
 		later(exchange, () -> this.entry.call(call, new ServiceCaller(exchange)));
 	}
 
+	/**
+	 * Returns the path as the caller sent it, with its escapes, since the service may
+	 * tell escaped and plain characters apart.
+	 * @param exchange the exchange
+	 * @return the path, without host and query
+	 */
+	private static String rawPath(HttpServerExchange exchange) {
+		String uri = exchange.getRequestURI();
+		return exchange.isHostIncludedInRequestURI() ? uri.substring(uri.indexOf(SERVICES)) : uri;
+	}
+
 	private static List<Header> passedOn(HttpServerExchange exchange) {
 		List<Header> headers = new ArrayList<>();
 		for (HeaderValues values : exchange.getRequestHeaders()) {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/http/CallerHandlerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/http/CallerHandlerTests.java
@@ -92,6 +92,12 @@
 		assertThat(post("/v1/services/none/x", "", "Workspace", "w").body()).contains("1004");
 	}
 
+	@Test
+	void escapesInPathsArePassedOn() throws Exception {
+		assertThat(post("/v1/services/desk-ledger/a%20b%2Fc", "raw", "Workspace", "w").statusCode()).isEqualTo(200);
+		assertThat(fleet.services().get("desk-b1").runs()).containsEntry("POST /a%20b%2Fc raw", 1);
+	}
+
 	@Test
 	void oversizedBodiesAreRefused() throws Exception {
 		String body = "x".repeat((int) HttpServer.MAX_BODY_BYTES + 1);
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/ServiceServer.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/ServiceServer.java
@@ -70,7 +70,7 @@
 			exchange.getConnection().close();
 			return;
 		}
-		Reply reply = this.service.run(exchange.getRequestMethod().toString(), exchange.getRequestPath(), body);
+		Reply reply = this.service.run(exchange.getRequestMethod().toString(), exchange.getRequestURI(), body);
 		Exchanges.later(exchange, () -> this.scheduler.schedule(LATENCY_MILLIS, () -> answer(exchange, reply, fault)));
 	}
 
