--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
@@ -43,6 +43,7 @@
 import io.dotterelcrank.standin.platform.StandinLog;
 import io.dotterelcrank.version.Change;
 import io.dotterelcrank.version.Configuration;
+import io.dotterelcrank.version.ExceptionRule;
 import io.dotterelcrank.version.Setting;
 import io.dotterelcrank.version.Subject;
 
@@ -88,6 +89,18 @@
 	/** Numbers of remembered claims. */
 	private static final long[] CLAIMS = { 20_000, 40_000, 80_000, 160_000 };
 
+	/** Numbers of claims in a group. */
+	private static final long[] GROUPS = { 1, 10, 100, 500 };
+
+	/** Numbers of streams on one link. */
+	private static final long[] STREAMS = { 1, 5, 20, 40 };
+
+	/** Numbers of exceptions. */
+	private static final long[] EXCEPTIONS = { 50, 100, 150, 200 };
+
+	/** Time with streams before and after a link breaks, in milliseconds. */
+	private static final long STREAMING_MILLIS = 10_000;
+
 	/** Numbers of workspaces. */
 	private static final long[] WORKSPACES = { 500, 1_000, 2_000, 4_000 };
 
@@ -106,6 +119,9 @@
 	/** Tokens of each generation while the slope per request is measured. */
 	private static final int TOKENS = 50;
 
+	/** Tokens of generations that outlast every measurement. */
+	private static final int OUTAGE_TOKENS = 10_000;
+
 	/** Slopes so far. */
 	private final List<Slope> slopes = new ArrayList<>();
 
@@ -154,6 +170,13 @@
 		add("sidecar: processor time of telling the load", "us", "running", RUNNING, (i) -> loadMicros(RUNNING[i]));
 		requests();
 		claims();
+		add("log bytes of a group of claims", "B", "claim", GROUPS, (i) -> claimBytes(GROUPS[i]));
+		add("longest time without tokens when a link is cut", "ms", "stream", STREAMS,
+				(i) -> outageMillis(STREAMS[i], false));
+		add("longest time without tokens when a link stalls", "ms", "stream", STREAMS,
+				(i) -> outageMillis(STREAMS[i], true));
+		add("both roles: heap of a configuration", "KB", "exception", EXCEPTIONS,
+				(i) -> configurationHeap(EXCEPTIONS[i]));
 		add("entry: heap of known targets", "KB", "target", TARGETS, (i) -> targetHeap(TARGETS[i]));
 		add("both ends: heap of a connection", "KB", "connection", CONNECTIONS, (i) -> connectionHeap(CONNECTIONS[i]));
 		add("sidecar: heap of length distributions", "KB", "workspace", WORKSPACES,
@@ -312,11 +335,12 @@
 		return fleet;
 	}
 
-	private static void send(VirtualFleet fleet, int tokens) {
+	private static SilentCaller send(VirtualFleet fleet, int tokens) {
 		Generation request = new Generation("", "workspace", VirtualFleet.MODEL, Priority.NORMAL,
-				"[tokens=" + tokens + "]", 20, 4_096, 3_600_000);
-		SilentCaller caller = new SilentCaller();
+				"[tokens=" + tokens + "]", 20, OUTAGE_TOKENS, 3_600_000);
+		SilentCaller caller = new SilentCaller(fleet.clock());
 		caller.handle = fleet.entries().get("entry-0").entry().generate(request, caller);
+		return caller;
 	}
 
 	private void claims() {
@@ -435,6 +459,62 @@
 		}, count);
 	}
 
+	private static double claimBytes(long count) {
+		List<ClaimRecord> group = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			group.add(claimRecord(i));
+		}
+		return ClaimRecord.encode(group).length;
+	}
+
+	private static ClaimRecord claimRecord(int number) {
+		return new ClaimRecord.Claim(new ClaimKey(number * 0x9E3779B97F4A7C15L, ~number), "entry-1-mx85auq8-" + number,
+				"0123456789abcdef0123456789abcdef", "desk-1", 1);
+	}
+
+	/**
+	 * Measures how long callers wait for their next token when the link of their
+	 * generations breaks.
+	 * @param streams number of generations on the link
+	 * @param stalls whether the link stalls; otherwise it is cut
+	 * @return longest time between two tokens, in milliseconds
+	 */
+	private static double outageMillis(long streams, boolean stalls) {
+		VirtualFleet.Plan plan = VirtualFleet.Plan.standard();
+		VirtualFleet fleet = VirtualFleet.of(plan.withEngine(plan.engine().withMemory(Long.MAX_VALUE / 2)));
+		fleet.addEngine("engine", "dc");
+		fleet.addEntry("entry-0", "dc");
+		fleet.advance(SETTLE_MILLIS);
+		List<SilentCaller> callers = new ArrayList<>();
+		for (int i = 0; i < streams; i++) {
+			callers.add(send(fleet, OUTAGE_TOKENS));
+			fleet.advance(500);
+		}
+		fleet.advance(STREAMING_MILLIS);
+		callers.forEach((caller) -> caller.longestGapMillis = 0);
+		int port = fleet.sidecars().get("engine").port();
+		if (stalls) {
+			fleet.network().stallOpen(port);
+		}
+		else {
+			fleet.network().cut(port);
+		}
+		fleet.advance(STREAMING_MILLIS);
+		return callers.stream().mapToLong((caller) -> caller.longestGapMillis).max().orElse(0);
+	}
+
+	private static double configurationHeap(long count) {
+		return heapKb((size) -> {
+			Configuration configuration = Configuration.INITIAL;
+			for (int i = 0; i < size; i++) {
+				ExceptionRule rule = new ExceptionRule("id-" + i, ExceptionRule.Scope.WORKSPACE, "workspace-" + i,
+						Setting.SHARE_WEIGHT, i, "a written reason of some length " + i);
+				configuration = new Change.AddException(rule).apply(configuration, i);
+			}
+			return configuration;
+		}, count);
+	}
+
 	private static double workspaceHeap(long count) {
 		return heapKb((size) -> {
 			LengthEstimator lengths = LengthEstimator.create();
@@ -449,9 +529,7 @@
 		return heapKb((size) -> {
 			ClaimLedger ledger = ClaimLedger.create(VirtualFleet.RETENTION_MILLIS);
 			for (int i = 0; i < size; i++) {
-				ClaimRecord claim = new ClaimRecord.Claim(new ClaimKey(i, i), "entry-1-mx85auq8-" + i,
-						"0123456789abcdef0123456789abcdef", "desk-1", 1);
-				ledger.fold(i + 1, i, ClaimRecord.decode(ClaimRecord.encode(List.of(claim))));
+				ledger.fold(i + 1, i, ClaimRecord.decode(ClaimRecord.encode(List.of(claimRecord(i)))));
 			}
 			return ledger;
 		}, count);
@@ -523,13 +601,26 @@
 	}
 
 	/**
-	 * A caller that reads at once and keeps nothing.
+	 * A caller that reads at once, and keeps only how long it waited.
 	 */
 	private static final class SilentCaller implements GenerationCaller {
 
+		/** Clock of the fleet. */
+		private final Clock clock;
+
 		/** Handle of the request. */
 		private Entry.Handle handle;
 
+		/** When tokens last came, in milliseconds. */
+		private long lastMillis;
+
+		/** Longest time between tokens, in milliseconds. */
+		private long longestGapMillis;
+
+		SilentCaller(Clock clock) {
+			this.clock = clock;
+		}
+
 		@Override
 		public boolean streams() {
 			return true;
@@ -537,6 +628,9 @@
 
 		@Override
 		public void tokens(String target, String generation, int firstIndex, List<String> tokens) {
+			long nowMillis = this.clock.millis();
+			this.longestGapMillis = Math.max(this.longestGapMillis, nowMillis - this.lastMillis);
+			this.lastMillis = nowMillis;
 			this.handle.read(firstIndex + tokens.size());
 		}
 
