A caller that broke off may come back; an oversized body is read before it is refused

Cause: (1) a streaming caller's break cancelled its generation at once, so Last-Event-ID worked only after an entry host's death. Change: the entry host cancels after reconnect-millis (3 s) unless another session has taken the generation over; bodies up to 64 MiB are read and discarded before the 413. Measured: the scenario of coming back at either host and the test over sockets, which allowed a cancelled generation before and now does not, pass.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -295,6 +295,10 @@
 		return this.retryBudget;
 	}
 
+	long reconnectMillis() {
+		return this.holder.current().value(Setting.RECONNECT_MILLIS, Subject.FLEET);
+	}
+
 	long connectLimitMillis() {
 		return CONNECT_LIMIT_MILLIS;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -319,12 +319,26 @@
 	}
 
 	/**
-	 * Gives the request up, since its caller is gone.
+	 * Gives the request up, since its caller is gone. A caller that streams may come back
+	 * for a time, here or at another entry host.
 	 */
 	void callerGone() {
-		if (!ended()) {
+		if (ended()) {
+			return;
+		}
+		finish();
+		if (this.caller.streams() && target() != null) {
+			long waitMillis = entry().reconnectMillis();
+			entry().scheduler().schedule(waitMillis, this::cancelUnlessTakenOver);
+		}
+		else {
+			cancelAttempt();
+		}
+	}
+
+	private void cancelUnlessTakenOver() {
+		if (!target().has(id())) {
 			cancelAttempt();
-			finish();
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/GenerationBuffer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/GenerationBuffer.java
@@ -185,6 +185,15 @@
 		}
 	}
 
+	/**
+	 * Tells whether another session than a given one reads.
+	 * @param session the given session
+	 * @return {@code true} if the generation has been taken over
+	 */
+	synchronized boolean takenOverFrom(Link session) {
+		return this.link != null && this.link != session;
+	}
+
 	/**
 	 * Returns the index of the next token from the engine.
 	 * @return number of tokens produced so far
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Generations.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Generations.java
@@ -200,12 +200,15 @@
 	}
 
 	/**
-	 * Gives a generation up.
+	 * Gives a generation up, unless another session has taken it over.
 	 * @param link link that asks
 	 * @param id id of the generation
 	 */
 	void cancel(Link link, String id) {
 		Entry entry = this.entries.get(id);
+		if (entry != null && entry.buffer.takenOverFrom(link)) {
+			return;
+		}
 		if (entry == null || entry.buffer.ended()) {
 			boolean ran = entry != null || this.spent.contains(id);
 			this.spent.add(id);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/Setting.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/Setting.java
@@ -45,6 +45,9 @@
 	/** Time for which a sidecar keeps a generation whose entry host is gone. */
 	ORPHAN_MILLIS("ms", 30_000, 0, 600_000, "time for which a generation waits for its caller to come back"),
 
+	/** Time for which a streaming caller that broke off may come back. */
+	RECONNECT_MILLIS("ms", 3_000, 0, 600_000, "time for which a streaming caller that broke off may come back"),
+
 	/** Interval between load reports read from an engine. */
 	LOAD_INTERVAL_MILLIS("ms", 500, 10, 60_000, "interval between load reports read from an engine"),
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/CallerHandler.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/CallerHandler.java
@@ -89,21 +89,37 @@
 	}
 
 	private void withBody(HttpServerExchange exchange, BodyAction action) {
-		exchange.getRequestReceiver().receiveFullBytes((received, body) -> {
-			try {
-				action.take(received, body);
-			}
-			catch (RequestException ex) {
-				ErrorBody.send(received, ex.failure());
+		BodyCollector collector = new BodyCollector();
+		exchange.getRequestReceiver().receivePartialBytes((received, part, last) -> {
+			collector.add(part);
+			if (last) {
+				act(received, collector, action);
 			}
 		}, CallerHandler::bodyFailed);
 	}
 
+	private static void act(HttpServerExchange exchange, BodyCollector collector, BodyAction action) {
+		if (collector.tooLarge()) {
+			ErrorBody.send(exchange, tooLarge());
+			return;
+		}
+		try {
+			action.take(exchange, collector.body());
+		}
+		catch (RequestException ex) {
+			ErrorBody.send(exchange, ex.failure());
+		}
+	}
+
+	private static Failure tooLarge() {
+		return Failure.notRun(ResultCode.REQUEST_TOO_LARGE,
+				"the body is larger than " + HttpServer.MAX_BODY_BYTES + " bytes");
+	}
+
 	private static void bodyFailed(HttpServerExchange exchange, IOException failure) {
 		if (failure instanceof RequestTooBigException) {
 			exchange.setPersistent(false);
-			ErrorBody.send(exchange, Failure.notRun(ResultCode.REQUEST_TOO_LARGE,
-					"the body is larger than " + HttpServer.MAX_BODY_BYTES + " bytes"));
+			ErrorBody.send(exchange, tooLarge());
 		}
 		else {
 			exchange.endExchange();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/HttpServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/HttpServer.java
@@ -15,6 +15,11 @@
 	/** Largest request body, in bytes. */
 	public static final long MAX_BODY_BYTES = 2L * 1024 * 1024;
 
+	/**
+	 * Largest request body that is read to its end and refused; a larger one is cut off.
+	 */
+	private static final long MAX_DISCARDED_BYTES = 64L * 1024 * 1024;
+
 	/** Largest request head, in bytes. */
 	private static final int MAX_HEADER_BYTES = 16 * 1024;
 
@@ -49,7 +54,7 @@
 			.addHttpListener(port, address)
 			.setIoThreads(IO_THREADS)
 			.setWorkerThreads(WORKER_THREADS)
-			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
+			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_DISCARDED_BYTES)
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
 			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
 			.setHandler(handler)
--- a/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/FleetSteps.java
@@ -206,6 +206,13 @@
 		assertThat(this.caller.failure.ran().word()).as(this.caller.failure.toString()).isEqualTo("no");
 	}
 
+	@When("the caller comes back at {string} within the time to reconnect")
+	public void comesBack(String entry) {
+		this.fleet.advance(1_000);
+		this.second = this.requests.continueAfter(entry, this.caller, "bandmasters");
+		this.fleet.advance(200_000);
+	}
+
 	@Given("a fleet of two data centres with streams running")
 	public void streamsRunning() {
 		twoDataCentres();
