Dead state goes, and what stood twice stands once; the documented log gap is logged

Cause: reading the whole change again. DC305 was in the catalogue and on an operators' page, but nothing logged it; the offset kept for it had no reader. A result code and an order's last fencing number had no user either. Cancelling an attempt, the engine's preemptions, and the extra load of two scenarios stood twice; an accessor only wrapped a constant. Change: the gap is logged once; RETRY_BUDGET_SPENT, which no caller could hear, and the rest go; one piece serves both. Left: telling the load computes the forecast twice; INTERNAL is listed but not sent.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/TargetState.java
@@ -168,6 +168,14 @@
 		this.caution = Math.min(MOST_CAUTION, this.caution * CAUTION_FADING + CAUTION_PER_PREEMPTION * fresh);
 	}
 
+	/**
+	 * Returns the number of preemptions.
+	 * @return preemptions that the engine reported last
+	 */
+	public long preemptions() {
+		return this.preemptions;
+	}
+
 	/**
 	 * Returns how much more cautious the forecast is than usual.
 	 * @return standard deviations to add
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/AbstractRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/AbstractRequest.java
@@ -5,6 +5,7 @@
 import java.util.function.Predicate;
 
 import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.platform.HostList;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Ran;
@@ -75,9 +76,13 @@
 	abstract void cancelLimit();
 
 	/**
-	 * Gives the current attempt up at its target.
+	 * Gives the current attempt up at its target, if there is one.
 	 */
-	abstract void cancelAttempt();
+	void cancelAttempt() {
+		if (this.target != null) {
+			this.target.send(new Message.Cancel(id()));
+		}
+	}
 
 	/**
 	 * Ends the request at its deadline, if it has not ended before.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
@@ -114,7 +114,7 @@
 			sendFirst();
 		}
 		else {
-			armLimit(entry().connectLimitMillis());
+			armLimit(Entry.CONNECT_LIMIT_MILLIS);
 		}
 	}
 
@@ -150,11 +150,6 @@
 		this.caller.failed(failure);
 	}
 
-	@Override
-	void cancelAttempt() {
-		target().send(new Message.Cancel(this.call.id()));
-	}
-
 	@Override
 	public String id() {
 		return this.call.id();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -299,10 +299,6 @@
 		return this.holder.current().value(Setting.RECONNECT_MILLIS, Subject.FLEET);
 	}
 
-	long connectLimitMillis() {
-		return CONNECT_LIMIT_MILLIS;
-	}
-
 	String nextId(String workspace) {
 		return AttemptId.of(this.identity.name(), this.identity.incarnation(), ++this.ids, workspace);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -257,7 +257,7 @@
 			return;
 		}
 		this.waiting = true;
-		long limitMillis = keepsTokens() ? RESUME_LIMIT_MILLIS : entry().connectLimitMillis();
+		long limitMillis = keepsTokens() ? RESUME_LIMIT_MILLIS : Entry.CONNECT_LIMIT_MILLIS;
 		this.resumeLimit = entry().scheduler().schedule(limitMillis, this::giveTargetUp);
 	}
 
@@ -342,11 +342,4 @@
 		}
 	}
 
-	@Override
-	void cancelAttempt() {
-		if (target() != null) {
-			target().send(new Message.Cancel(this.request.id()));
-		}
-	}
-
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/order/OrderReconciler.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/order/OrderReconciler.java
@@ -63,9 +63,6 @@
 	/** Whether an order is in flight, or a retry is due. */
 	private boolean busy;
 
-	/** Fencing number of the order given last. */
-	private long lastFence;
-
 	private OrderReconciler(Target target, ConfigurationHolder holder, LongSupplier ageMillis, Scheduler scheduler,
 			Executor io) {
 		this.service = target.service();
@@ -127,7 +124,6 @@
 			}
 			this.engine.order(wanted);
 			LogEvent.ORDER_GIVEN.log(logger, wanted.model(), wanted.fence());
-			this.scheduler.execute(() -> this.lastFence = wanted.fence());
 			retryAfter(RETRY_MILLIS);
 		}
 		catch (PlatformException ex) {
@@ -140,14 +136,6 @@
 		this.scheduler.schedule(millis, () -> this.busy = false);
 	}
 
-	/**
-	 * Returns the fencing number of the order given last.
-	 * @return an offset, or 0 before the first order
-	 */
-	public long lastFence() {
-		return this.lastFence;
-	}
-
 	/**
 	 * Whom orders go to. Immutable.
 	 *
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
@@ -78,9 +78,6 @@
 	/** Calls to a plain service. */
 	private final Calls calls;
 
-	/** Number of preemptions that the engine reported last. */
-	private long preemptions;
-
 	/** Number of work items refused. */
 	private long refused;
 
@@ -315,7 +312,6 @@
 		long foreignTokens = (foreign == 0) ? 0 : Math.max(0, report.usedTokens() - ownTokens);
 		this.admission.state().reported(report.memoryTokens(), foreignTokens, (int) foreign);
 		this.admission.state().preempted(report.preemptions());
-		this.preemptions = report.preemptions();
 		this.orders.reconcile(report.held());
 	}
 
@@ -387,7 +383,7 @@
 		TargetState state = this.admission.state();
 		return new Dump(this.identity, this.holder.current().version(), this.holder.ready(), load(), open(),
 				this.generations.size(), this.calls.size(), this.admission.waiting(), state.ramp().limit(),
-				state.ramp().warm(), state.stepMillis(), state.foreignTokens(), this.preemptions, this.refused,
+				state.ramp().warm(), state.stepMillis(), state.foreignTokens(), state.preemptions(), this.refused,
 				this.exchange.linkCount(), this.sessions.size(), this.leaving);
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
@@ -48,9 +48,6 @@
 	/** The log did not confirm a claim on the idempotency key in time. */
 	CLAIM_UNCONFIRMED(2008, 503, "Try again with the same key."),
 
-	/** The fraction of requests that may be retried is used up. */
-	RETRY_BUDGET_SPENT(2009, 503, "Try again after the Retry-After time."),
-
 	/** A request with the same idempotency key is running. */
 	KEY_IN_PROGRESS(3001, 409, "Try again later with the same key."),
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationLog.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/ConfigurationLog.java
@@ -6,7 +6,10 @@
 import java.util.Optional;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.process.platform.Json;
 import io.dotterelcrank.process.platform.LogClient;
 import io.dotterelcrank.process.platform.PlatformException;
@@ -20,6 +23,9 @@
 	/** Name of the stream. */
 	public static final String STREAM = "configuration";
 
+	/** Logger of the class. */
+	private static final Logger logger = LoggerFactory.getLogger(ConfigurationLog.class);
+
 	/** The log. */
 	private final LogClient log;
 
@@ -59,7 +65,7 @@
 	 */
 	public List<ConfigurationFold.Decision> read(long waitMillis) throws PlatformException {
 		LogClient.Page page = this.log.read(STREAM, this.fold.nextOffset(), waitMillis);
-		this.firstOffset = page.firstOffset();
+		noteGap(page);
 		List<ConfigurationFold.Decision> decisions = new ArrayList<>();
 		for (LogClient.Entry entry : page.records()) {
 			Optional<ConfigurationRecord> decoded = decode(entry.content());
@@ -90,6 +96,18 @@
 		return decisions;
 	}
 
+	/**
+	 * Logs, once for each gap, that records have expired before they were read.
+	 * @param page what was read
+	 */
+	private void noteGap(LogClient.Page page) {
+		boolean gap = page.firstOffset() > this.fold.nextOffset();
+		if (gap && page.firstOffset() != this.firstOffset) {
+			LogEvent.LOG_GAP.log(logger, this.fold.nextOffset(), page.firstOffset() - 1);
+		}
+		this.firstOffset = page.firstOffset();
+	}
+
 	private void noteTimes(LogClient.Entry entry, ConfigurationRecord content) {
 		this.lastRecordMillis = entry.appendedAtMillis();
 		boolean snapshot = content instanceof ConfigurationRecord.Snapshot;
@@ -141,14 +159,6 @@
 		return this.fold;
 	}
 
-	/**
-	 * Returns the smallest offset kept.
-	 * @return smallest offset kept by the log at the last read
-	 */
-	public long firstOffset() {
-		return this.firstOffset;
-	}
-
 	private static byte[] encode(ConfigurationRecord content) {
 		try {
 			return Json.mapper().writerFor(ConfigurationRecord.class).writeValueAsBytes(content);
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/CapacityBench.java
@@ -10,8 +10,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.IntToDoubleFunction;
 import java.util.function.LongFunction;
-import java.util.function.ToDoubleFunction;
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.common.Scheduler;
@@ -186,7 +186,7 @@
 				(i) -> streamHeap(GENERATIONS[i]));
 	}
 
-	private void add(String name, String unit, String per, long[] sizes, ToDoubleFunction<Integer> value) {
+	private void add(String name, String unit, String per, long[] sizes, IntToDoubleFunction value) {
 		List<Slope.Point> points = new ArrayList<>();
 		for (int i = 0; i < sizes.length; i++) {
 			points.add(new Slope.Point(sizes[i], value.applyAsDouble(i)));
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/VirtualRun.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/load/VirtualRun.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.UnaryOperator;
 
 import io.dotterelcrank.process.entry.Entry;
 import io.dotterelcrank.process.entry.GenerationCaller;
@@ -112,12 +113,7 @@
 	 * @param part their rate as a part of the usual rate
 	 */
 	void burst(long afterMillis, long lengthMillis, double part) {
-		Workload extra = Workload.of(this.setup.seed() + 1, this.setup.preset().workspaces());
-		for (Workload.Arrival arrival : extra.arrivals(afterMillis, afterMillis + lengthMillis,
-				part * this.setup.requestsPerSecond())) {
-			Entry entry = this.entries.get((int) (arrival.atMillis() % this.entries.size()));
-			this.fleet.scheduler().schedule(arrival.atMillis(), () -> send(entry, arrival));
-		}
+		extra(1, afterMillis, lengthMillis, part, (arrival) -> arrival);
 	}
 
 	/**
@@ -128,13 +124,17 @@
 	 * @param part its additional rate as a part of the usual rate of all
 	 */
 	void flood(String workspace, long afterMillis, long lengthMillis, double part) {
-		Workload extra = Workload.of(this.setup.seed() + 2, this.setup.preset().workspaces());
+		extra(2, afterMillis, lengthMillis, part, (arrival) -> new Workload.Arrival(arrival.atMillis(), workspace,
+				arrival.promptTokens(), arrival.outputTokens(), arrival.maxTokens()));
+	}
+
+	private void extra(long seedOffset, long afterMillis, long lengthMillis, double part,
+			UnaryOperator<Workload.Arrival> change) {
+		Workload extra = Workload.of(this.setup.seed() + seedOffset, this.setup.preset().workspaces());
 		for (Workload.Arrival arrival : extra.arrivals(afterMillis, afterMillis + lengthMillis,
 				part * this.setup.requestsPerSecond())) {
 			Entry entry = this.entries.get((int) (arrival.atMillis() % this.entries.size()));
-			Workload.Arrival moved = new Workload.Arrival(arrival.atMillis(), workspace, arrival.promptTokens(),
-					arrival.outputTokens(), arrival.maxTokens());
-			this.fleet.scheduler().schedule(arrival.atMillis(), () -> send(entry, moved));
+			this.fleet.scheduler().schedule(arrival.atMillis(), () -> send(entry, change.apply(arrival)));
 		}
 	}
 
