Thin path on the users' platform: entry daemons pass requests on, sidecars tell loads

Cause: the product had no way to speak the platform's protocol, and lacked routes, workspaces with keys, opaque streams and copies of running generations. Ruled out for now: relaying streams through the sidecar, which would cut streams when a sidecar stops.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -82,7 +82,61 @@
 	ORDER_FAILED(702, Level.WARN, "order {} not carried out: {}"),
 
 	/** An order was withheld since its number could not be confirmed. */
-	ORDER_WITHHELD(703, Level.WARN, "order {} withheld: configuration not confirmed for {} ms");
+	ORDER_WITHHELD(703, Level.WARN, "order {} withheld: configuration not confirmed for {} ms"),
+
+	/** A plan came into force. */
+	PLAN_IN_FORCE(801, Level.INFO, "plan in force version={}"),
+
+	/** The store stopped answering for a table. */
+	STORE_LOST(802, Level.WARN, "store lost table={} reason=\"{}\""),
+
+	/** The store answers again for a table. */
+	STORE_REGAINED(803, Level.INFO, "store regained table={} end={}"),
+
+	/** Records of a table have expired before they were read; it is listed again. */
+	TABLE_EXPIRED(804, Level.WARN, "table expired table={} offset={}"),
+
+	/** A record of a table cannot be decoded, and is skipped. */
+	RECORD_MALFORMED(805, Level.WARN, "record skipped table={} key={} offset={} reason=\"{}\""),
+
+	/** A target appeared, or changed more than its load. */
+	TARGET_SEEN(806, Level.INFO, "target={} service={} address={} dataCentre={} leaving={} coldMillis={}"),
+
+	/** A target is no longer listed. */
+	TARGET_MISSING(807, Level.INFO, "target={} no longer listed leaving={}"),
+
+	/** A report of a target is older than the one held, and is skipped. */
+	TARGET_REPORT_STALE(808, Level.INFO, "target={} stale report skipped born={} sequence={} held={}"),
+
+	/** The data centres taken out changed. */
+	DATA_CENTRES_OUT(809, Level.INFO, "data centres out={}"),
+
+	/** A request was sent to a target. */
+	REQUEST_SENT(821, Level.INFO, "request={} target={} service={} send={} cause={} backup={} plan={} load={}"),
+
+	/** A request at a target failed. */
+	SEND_FAILED(822, Level.INFO, "request={} target={} failed ran={} reason=\"{}\""),
+
+	/** A run is to go on at the engine that keeps its copy. */
+	RUN_GOES_ON(823, Level.INFO, "request={} target={} goes on at={} cause={} lastEvent={}"),
+
+	/** A request has ended. */
+	REQUEST_ENDED(824, Level.INFO, "request={} kind={} outcome={} millis={} sends={} lastEvent={} message=\"{}\""),
+
+	/** A target sent bytes that belong to no request; the connection is closed. */
+	SURPLUS_BYTES(825, Level.WARN, "surplus bytes from={}"),
+
+	/** The engine beside the sidecar does not tell its load. */
+	ENGINE_UNREADABLE(826, Level.WARN, "engine={} load not readable reason=\"{}\""),
+
+	/** The signal to reload the settings came; they are read at the next start. */
+	RELOAD_REQUESTED(827, Level.INFO, "reload requested; settings are read at the next start"),
+
+	/** The process cannot start. */
+	START_FAILED(828, Level.ERROR, "not started code={} reason=\"{}\""),
+
+	/** A run goes on at another engine. */
+	RUN_WENT_ON(829, Level.INFO, "request={} went on at={} lastEvent={} silentMillis={}");
 
 	/** Number of the event. */
 	private final int number;
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
@@ -0,0 +1,18 @@
+package io.dotterelcrank.connection;
+
+/**
+ * Load of a model engine, as the sidecar beside it reads it. Immutable.
+ *
+ * @param address address of the engine, as {@code ip:port}
+ * @param bornMillis when the engine started, by its own clock, in milliseconds; 0 if it
+ * does not tell
+ * @param running requests that run
+ * @param waiting requests that wait for a slot
+ * @param memoryUsed memory that cannot be freed, in tokens
+ * @param memoryTotal memory of the engine, in tokens
+ * @param leaving whether the engine takes no new work
+ * @param leavesMillis how much longer it serves, in milliseconds; negative if not known
+ */
+public record EngineLoad(String address, long bornMillis, int running, int waiting, long memoryUsed, long memoryTotal,
+		boolean leaving, long leavesMillis) {
+}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.request.Call;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Generation;
@@ -182,4 +183,32 @@
 	record TellConfiguration(Configuration configuration) implements Message {
 	}
 
+	/**
+	 * Asks a peer for records of a keyed table.
+	 *
+	 * @param table name of the table
+	 * @param fromOffset first offset wanted
+	 */
+	record AskRecords(String table, long fromOffset) implements Message {
+	}
+
+	/**
+	 * Answer to {@link AskRecords}.
+	 *
+	 * @param table name of the table
+	 * @param end offset after the last record that the peer holds
+	 * @param ageMillis how long ago the peer's records were current, in milliseconds
+	 * @param records the records
+	 */
+	record TellRecords(String table, long end, long ageMillis, List<KeyedRecord> records) implements Message {
+	}
+
+	/**
+	 * Tells the load of the engine beside the sender.
+	 *
+	 * @param load the load
+	 */
+	record TellLoad(EngineLoad load) implements Message {
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
@@ -25,7 +25,8 @@
 			Message.Reserve.class, Message.Reserved.class, Message.Invoke.class, Message.Resolve.class,
 			Message.Answer.class, Message.ClaimedElsewhere.class, Message.Tokens.class, Message.Finished.class,
 			Message.Failed.class, Message.Heartbeat.class, Message.AskConfiguration.class,
-			Message.TellConfiguration.class);
+			Message.TellConfiguration.class, Message.AskRecords.class, Message.TellRecords.class,
+			Message.TellLoad.class);
 
 	/** Writes and reads records as arrays. */
 	private final ObjectMapper mapper;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
@@ -47,12 +47,14 @@
 	/**
 	 * Tells whether a message is for control, and not part of a request.
 	 * @param message the message
-	 * @return {@code true} for introductions, heartbeats and configurations
+	 * @return {@code true} for introductions, heartbeats, loads, records and
+	 * configurations
 	 */
 	static boolean control(Message message) {
 		return message instanceof Message.Hello || message instanceof Message.Welcome
 				|| message instanceof Message.Heartbeat || message instanceof Message.AskConfiguration
-				|| message instanceof Message.TellConfiguration;
+				|| message instanceof Message.TellConfiguration || message instanceof Message.AskRecords
+				|| message instanceof Message.TellRecords || message instanceof Message.TellLoad;
 	}
 
 	/**
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/membership/TargetRegistry.java
@@ -0,0 +1,123 @@
+package io.dotterelcrank.process.membership;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.LogEvent;
+
+/**
+ * Folds targets' reports into the set of targets to use. Answers two load patterns: a
+ * store that lapses all entries in an outage, after which every target is missing for a
+ * moment, and one that repeats old reports. Invariant: reports of one target only
+ * advance, and a target that has been missing for {@link #LAPSED_MILLIS} is gone. Not
+ * thread-safe.
+ */
+public final class TargetRegistry {
+
+	/**
+	 * How long a missing target stays a last resort, in milliseconds; entries that lapse
+	 * in an outage return within 2 s of its end, and new work must stop 2 s after a
+	 * planned removal.
+	 */
+	static final long LAPSED_MILLIS = 1_200;
+
+	/** Logger of the class. */
+	private static final Logger logger = LoggerFactory.getLogger(TargetRegistry.class);
+
+	/** Clock of the process. */
+	private final Clock clock;
+
+	/** Targets by id. */
+	private final Map<String, Held> targets = new HashMap<>();
+
+	/** Data centres taken out. */
+	private Set<String> dataCentresOut = Set.of();
+
+	private TargetRegistry(Clock clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Creates an empty registry.
+	 * @param clock clock of the process
+	 * @return a new registry
+	 */
+	public static TargetRegistry of(Clock clock) {
+		return new TargetRegistry(clock);
+	}
+
+	/**
+	 * Takes a report in.
+	 * @param entry the report
+	 */
+	public void reported(TargetEntry entry) {
+		Held held = this.targets.get(entry.id());
+		if (held != null && !entry.replaces(held.entry)) {
+			LogEvent.TARGET_REPORT_STALE.log(logger, entry.id(), entry.bornMillis(), entry.sequence(),
+					held.entry.sequence());
+			return;
+		}
+		long nowMillis = this.clock.millis();
+		if (held == null || held.entry.leaving() != entry.leaving() || held.lapsedAtMillis > 0
+				|| held.entry.bornMillis() != entry.bornMillis()) {
+			LogEvent.TARGET_SEEN.log(logger, entry.id(), entry.service(), entry.address(), entry.dataCentre(),
+					entry.leaving(), entry.coldMillis());
+		}
+		this.targets.put(entry.id(), new Held(entry, nowMillis + entry.coldMillis(), 0));
+	}
+
+	/**
+	 * Takes in that a target is no longer listed.
+	 * @param id id of the target
+	 */
+	public void missing(String id) {
+		Held held = this.targets.get(id);
+		if (held != null && held.lapsedAtMillis == 0) {
+			LogEvent.TARGET_MISSING.log(logger, id, held.entry.leaving());
+			this.targets.put(id, new Held(held.entry, held.coldUntilMillis, this.clock.millis()));
+		}
+	}
+
+	/**
+	 * Sets the data centres that are taken out.
+	 * @param names their names
+	 */
+	public void dataCentresOut(Set<String> names) {
+		if (!names.equals(this.dataCentresOut)) {
+			LogEvent.DATA_CENTRES_OUT.log(logger, names);
+			this.dataCentresOut = Set.copyOf(names);
+		}
+	}
+
+	/**
+	 * Returns the targets to use.
+	 * @return the targets, without those that are gone
+	 */
+	public List<Target> targets() {
+		long nowMillis = this.clock.millis();
+		this.targets.values()
+			.removeIf((held) -> held.lapsedAtMillis > 0 && nowMillis - held.lapsedAtMillis > LAPSED_MILLIS);
+		return this.targets.values()
+			.stream()
+			.map((held) -> new Target(held.entry, held.coldUntilMillis, held.lapsedAtMillis == 0,
+					this.dataCentresOut.contains(held.entry.dataCentre())))
+			.toList();
+	}
+
+	/**
+	 * A target's last report. Immutable.
+	 *
+	 * @param entry the report
+	 * @param coldUntilMillis until when the target is cold, in milliseconds
+	 * @param lapsedAtMillis when it went missing, in milliseconds; 0 if it is listed
+	 */
+	private record Held(TargetEntry entry, long coldUntilMillis, long lapsedAtMillis) {
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -0,0 +1,314 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.process.membership.Target;
+import io.dotterelcrank.request.CallerRequest;
+import io.dotterelcrank.version.plan.ServingPlan;
+
+/**
+ * Passes callers' requests on: holds the plan, the targets, the requests under way and
+ * those that wait for room. Invariant: the plan's version never falls. Belongs to the
+ * traffic thread.
+ */
+public final class RelayService {
+
+	/** Time between two looks at waiting requests and silent streams, in milliseconds. */
+	static final long TICK_MILLIS = 50;
+
+	/**
+	 * Age above which the plan may lack a change, in milliseconds; changes are in force
+	 * within 2 s.
+	 */
+	static final long PLAN_FRESH_MILLIS = 3_500;
+
+	/** Requests that wait at most; more are refused at once. */
+	static final int MAX_WAITING = 200;
+
+	/** Logger of the class. */
+	private static final Logger logger = LoggerFactory.getLogger(RelayService.class);
+
+	/** Clock of the process. */
+	private final Clock clock;
+
+	/** The traffic thread. */
+	private final Scheduler traffic;
+
+	/** Sends to targets. */
+	private final TargetClient client;
+
+	/** Figures of the deployment. */
+	private final RelaySettings settings;
+
+	/** Source of randomness. */
+	private final UniformRandomProvider random;
+
+	/** Counters and timings. */
+	private final RelayMetrics metrics;
+
+	/** The targets. */
+	private final TargetBook book;
+
+	/** Repeat budgets by service. */
+	private final Map<String, SendBudget> budgets = new HashMap<>();
+
+	/** Requests under way. */
+	private final Set<Relay> active = new LinkedHashSet<>();
+
+	/** Requests that wait for room at a target. */
+	private final List<Relay> waiting = new ArrayList<>();
+
+	/** Plan in force, or {@code null} before the first. */
+	private ServingPlan plan;
+
+	/** When the plan was last known to be current, in milliseconds. */
+	private long planConfirmedMillis;
+
+	/** Number of entry hosts. */
+	private int hosts = 1;
+
+	/** When the planned stop began, in milliseconds; 0 if it did not. */
+	private long stoppingAtMillis;
+
+	private RelayService(Clock clock, Scheduler traffic, TargetClient client, RelaySettings settings,
+			UniformRandomProvider random, MetricRegistry metrics) {
+		this.clock = clock;
+		this.traffic = traffic;
+		this.client = client;
+		this.settings = settings;
+		this.random = random;
+		this.metrics = new RelayMetrics(metrics);
+		this.book = new TargetBook(clock, random);
+	}
+
+	/**
+	 * Creates a service without plan and targets.
+	 * @param clock clock of the process
+	 * @param traffic the traffic thread
+	 * @param client sends to targets
+	 * @param settings figures of the deployment
+	 * @param random source of randomness
+	 * @param metrics metrics of the process
+	 * @return a new service
+	 */
+	public static RelayService of(Clock clock, Scheduler traffic, TargetClient client, RelaySettings settings,
+			UniformRandomProvider random, MetricRegistry metrics) {
+		return new RelayService(clock, traffic, client, settings, random, metrics);
+	}
+
+	/**
+	 * Starts looking after waiting requests and silent streams.
+	 */
+	public void start() {
+		this.traffic.repeat(TICK_MILLIS, this::tick);
+	}
+
+	private void tick() {
+		List.copyOf(this.active).forEach(Relay::look);
+		serveWaiting();
+	}
+
+	/**
+	 * Takes a plan in.
+	 * @param offered the plan
+	 */
+	public void plan(ServingPlan offered) {
+		if (this.plan != null && offered.version() <= this.plan.version()) {
+			return;
+		}
+		this.plan = offered;
+		LogEvent.PLAN_IN_FORCE.log(logger, offered.version());
+	}
+
+	/**
+	 * Takes in how old the knowledge of the plan is.
+	 * @param ageMillis time since the plan was known to be current, in milliseconds
+	 */
+	public void planAge(long ageMillis) {
+		this.planConfirmedMillis = this.clock.millis() - ageMillis;
+	}
+
+	/**
+	 * Takes in the targets that there are.
+	 * @param targets the targets
+	 */
+	public void targets(List<Target> targets) {
+		this.book.update(targets);
+		tick();
+	}
+
+	/**
+	 * Takes in the load of an engine.
+	 * @param load the load
+	 */
+	public void load(EngineLoad load) {
+		this.book.report(load);
+		tick();
+	}
+
+	/**
+	 * Takes in the number of entry hosts.
+	 * @param count number of hosts, this one included
+	 */
+	public void hosts(int count) {
+		this.hosts = Math.max(1, count);
+	}
+
+	/**
+	 * Begins a planned stop: requests go on, and new long ones are refused after a while.
+	 */
+	public void stopping() {
+		this.stoppingAtMillis = this.clock.millis();
+	}
+
+	/**
+	 * Returns the number of requests under way.
+	 * @return requests that have no answer yet
+	 */
+	public int underWay() {
+		return this.active.size();
+	}
+
+	/**
+	 * Tells whether requests can be served.
+	 * @return {@code true} with a plan and a target, unless the process is stopping
+	 */
+	public boolean ready() {
+		return this.plan != null && !this.book.states().isEmpty() && this.stoppingAtMillis == 0;
+	}
+
+	/**
+	 * Takes a request.
+	 * @param request the request
+	 * @param caller way back to the caller
+	 * @return the request under way
+	 */
+	public Relay accept(CallerRequest request, CallerChannel caller) {
+		Relay relay = new Relay(this, request, caller);
+		this.active.add(relay);
+		relay.start();
+		return relay;
+	}
+
+	void ended(Relay relay) {
+		this.active.remove(relay);
+		this.waiting.remove(relay);
+	}
+
+	boolean await(Relay relay) {
+		if (this.waiting.size() >= MAX_WAITING) {
+			return false;
+		}
+		if (!this.waiting.contains(relay)) {
+			this.waiting.add(relay);
+			this.waiting.sort(Comparator.comparingInt(Relay::priority));
+		}
+		return true;
+	}
+
+	void serveWaiting() {
+		for (Relay relay : List.copyOf(this.waiting)) {
+			if (relay.place()) {
+				this.waiting.remove(relay);
+			}
+		}
+	}
+
+	boolean planFresh() {
+		return this.clock.millis() - this.planConfirmedMillis <= PLAN_FRESH_MILLIS;
+	}
+
+	SendBudget budget(String service) {
+		return this.budgets.computeIfAbsent(service, (name) -> SendBudget.of(this.clock, this.settings));
+	}
+
+	ServingPlan plan() {
+		return this.plan;
+	}
+
+	TargetBook book() {
+		return this.book;
+	}
+
+	Clock clock() {
+		return this.clock;
+	}
+
+	Scheduler traffic() {
+		return this.traffic;
+	}
+
+	TargetClient client() {
+		return this.client;
+	}
+
+	RelaySettings settings() {
+		return this.settings;
+	}
+
+	UniformRandomProvider random() {
+		return this.random;
+	}
+
+	RelayMetrics metrics() {
+		return this.metrics;
+	}
+
+	int hosts() {
+		return this.hosts;
+	}
+
+	/**
+	 * Returns how long the planned stop has lasted.
+	 * @return time in milliseconds; 0 if none has begun
+	 */
+	long stoppingMillis() {
+		return (this.stoppingAtMillis == 0) ? 0 : this.clock.millis() - this.stoppingAtMillis + 1;
+	}
+
+	/**
+	 * Returns what the service believes.
+	 * @return values by name, for dumps
+	 */
+	public Map<String, Object> dump() {
+		Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("planVersion", (this.plan != null) ? this.plan.version() : -1);
+		dump.put("planAgeMillis", this.clock.millis() - this.planConfirmedMillis);
+		dump.put("entryHosts", this.hosts);
+		dump.put("requestsUnderWay", this.active.size());
+		dump.put("requestsWaiting", this.waiting.size());
+		dump.put("stoppingMillis", stoppingMillis());
+		dump.put("targets", this.book.states().stream().map(RelayService::dump).toList());
+		return dump;
+	}
+
+	private static Map<String, Object> dump(TargetState state) {
+		Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("id", state.id());
+		dump.put("service", state.target().entry().service());
+		dump.put("dataCentre", state.target().entry().dataCentre());
+		dump.put("open", state.open());
+		dump.put("listed", state.target().listed());
+		dump.put("ownRequests", state.ownRequests());
+		dump.put("failedShare", state.failedShare());
+		dump.put("load", String.valueOf(state.load()));
+		return dump;
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetBook.java
@@ -0,0 +1,149 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.process.membership.Target;
+import io.dotterelcrank.process.membership.TargetEntry;
+import io.dotterelcrank.version.plan.ServiceSpec;
+
+/**
+ * The targets that this process may send to. Belongs to the traffic thread.
+ */
+final class TargetBook {
+
+	/** Clock of the process. */
+	private final Clock clock;
+
+	/** Source of randomness. */
+	private final UniformRandomProvider random;
+
+	/** Targets by id. */
+	private final Map<String, TargetState> states = new HashMap<>();
+
+	TargetBook(Clock clock, UniformRandomProvider random) {
+		this.clock = clock;
+		this.random = random;
+	}
+
+	/**
+	 * Takes in the targets that there are.
+	 * @param targets the targets
+	 */
+	void update(List<Target> targets) {
+		Map<String, TargetState> kept = new HashMap<>();
+		for (Target target : targets) {
+			TargetEntry entry = target.entry();
+			TargetState state = this.states.get(entry.id());
+			if (state == null || state.target().entry().bornMillis() != entry.bornMillis()) {
+				state = new TargetState(this.clock, target);
+			}
+			state.update(target);
+			kept.put(entry.id(), state);
+		}
+		this.states.clear();
+		this.states.putAll(kept);
+	}
+
+	/**
+	 * Takes in the load of an engine.
+	 * @param load the load
+	 */
+	void report(EngineLoad load) {
+		this.states.values().stream().filter((state) -> belongs(load, state)).forEach((state) -> state.report(load));
+	}
+
+	private static boolean belongs(EngineLoad load, TargetState state) {
+		TargetEntry entry = state.target().entry();
+		boolean sameStart = load.bornMillis() == 0 || entry.bornMillis() == 0
+				|| load.bornMillis() == entry.bornMillis();
+		String address = entry.address().getAddress().getHostAddress() + ':' + entry.address().getPort();
+		return sameStart && address.equals(load.address());
+	}
+
+	/**
+	 * Finds a target that is still there.
+	 * @param id id of the target
+	 * @return the target
+	 */
+	Optional<TargetState> find(String id) {
+		return Optional.ofNullable(this.states.get(id));
+	}
+
+	/**
+	 * Chooses a target for a new request.
+	 * @param service the service
+	 * @param demand what the request needs
+	 * @param excluded ids of targets not to choose
+	 * @return the outcome
+	 */
+	Choice choose(ServiceSpec service, Placement.Demand demand, Set<String> excluded) {
+		List<TargetState> open = this.states.values()
+			.stream()
+			.filter((state) -> state.target().entry().service().equals(service.name()) && state.open())
+			.toList();
+		List<TargetState> listed = open.stream().filter((state) -> state.target().listed()).toList();
+		List<TargetState> usable = listed.isEmpty() ? open : listed;
+		if (usable.isEmpty()) {
+			return Choice.UNKNOWN;
+		}
+		List<TargetState> candidates = usable.stream()
+			.filter((state) -> !excluded.contains(state.id()) && warmEnough(state, service, demand.hosts()))
+			.toList();
+		List<TargetState> preferred = candidates.stream().filter((state) -> !state.avoided()).toList();
+		return new Choice(true,
+				placement(service).choose(preferred.isEmpty() ? candidates : preferred, demand).orElse(null));
+	}
+
+	private static boolean warmEnough(TargetState state, ServiceSpec service, int hosts) {
+		return !state.cold() || service.coldRequestsPerSecond() <= 0
+				|| state.coldLimit().allows(service.coldRequestsPerSecond(), hosts);
+	}
+
+	private Placement placement(ServiceSpec service) {
+		return service.engine()
+			.<Placement>map((engine) -> new Placement.ForEngines(engine.memoryTokens(), this.random))
+			.orElseGet(() -> new Placement.ForPlainTargets(this.random));
+	}
+
+	/**
+	 * Tells whether any target of a service is open.
+	 * @param service name of the service
+	 * @return {@code true} if there is one
+	 */
+	boolean anyOpen(String service) {
+		return this.states.values()
+			.stream()
+			.anyMatch((state) -> state.target().entry().service().equals(service) && state.open());
+	}
+
+	/**
+	 * Returns the targets.
+	 * @return all targets
+	 */
+	Collection<TargetState> states() {
+		return this.states.values();
+	}
+
+	/**
+	 * Outcome of a choice. Immutable.
+	 *
+	 * @param known whether any target may take new work at all
+	 * @param target the target, or {@code null} if none has room now
+	 */
+	record Choice(boolean known, TargetState target) {
+
+		/** No target may take new work. */
+		static final Choice UNKNOWN = new Choice(false, null);
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetRequest.java
@@ -0,0 +1,36 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import io.dotterelcrank.process.membership.TargetEntry;
+import io.dotterelcrank.request.CallerRequest;
+
+/**
+ * One request to one target. Immutable.
+ *
+ * @param request the caller's request
+ * @param target where it goes; any other target at the address refuses it
+ * @param workspace name of the caller's workspace, if the route asks for a key
+ * @param leftMillis how long the caller still waits, in milliseconds
+ * @param priority rank among the target's requests, for engines
+ * @param reusable whether a connection that served an earlier request may be used
+ * @param copy copy of the run's memory to go on from
+ * @param lastEventId id of the last event that the caller has, where a run goes on
+ * @param backup target that is to keep a copy of the run's memory
+ */
+public record TargetRequest(CallerRequest request, TargetEntry target, Optional<String> workspace, long leftMillis,
+		OptionalInt priority, boolean reusable, Optional<RunCopy> copy, OptionalLong lastEventId,
+		Optional<TargetEntry> backup) {
+
+	/**
+	 * Where the memory of a run is copied to. Immutable.
+	 *
+	 * @param holder target that holds the copy
+	 * @param handle name of the copy there
+	 */
+	public record RunCopy(TargetEntry holder, String handle) {
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
@@ -0,0 +1,196 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.process.membership.Target;
+
+/**
+ * What this process knows of one target: its own requests there, the load that the
+ * target's sidecar last told, and how its answers went. Belongs to the traffic thread.
+ */
+final class TargetState {
+
+	/**
+	 * Age above which a sidecar's report no longer counts, in milliseconds; sidecars
+	 * report at least once a second.
+	 */
+	static final long LOAD_MILLIS = 2_500;
+
+	/** Weight of a new observation in smoothed ones. */
+	private static final double SMOOTHING = 0.2;
+
+	/** Clock of the process. */
+	private final Clock clock;
+
+	/** Bounds requests while the target is cold. */
+	private final ColdLimit coldLimit;
+
+	/** Requests of this process that are there. */
+	private final Set<OwnRun> own = new LinkedHashSet<>();
+
+	/** The target. */
+	private Target target;
+
+	/** Last report of the sidecar, or {@code null}. */
+	private EngineLoad load;
+
+	/** When the report arrived, in milliseconds. */
+	private long loadAtMillis;
+
+	/** Smoothed share of failed requests. */
+	private double failedShare;
+
+	/** Smoothed time to an answer, in milliseconds; 0 before the first. */
+	private double answerMillis;
+
+	/** Time before which no request is sent, after failed connections. */
+	private long avoidUntilMillis;
+
+	TargetState(Clock clock, Target target) {
+		this.clock = clock;
+		this.target = target;
+		this.coldLimit = new ColdLimit(clock);
+	}
+
+	void update(Target changed) {
+		this.target = changed;
+	}
+
+	void report(EngineLoad told) {
+		this.load = told;
+		this.loadAtMillis = this.clock.millis();
+	}
+
+	Target target() {
+		return this.target;
+	}
+
+	String id() {
+		return this.target.entry().id();
+	}
+
+	/**
+	 * Returns the last report of the sidecar.
+	 * @return the report, or {@code null} if there is none or it is too old
+	 */
+	EngineLoad load() {
+		boolean fresh = this.load != null && this.clock.millis() - this.loadAtMillis <= LOAD_MILLIS;
+		return fresh ? this.load : null;
+	}
+
+	/**
+	 * Tells whether the target is about to end.
+	 * @return {@code true} if it, or the sidecar beside it, says that it is leaving
+	 */
+	boolean leaving() {
+		EngineLoad fresh = load();
+		return this.target.entry().leaving() || (fresh != null && fresh.leaving());
+	}
+
+	/**
+	 * Tells whether new requests may be sent.
+	 * @return {@code true} if neither the target nor its data centre is leaving
+	 */
+	boolean open() {
+		return this.target.open() && !leaving();
+	}
+
+	boolean avoided() {
+		return this.clock.millis() < this.avoidUntilMillis;
+	}
+
+	void avoid(long millis) {
+		this.avoidUntilMillis = this.clock.millis() + millis;
+	}
+
+	boolean cold() {
+		return this.clock.millis() < this.target.coldUntilMillis();
+	}
+
+	ColdLimit coldLimit() {
+		return this.coldLimit;
+	}
+
+	/**
+	 * Takes in that a request is sent.
+	 * @param promptTokens tokens that it reads; 0 for a plain request
+	 * @param expectedTokens tokens that it will probably hold in the end
+	 * @return a handle, to be given back when the request has ended there
+	 */
+	OwnRun sent(long promptTokens, long expectedTokens) {
+		OwnRun run = new OwnRun(promptTokens, expectedTokens);
+		this.own.add(run);
+		return run;
+	}
+
+	void ended(OwnRun run) {
+		this.own.remove(run);
+	}
+
+	void succeeded(double millis) {
+		this.failedShare -= SMOOTHING * this.failedShare;
+		this.answerMillis += ((this.answerMillis == 0) ? 1 : SMOOTHING) * (millis - this.answerMillis);
+	}
+
+	void failed() {
+		this.failedShare += SMOOTHING * (1 - this.failedShare);
+	}
+
+	double failedShare() {
+		return this.failedShare;
+	}
+
+	double answerMillis() {
+		return this.answerMillis;
+	}
+
+	int ownRequests() {
+		return this.own.size();
+	}
+
+	/**
+	 * Returns the prompt tokens of own requests that have not produced a token yet, so
+	 * that no report counts them whole.
+	 * @return number of tokens
+	 */
+	long ownUnread() {
+		return this.own.stream().filter((run) -> !run.started).mapToLong((run) -> run.promptTokens).sum();
+	}
+
+	/**
+	 * Returns the tokens that own requests will probably hold in the end.
+	 * @return number of tokens
+	 */
+	long ownExpected() {
+		return this.own.stream().mapToLong((run) -> run.expectedTokens).sum();
+	}
+
+	/**
+	 * A request of this process at the target.
+	 */
+	static final class OwnRun {
+
+		/** Tokens of its prompt. */
+		private final long promptTokens;
+
+		/** Tokens that it will probably hold in the end. */
+		private final long expectedTokens;
+
+		/** Whether it has produced an event. */
+		private boolean started;
+
+		OwnRun(long promptTokens, long expectedTokens) {
+			this.promptTokens = promptTokens;
+			this.expectedTokens = expectedTokens;
+		}
+
+		void started() {
+			this.started = true;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/GenerationTraits.java
@@ -0,0 +1,31 @@
+package io.dotterelcrank.request;
+
+import java.util.OptionalLong;
+
+/**
+ * What a caller tells of a generation. Immutable.
+ *
+ * @param promptTokens tokens of the prompt
+ * @param maxTokens largest number of tokens to generate
+ * @param hintedTokens caller's estimate of the tokens generated; right at the median, and
+ * often far off
+ */
+public record GenerationTraits(long promptTokens, long maxTokens, OptionalLong hintedTokens) {
+
+	/**
+	 * Returns the number of tokens that the generation probably has in the end.
+	 * @return prompt and estimated output, in tokens
+	 */
+	public long expectedTokens() {
+		return this.promptTokens + expectedOutput();
+	}
+
+	/**
+	 * Returns the number of tokens that are probably generated.
+	 * @return the estimate if there is one, at most the maximum
+	 */
+	public long expectedOutput() {
+		return Math.min(this.maxTokens, this.hintedTokens.orElse(this.maxTokens));
+	}
+
+}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
@@ -24,6 +24,15 @@
 	/** The path or the method is not served. */
 	NOT_FOUND(1006, 404, "Use a documented path."),
 
+	/** No route matches the request's host and path. */
+	UNKNOWN_ROUTE(1007, 404, "Use a host and path that operators have published."),
+
+	/** The request's key belongs to no workspace. */
+	UNKNOWN_KEY(1008, 401, "Send a key of a workspace."),
+
+	/** The head of the request is larger than the limit. */
+	HEAD_TOO_LARGE(1009, 431, "Send fewer or shorter headers."),
+
 	/** The targets' admission limits leave no room for the request. */
 	OVERLOADED(2001, 503, "Try again after the Retry-After time."),
 
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What operators publish about routes, services and workspaces, at one version.
+ */
+package io.dotterelcrank.version.plan;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/DaemonRunner.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/command/DaemonRunner.java
@@ -10,7 +10,7 @@
  * stop; a second one changes nothing. A signal that comes while the daemon starts stops
  * it once it has started.
  */
-final class DaemonRunner {
+public final class DaemonRunner {
 
 	private DaemonRunner() {
 	}
@@ -21,7 +21,7 @@
 	 * @param started what to do when it serves
 	 * @throws IOException if an address cannot be bound
 	 */
-	static void run(Daemon daemon, Runnable started) throws IOException {
+	public static void run(Daemon daemon, Runnable started) throws IOException {
 		CountDownLatch startDone = new CountDownLatch(1);
 		CountDownLatch stopped = new CountDownLatch(1);
 		boolean[] failed = new boolean[1];
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/ErrorBody.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/ErrorBody.java
@@ -49,6 +49,15 @@
 		exchange.getResponseSender().send(ByteBuffer.wrap(json(of(failure))));
 	}
 
+	/**
+	 * Writes the body that describes a failure.
+	 * @param failure the failure
+	 * @return the bytes, as JSON
+	 */
+	public static byte[] bytes(Failure failure) {
+		return json(of(failure));
+	}
+
 	/**
 	 * Writes a value as JSON.
 	 * @param value the value
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/LoopScheduler.java
@@ -0,0 +1,54 @@
+package io.dotterelcrank.daemon.relay;
+
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Scheduler;
+
+/**
+ * Runs tasks on the thread that also moves traffic, so that state of requests needs no
+ * locks. Thread-safe.
+ */
+final class LoopScheduler implements Scheduler {
+
+	/** Logger of the class. */
+	private static final Logger logger = LoggerFactory.getLogger(LoopScheduler.class);
+
+	/** The thread. */
+	private final EventLoop loop;
+
+	LoopScheduler(EventLoop loop) {
+		this.loop = loop;
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		this.loop.execute(() -> run(task));
+	}
+
+	@Override
+	public Timer schedule(long delayMillis, Runnable task) {
+		ScheduledFuture<?> future = this.loop.schedule(() -> run(task), delayMillis, TimeUnit.MILLISECONDS);
+		return () -> future.cancel(false);
+	}
+
+	private static void run(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			LogEvent.CONTROL_TASK_FAILED.log(logger, ex.toString(), ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -0,0 +1,189 @@
+package io.dotterelcrank.daemon.relay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.Link;
+import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.daemon.wiring.Daemon;
+import io.dotterelcrank.process.membership.Member;
+
+/**
+ * A sidecar daemon that tells entry hosts the load of the engine beside it. It is on no
+ * request's way: without it, entry hosts know only their own requests there. All state
+ * belongs to the control thread.
+ */
+public final class RelaySidecarDaemon implements Daemon {
+
+	/** Time between two looks at the engine, in milliseconds. */
+	static final long LOOK_MILLIS = 60;
+
+	/** Longest time between two messages, in milliseconds. */
+	static final long TELL_MILLIS = 1_000;
+
+	/** Shortest time between two messages of mere load, in milliseconds. */
+	static final long LEAST_MILLIS = 200;
+
+	/** Part of the memory by which the use must change to be told early. */
+	static final double CHANGED_PART = 0.03;
+
+	/** Logger of the class. */
+	private static final Logger logger = LoggerFactory.getLogger(RelaySidecarDaemon.class);
+
+	/** Settings. */
+	private final RelaySidecarSettings settings;
+
+	/** The platform. */
+	private final RelayPlatform platform;
+
+	/** Threads and connections. */
+	private final RelayProcess process;
+
+	/** Links to entry hosts, by address. */
+	private final Map<InetSocketAddress, Link> links = new HashMap<>();
+
+	/** Load last told, or {@code null}. */
+	private EngineLoad told;
+
+	/** When the load was last told, in milliseconds. */
+	private long toldAtMillis;
+
+	/** Whether the engine answered last time. */
+	private boolean engineAnswers = true;
+
+	private RelaySidecarDaemon(RelaySidecarSettings settings, RelayPlatform platform) {
+		this.settings = settings;
+		this.platform = platform;
+		this.process = new RelayProcess(settings.process(), platform);
+	}
+
+	/**
+	 * Makes a daemon.
+	 * @param settings settings of the daemon
+	 * @param platform the platform that it runs on
+	 * @return a daemon that is not started
+	 */
+	public static RelaySidecarDaemon of(RelaySidecarSettings settings, RelayPlatform platform) {
+		return new RelaySidecarDaemon(settings, platform);
+	}
+
+	@Override
+	public void start() throws IOException {
+		this.process.serveMetrics(() -> Map.of("load", String.valueOf(this.told), "links", this.links.size()));
+		this.process.readMembers(this::connect);
+		this.process.control().execute(this::look);
+		LogEvent.PROCESS_STARTED.log(logger, "sidecar", this.settings.process().name(),
+				this.settings.process().dataCentre());
+	}
+
+	private void connect() {
+		Set<InetSocketAddress> wanted = new HashSet<>();
+		this.process.members().stream().map(Member::address).forEach(wanted::add);
+		this.links.entrySet().removeIf((link) -> {
+			boolean gone = !wanted.contains(link.getKey());
+			if (gone) {
+				link.getValue().close();
+			}
+			return gone;
+		});
+		wanted.forEach((address) -> this.links.computeIfAbsent(address,
+				(peer) -> this.process.transport().open(peer, new EntryListener(peer))));
+	}
+
+	private void look() {
+		this.platform.engineLoad(this.process.exchanges(), this.settings.engine())
+			.whenComplete((load, failure) -> this.process.control().execute(() -> {
+				seen(load, failure);
+				this.process.control().schedule(LOOK_MILLIS, this::look);
+			}));
+	}
+
+	private void seen(EngineLoad load, Throwable failure) {
+		if (failure != null) {
+			if (this.engineAnswers) {
+				LogEvent.ENGINE_UNREADABLE.log(logger, this.settings.engine(), failure.getMessage());
+			}
+			this.engineAnswers = false;
+			return;
+		}
+		this.engineAnswers = true;
+		if (worthTelling(load)) {
+			this.told = load;
+			this.toldAtMillis = this.process.clock().millis();
+			this.links.values().forEach((link) -> link.send(new Message.TellLoad(load)));
+		}
+	}
+
+	private boolean worthTelling(EngineLoad load) {
+		long sinceMillis = this.process.clock().millis() - this.toldAtMillis;
+		if (this.told == null || sinceMillis >= TELL_MILLIS || load.leaving() != this.told.leaving()
+				|| load.bornMillis() != this.told.bornMillis()) {
+			return true;
+		}
+		boolean changed = Math.abs(load.memoryUsed() - this.told.memoryUsed()) > load.memoryTotal() * CHANGED_PART
+				|| load.waiting() != this.told.waiting();
+		return changed && sinceMillis >= LEAST_MILLIS;
+	}
+
+	@Override
+	public void stop() {
+		LogEvent.PROCESS_STOPPED.log(logger, this.settings.process().name(), 0);
+	}
+
+	@Override
+	public void kill() {
+		this.process.close();
+	}
+
+	/**
+	 * Hears of the end of a link to an entry host.
+	 */
+	private final class EntryListener implements Link.Listener {
+
+		/** Address of the entry host. */
+		private final InetSocketAddress address;
+
+		EntryListener(InetSocketAddress address) {
+			this.address = address;
+		}
+
+		@Override
+		public void opened(Link link) {
+			RelaySidecarDaemon.this.process.control().execute(() -> {
+				if (RelaySidecarDaemon.this.told != null) {
+					link.send(new Message.TellLoad(RelaySidecarDaemon.this.told));
+				}
+			});
+		}
+
+		@Override
+		public void received(Link link, long version, Message message) {
+			// Entry hosts do not answer.
+		}
+
+		@Override
+		public void writable(Link link) {
+			// Loads are small.
+		}
+
+		@Override
+		public void closed(Link link) {
+			RelaySidecarDaemon.this.process.control().schedule(TELL_MILLIS, () -> {
+				if (RelaySidecarDaemon.this.links.remove(this.address, link)) {
+					connect();
+				}
+			});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarSettings.java
@@ -0,0 +1,12 @@
+package io.dotterelcrank.daemon.relay;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Settings of a relaying sidecar daemon. Immutable.
+ *
+ * @param process settings that all relaying daemons have
+ * @param engine address of the engine beside it
+ */
+public record RelaySidecarSettings(RelayProcessSettings process, InetSocketAddress engine) {
+}
