Place generations by the prompt tokens that an engine has still to read

Ruled out: hand-overs, whose silence is at most 62 ms. Change: sidecars tell how many runs have produced no token; engines are compared by the seconds until a first token.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -121,7 +121,8 @@
 	RUN_GOES_ON(823, Level.INFO, "request={} target={} goes on at={} cause={} lastEvent={}"),
 
 	/** A request has ended. */
-	REQUEST_ENDED(824, Level.INFO, "request={} kind={} outcome={} millis={} sends={} lastEvent={} message=\"{}\""),
+	REQUEST_ENDED(824, Level.INFO,
+			"request={} kind={} outcome={} millis={} firstMillis={} sends={} lastEvent={} message=\"{}\""),
 
 	/** A target sent bytes that belong to no request; the connection is closed. */
 	SURPLUS_BYTES(825, Level.WARN, "surplus bytes from={}"),
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
@@ -8,11 +8,12 @@
  * does not tell
  * @param running requests that run
  * @param waiting requests that wait for a slot
+ * @param reading requests that run and have not produced a token yet
  * @param memoryUsed memory that cannot be freed, in tokens
  * @param memoryTotal memory of the engine, in tokens
  * @param leaving whether the engine takes no new work
  * @param leavesMillis how much longer it serves, in milliseconds; negative if not known
  */
-public record EngineLoad(String address, long bornMillis, int running, int waiting, long memoryUsed, long memoryTotal,
-		boolean leaving, long leavesMillis) {
+public record EngineLoad(String address, long bornMillis, int running, int waiting, int reading, long memoryUsed,
+		long memoryTotal, boolean leaving, long leavesMillis) {
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
@@ -41,10 +41,10 @@
 	}
 
 	/**
-	 * Chooses the engine with most room. Answers the load pattern of a few long
-	 * generations that fill engines' memory long before their slots: a request goes where
-	 * the memory in use, with what is on the way there, is smallest, and nowhere if it
-	 * would not fit.
+	 * Chooses the engine that will probably produce the first token first, among those
+	 * whose memory has room. Answers two load patterns: a few long generations that fill
+	 * engines' memory long before their slots, and prompts that are read one after
+	 * another at one engine while others read none.
 	 */
 	final class ForEngines implements Placement {
 
@@ -57,17 +57,28 @@
 		/** Tokens that a running request will probably still produce. */
 		static final long GROWTH_TOKENS = 250;
 
-		/** Memory parts that a waiting request counts for. */
-		private static final double WAITING_WEIGHT = 0.1;
+		/**
+		 * Prompt tokens that an engine reads in a second while it runs other requests;
+		 * half of the platform's 14 a millisecond, since chunks take turns with tokens.
+		 */
+		static final double READ_PER_SECOND = 7_000;
+
+		/** Tokens that a request of another host probably has still to read. */
+		static final long FOREIGN_UNREAD_TOKENS = 1_500;
 
-		/** Memory parts that a running request counts for, as it slows each step. */
-		private static final double RUNNING_WEIGHT = 0.01;
+		/** Seconds that an engine's whole memory in use counts for. */
+		private static final double MEMORY_SECONDS = 0.5;
 
-		/** Memory parts that another data centre counts for. */
-		private static final double FAR_WEIGHT = 0.02;
+		/** Seconds that a running request counts for, as it slows each step. */
+		private static final double RUNNING_SECONDS = 0.02;
+
+		/**
+		 * Seconds that another data centre counts for, at most; chance decides how much.
+		 */
+		private static final double FAR_SECONDS = 0.02;
 
-		/** Memory parts that a share of failures counts for. */
-		private static final double FAILED_WEIGHT = 2;
+		/** Seconds that a share of failures counts for. */
+		private static final double FAILED_SECONDS = 4;
 
 		/** Memory of the service's engines, in tokens. */
 		private final long memoryTokens;
@@ -84,7 +95,7 @@
 		public Optional<TargetState> choose(List<TargetState> candidates, Demand demand) {
 			return candidates.stream()
 				.filter((state) -> fits(state, demand))
-				.map((state) -> new Scored(state, cost(state, demand) + this.random.nextDouble() * FAR_WEIGHT))
+				.map((state) -> new Scored(state, seconds(state, demand)))
 				.min(Comparator.comparingDouble(Scored::cost))
 				.map(Scored::state);
 		}
@@ -104,16 +115,26 @@
 			return load.memoryUsed() + state.ownUnread();
 		}
 
-		private double cost(TargetState state, Demand demand) {
+		private static long unread(TargetState state, Demand demand) {
+			EngineLoad load = state.load();
+			if (load == null) {
+				return state.ownUnread() * demand.hosts();
+			}
+			int foreign = Math.max(0, load.reading() + load.waiting() - state.ownReading());
+			return state.ownUnread() + foreign * FOREIGN_UNREAD_TOKENS;
+		}
+
+		private double seconds(TargetState state, Demand demand) {
 			EngineLoad load = state.load();
-			double cost = used(state, demand) / (double) this.memoryTokens;
-			cost += RUNNING_WEIGHT * ((load != null) ? load.running() : state.ownRequests() * demand.hosts());
-			cost += WAITING_WEIGHT * ((load != null) ? load.waiting() : 0);
-			cost += FAILED_WEIGHT * state.failedShare();
+			int running = (load != null) ? load.running() : state.ownRequests() * demand.hosts();
+			double seconds = unread(state, demand) / READ_PER_SECOND;
+			seconds += MEMORY_SECONDS * used(state, demand) / this.memoryTokens;
+			seconds += RUNNING_SECONDS * running;
+			seconds += FAILED_SECONDS * state.failedShare();
 			if (!state.target().entry().dataCentre().equals(demand.dataCentre())) {
-				cost += FAR_WEIGHT;
+				seconds += FAR_SECONDS;
 			}
-			return cost;
+			return seconds + FAR_SECONDS * this.random.nextDouble();
 		}
 
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -128,6 +128,9 @@
 	/** Id of the last event that was passed on; empty before the first. */
 	private OptionalLong lastEventId = OptionalLong.empty();
 
+	/** Time from arrival to the first event, in milliseconds; -1 before it. */
+	private long firstMillis = -1;
+
 	/** When the last event was passed on, in milliseconds. */
 	private long lastEventMillis;
 
@@ -381,7 +384,7 @@
 		this.service.ended(this);
 		long millis = now() - this.request.arrivedMillis();
 		String kind = (this.route != null) ? this.route.kind().name() : "UNROUTED";
-		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.sends,
+		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.firstMillis, this.sends,
 				this.lastEventId.orElse(0), message);
 		this.service.metrics().ended(kind, outcome, millis);
 	}
@@ -551,6 +554,9 @@
 				relay.lastEventId = event.id();
 			}
 			relay.lastEventMillis = now();
+			if (relay.firstMillis < 0) {
+				relay.firstMillis = relay.lastEventMillis - relay.request.arrivedMillis();
+			}
 			relay.caller.write(event.bytes());
 			if (!relay.caller.writable()) {
 				this.exchange.read(false);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
@@ -160,6 +160,14 @@
 		return this.own.stream().filter((run) -> !run.started).mapToLong((run) -> run.promptTokens).sum();
 	}
 
+	/**
+	 * Returns the number of own requests that have not produced a token yet.
+	 * @return number of requests
+	 */
+	int ownReading() {
+		return (int) this.own.stream().filter((run) -> !run.started).count();
+	}
+
 	/**
 	 * Returns the tokens that own requests will probably hold in the end.
 	 * @return number of tokens
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -31,7 +31,7 @@
 	static final long TELL_MILLIS = 1_000;
 
 	/** Shortest time between two messages of mere load, in milliseconds. */
-	static final long LEAST_MILLIS = 200;
+	static final long LEAST_MILLIS = 100;
 
 	/** Part of the memory by which the use must change to be told early. */
 	static final double CHANGED_PART = 0.03;
@@ -130,7 +130,7 @@
 			return true;
 		}
 		boolean changed = Math.abs(load.memoryUsed() - this.told.memoryUsed()) > load.memoryTotal() * CHANGED_PART
-				|| load.waiting() != this.told.waiting();
+				|| load.waiting() != this.told.waiting() || load.reading() != this.told.reading();
 		return changed && sinceMillis >= LEAST_MILLIS;
 	}
 
