Try the copy again at once; count repeats over the whole window; tests of the relay

Cause: (1) an engine that had no copy yet was avoided for 1 s like one without room, so runs went on 1 s late, or were cut. (2) The model check found repeats of two bursts 9.05 s apart counted as one budget: the window's counters covered 9 to 10 s. Change: a refused copy does not make its holder avoided; one counter more than the window has.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -415,7 +415,7 @@
 		}
 		boolean started = this.begun || this.mayHaveRun;
 		if (movable() && started) {
-			boolean held = attempt.head != null || !attempt.resumed;
+			boolean held = attempt.streaming || !attempt.resumed;
 			if (!held || !goOn(attempt, "broken")) {
 				refuseOrFail(ResultCode.TARGET_LOST, reason);
 			}
@@ -467,6 +467,9 @@
 		/** Whether it goes on from a copy. */
 		private final boolean resumed;
 
+		/** Whether its stream has begun. */
+		private boolean streaming;
+
 		/** When it may be tried to go on elsewhere, in milliseconds. */
 		private long goOnAtMillis;
 
@@ -493,7 +496,9 @@
 		public void head(TargetClient.Head received) {
 			this.head = received;
 			if (received.misdirected() || received.ran() == Ran.NO) {
-				this.target.avoid(AVOID_MILLIS);
+				if (!this.resumed) {
+					this.target.avoid(AVOID_MILLIS);
+				}
 				this.exchange.cancel();
 				Relay.this.failed(this, Ran.NO, "refused with status " + received.status());
 				return;
@@ -510,6 +515,7 @@
 		private void beginStream() {
 			Relay relay = Relay.this;
 			this.run.started();
+			this.streaming = true;
 			this.target.succeeded(now() - this.sentMillis);
 			List.copyOf(relay.attempts).stream().filter((other) -> other != this).forEach(Attempt::close);
 			if (!relay.begun) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SendBudget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SendBudget.java
@@ -10,8 +10,11 @@
  */
 final class SendBudget {
 
-	/** Counters a window is cut into. */
-	private static final int BUCKETS = 10;
+	/** Counters that a window is cut into. */
+	private static final int PARTS = 10;
+
+	/** Counters kept: one more than a window has, since the newest is not full. */
+	private static final int BUCKETS = PARTS + 1;
 
 	/**
 	 * Part of the budget that is used; the rest covers windows that are cut otherwise.
@@ -43,7 +46,7 @@
 		this.clock = clock;
 		this.ratio = ratio;
 		this.slack = slack;
-		this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
+		this.bucketMillis = Math.max(1, windowMillis / PARTS);
 	}
 
 	/**
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/membership/TargetRegistryTests.java
@@ -0,0 +1,73 @@
+package io.dotterelcrank.process.membership;
+
+import java.net.InetSocketAddress;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import io.dotterelcrank.common.Clock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link TargetRegistry}.
+ */
+class TargetRegistryTests {
+
+	private final Clock.Manual clock = Clock.manual(1_000);
+
+	private final TargetRegistry registry = TargetRegistry.of(this.clock);
+
+	private static TargetEntry entry(String id, boolean leaving, long bornMillis, long sequence) {
+		return new TargetEntry(id, "desk", new InetSocketAddress("10.0.0.1", 80), "giza", 6, leaving, 0, bornMillis,
+				sequence);
+	}
+
+	@Test
+	void staleReportDoesNotUndoLeaving() {
+		this.registry.reported(entry("a", true, 10, 7));
+		this.registry.reported(entry("a", false, 10, 6));
+		assertThat(this.registry.targets().get(0).open()).isFalse();
+	}
+
+	@Test
+	void restartedTargetCountsAnew() {
+		this.registry.reported(entry("a", true, 10, 7));
+		this.registry.reported(entry("a", false, 11, 1));
+		assertThat(this.registry.targets().get(0).open()).isTrue();
+	}
+
+	@Test
+	void reportOfEarlierStartIsSkipped() {
+		this.registry.reported(entry("a", true, 11, 1));
+		this.registry.reported(entry("a", false, 10, 9));
+		assertThat(this.registry.targets().get(0).open()).isFalse();
+	}
+
+	@Test
+	void lapsedTargetIsLastResortAndThenGone() {
+		this.registry.reported(entry("a", false, 10, 1));
+		this.registry.missing("a");
+		assertThat(this.registry.targets().get(0).listed()).isFalse();
+		this.clock.advance(TargetRegistry.LAPSED_MILLIS + 1);
+		assertThat(this.registry.targets()).isEmpty();
+	}
+
+	@Test
+	void lapsedTargetReturnsWithItsNextReport() {
+		this.registry.reported(entry("a", false, 10, 1));
+		this.registry.missing("a");
+		this.registry.reported(entry("a", false, 10, 2));
+		assertThat(this.registry.targets().get(0).listed()).isTrue();
+	}
+
+	@Test
+	void targetOfDataCentreTakenOutIsNotOpen() {
+		this.registry.reported(entry("a", false, 10, 1));
+		this.registry.dataCentresOut(Set.of("giza"));
+		assertThat(this.registry.targets().get(0).open()).isFalse();
+		this.registry.dataCentresOut(Set.of());
+		assertThat(this.registry.targets().get(0).open()).isTrue();
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -0,0 +1,132 @@
+package io.dotterelcrank.process.relay;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.simple.RandomSource;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.process.membership.Target;
+import io.dotterelcrank.process.membership.TargetEntry;
+import io.dotterelcrank.request.CallerRequest;
+import io.dotterelcrank.request.GenerationTraits;
+import io.dotterelcrank.version.plan.CallerLimits;
+import io.dotterelcrank.version.plan.RequestKind;
+import io.dotterelcrank.version.plan.Route;
+import io.dotterelcrank.version.plan.ServiceSpec;
+import io.dotterelcrank.version.plan.ServingPlan;
+import io.dotterelcrank.version.plan.Workspace;
+
+/**
+ * A relay service on a manual clock, with three engines and two plain targets.
+ */
+final class RelayFixture {
+
+	/** Tokens that an engine holds. */
+	static final long MEMORY_TOKENS = 34_000;
+
+	/** Clock of the test. */
+	private final Clock.Manual clock = Clock.manual(100_000);
+
+	/** Thread of the test. */
+	private final Scheduler.Manual scheduler = Scheduler.manual(this.clock);
+
+	/** The targets. */
+	private final RecordingTargets targets = new RecordingTargets();
+
+	/** Targets that are listed. */
+	private final List<Target> listed = new ArrayList<>();
+
+	/** The service. */
+	private final RelayService service = RelayService.of(this.clock, this.scheduler, this.targets,
+			new RelaySettings("giza", 0.2, 54, 10_000), RandomSource.XO_RO_SHI_RO_128_PP.create(5),
+			new MetricRegistry());
+
+	/** Number of the next attempt. */
+	private int attempts;
+
+	RelayFixture() {
+		this.service.plan(plan(1));
+		this.service.planAge(0);
+		this.service.start();
+		list("e1", "bench", false);
+		list("e2", "bench", false);
+		list("e3", "bench", false);
+		list("p1", "desk", false);
+		list("p2", "desk", false);
+	}
+
+	static ServingPlan plan(long version) {
+		ServiceSpec bench = new ServiceSpec("bench", 242, 36,
+				Optional.of(new ServiceSpec.EngineSpec(24, MEMORY_TOKENS, true, true)));
+		ServiceSpec desk = new ServiceSpec("desk", 100, 0, Optional.empty());
+		return ServingPlan.of(version,
+				List.of(route("/notes/", RequestKind.STREAMING, 39_000, 1_800, "bench", 1),
+						route("/order/", RequestKind.NON_IDEMPOTENT, 800, 300, "desk", 1),
+						route("/lookup/", RequestKind.IDEMPOTENT, 800, 300, "desk", 2)),
+				List.of(bench, desk), List.of(new Workspace("shop", List.of("key"), OptionalInt.of(3))),
+				CallerLimits.INITIAL);
+	}
+
+	private static Route route(String prefix, RequestKind kind, long timeoutMillis, long goalMillis, String service,
+			int attempts) {
+		return new Route(prefix, "a.example", prefix, kind, timeoutMillis, goalMillis, 1,
+				List.of(new Route.Share(service, 1)), attempts, false);
+	}
+
+	void list(String id, String serviceName, boolean leaving) {
+		this.listed.removeIf((target) -> target.entry().id().equals(id));
+		int host = Math.floorMod(id.hashCode(), 250);
+		this.listed.add(new Target(new TargetEntry(id, serviceName, new InetSocketAddress("10.0.0." + host, 80), "giza",
+				24, leaving, 0, 1, 1), 0, true, false));
+		this.service.targets(this.listed);
+	}
+
+	void gone(String id) {
+		this.listed.removeIf((target) -> target.entry().id().equals(id));
+		this.service.targets(this.listed);
+	}
+
+	void load(String id, int running, long memoryUsed) {
+		TargetEntry entry = this.listed.stream()
+			.map(Target::entry)
+			.filter((candidate) -> candidate.id().equals(id))
+			.findFirst()
+			.orElseThrow();
+		this.service.load(new EngineLoad(entry.address().getAddress().getHostAddress() + ":80", 1, running, 0, 0,
+				memoryUsed, MEMORY_TOKENS, false, -1));
+	}
+
+	Relay accept(String path, RecordingCaller caller) {
+		return accept(path, "key", caller);
+	}
+
+	Relay accept(String path, String key, RecordingCaller caller) {
+		boolean notes = path.startsWith("/notes/");
+		Optional<GenerationTraits> traits = notes ? Optional.of(new GenerationTraits(3_000, 900, OptionalLong.empty()))
+				: Optional.empty();
+		this.attempts++;
+		return this.service.accept(new CallerRequest("attempt-" + this.attempts, "POST", "a.example", path, List.of(),
+				new byte[0], Optional.ofNullable(key), traits, notes ? 39_000 : 1_500, this.clock.millis()), caller);
+	}
+
+	void advance(long millis) {
+		this.scheduler.advance(millis);
+	}
+
+	RecordingTargets targets() {
+		return this.targets;
+	}
+
+	RelayService service() {
+		return this.service;
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
@@ -0,0 +1,294 @@
+package io.dotterelcrank.process.relay;
+
+import org.junit.jupiter.api.Test;
+
+import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.ResultCode;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link Relay}: fault points by kind of request.
+ */
+class RelayTests {
+
+	private final RelayFixture fixture = new RelayFixture();
+
+	private final RecordingCaller caller = new RecordingCaller();
+
+	private RecordingTargets.Sent sent(int index) {
+		return this.fixture.targets().sent(index);
+	}
+
+	private int sends() {
+		return this.fixture.targets().count();
+	}
+
+	@Test
+	void answerIsPassedOnUnchanged() {
+		this.fixture.accept("/order/1", this.caller);
+		sent(0).answer(201, "booked");
+		assertThat(this.caller.status()).isEqualTo(201);
+		assertThat(this.caller.body()).isEqualTo("booked");
+		assertThat(this.caller.ends()).isOne();
+	}
+
+	@Test
+	void workspaceIsNamedAndItsPriorityReplacesTheRoutes() {
+		this.fixture.accept("/notes/1", this.caller);
+		assertThat(sent(0).request().workspace()).contains("shop");
+		assertThat(sent(0).request().priority()).hasValue(3);
+	}
+
+	@Test
+	void unknownRouteAndKeyAreRefused() {
+		this.fixture.accept("/nothing/", this.caller);
+		assertThat(this.caller.status()).isEqualTo(404);
+		RecordingCaller second = new RecordingCaller();
+		this.fixture.accept("/order/1", "other", second);
+		assertThat(second.status()).isEqualTo(401);
+		assertThat(sends()).isZero();
+	}
+
+	@Test
+	void unknownRouteInOldPlanIsNotReady() {
+		this.fixture.service().planAge(RelayService.PLAN_FRESH_MILLIS + 1);
+		this.fixture.accept("/nothing/", this.caller);
+		assertThat(this.caller.failure().code()).isEqualTo(ResultCode.NOT_READY);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
+		assertThat(this.caller.failure().retryAfterMillis()).isPositive();
+	}
+
+	@Test
+	void refusedOrderGoesToAnotherTarget() {
+		this.fixture.accept("/order/1", this.caller);
+		sent(0).refuse(503);
+		assertThat(sends()).isEqualTo(2);
+		assertThat(sent(1).request().target().id()).isNotEqualTo(sent(0).request().target().id());
+		sent(1).answer(200, "booked");
+		assertThat(this.caller.status()).isEqualTo(200);
+	}
+
+	@Test
+	void orderRefusedEverywhereIsNotRun() {
+		this.fixture.accept("/order/1", this.caller);
+		sent(0).refuse(503);
+		sent(1).refuse(503);
+		this.fixture.advance(1_000);
+		assertThat(this.caller.status()).isEqualTo(503);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
+		assertThat(this.caller.failure().retryAfterMillis()).isPositive();
+	}
+
+	@Test
+	void orderThatMayHaveRunIsNeverSentAgain() {
+		this.fixture.accept("/order/1", this.caller);
+		sent(0).fail(Ran.UNKNOWN);
+		assertThat(sends()).isOne();
+		assertThat(this.caller.status()).isEqualTo(502);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.UNKNOWN);
+	}
+
+	@Test
+	void orderRefusedAfterOneThatMayHaveRunIsNotToldAsNotRun() {
+		this.fixture.accept("/lookup/1", this.caller);
+		sent(0).fail(Ran.UNKNOWN);
+		sent(1).refuse(503);
+		this.fixture.advance(1_000);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.UNKNOWN);
+		assertThat(this.caller.status()).isIn(502, 504);
+	}
+
+	@Test
+	void sentOrderWithoutAnswerTimesOutAsUnknown() {
+		this.fixture.accept("/order/1", this.caller);
+		this.fixture.advance(801);
+		assertThat(this.caller.status()).isEqualTo(504);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.UNKNOWN);
+		assertThat(sent(0).cancelled()).isTrue();
+	}
+
+	@Test
+	void orderThatNeverLeftTimesOutAsNotRun() {
+		this.fixture.accept("/order/1", this.caller);
+		sent(0).unwritten();
+		this.fixture.advance(801);
+		assertThat(this.caller.status()).isEqualTo(503);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
+	}
+
+	@Test
+	void failedLookupIsRepeatedOnce() {
+		this.fixture.accept("/lookup/1", this.caller);
+		sent(0).answer(500, "");
+		sent(1).answer(200, "found");
+		assertThat(this.caller.status()).isEqualTo(200);
+		assertThat(sends()).isEqualTo(2);
+	}
+
+	@Test
+	void lateLookupIsAlsoSentElsewhereAndTheFirstAnswerWins() {
+		this.fixture.accept("/lookup/1", this.caller);
+		this.fixture.advance(250);
+		assertThat(sends()).isEqualTo(2);
+		sent(1).answer(200, "found");
+		assertThat(sent(0).cancelled()).isTrue();
+		assertThat(this.caller.ends()).isOne();
+	}
+
+	@Test
+	void successWithoutSealIsNoAnswer() {
+		this.fixture.accept("/order/1", this.caller);
+		sent(0).unsealed(200);
+		assertThat(this.caller.status()).isEqualTo(502);
+		assertThat(sent(0).cancelled()).isTrue();
+	}
+
+	@Test
+	void misdirectedRequestGoesToAnotherTarget() {
+		this.fixture.accept("/order/1", this.caller);
+		sent(0).refuse(421);
+		assertThat(sends()).isEqualTo(2);
+	}
+
+	@Test
+	void callerThatLeavesStopsTheTarget() {
+		Relay relay = this.fixture.accept("/notes/1", this.caller);
+		relay.callerGone();
+		assertThat(sent(0).cancelled()).isTrue();
+		assertThat(this.fixture.service().underWay()).isZero();
+	}
+
+	@Test
+	void streamGoesOnFromItsCopyWhenTheEngineLeaves() {
+		this.fixture.accept("/notes/1", this.caller);
+		String first = sent(0).request().target().id();
+		String holder = sent(0).request().backup().orElseThrow().id();
+		sent(0).stream();
+		sent(0).event(1);
+		sent(0).event(2);
+		this.fixture.list(first, "bench", true);
+		assertThat(sent(1).request().target().id()).isEqualTo(holder);
+		assertThat(sent(1).request().copy().orElseThrow().handle()).isEqualTo("attempt-1");
+		assertThat(sent(1).request().lastEventId()).hasValue(2);
+		sent(0).event(3);
+		assertThat(sent(0).cancelled()).isFalse();
+		sent(1).stream();
+		assertThat(sent(0).cancelled()).isTrue();
+		sent(1).event(3);
+		sent(1).event(4);
+		sent(1).complete();
+		assertThat(this.caller.ids()).isEqualTo("1 2 3 4");
+		assertThat(this.caller.ends()).isOne();
+	}
+
+	@Test
+	void copyThatIsNotThereYetIsTriedAgain() {
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		this.fixture.list(sent(0).request().target().id(), "bench", true);
+		sent(1).refuse(503);
+		sent(0).event(1);
+		this.fixture.advance(Relay.GO_ON_MILLIS + RelayService.TICK_MILLIS);
+		assertThat(sends()).isEqualTo(3);
+		sent(2).stream();
+		sent(2).event(2);
+		sent(2).complete();
+		assertThat(this.caller.ids()).isEqualTo("1 2");
+	}
+
+	@Test
+	void streamGoesOnWhenTheEngineCrashes() {
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		sent(0).bytes("id: 2\ndat");
+		sent(0).fail(Ran.UNKNOWN);
+		sent(1).stream();
+		sent(1).event(2);
+		sent(1).complete();
+		assertThat(this.caller.ids()).isEqualTo("1 2");
+		assertThat(this.caller.aborted()).isFalse();
+	}
+
+	@Test
+	void streamWithoutCopyIsBrokenOff() {
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		sent(0).fail(Ran.UNKNOWN);
+		sent(1).refuse(503);
+		assertThat(this.caller.aborted()).isTrue();
+		assertThat(sends()).isEqualTo(2);
+	}
+
+	@Test
+	void missingEventIsNeverSkipped() {
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		sent(0).event(3);
+		assertThat(this.caller.ids()).isEqualTo("1");
+		assertThat(sent(0).cancelled()).isTrue();
+	}
+
+	@Test
+	void silentStreamGoesOnFromItsCopy() {
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		this.fixture.advance(Relay.SILENT_MILLIS + RelayService.TICK_MILLIS);
+		assertThat(sent(1).request().lastEventId()).hasValue(1);
+	}
+
+	@Test
+	void streamThatEndsInsideAnEventIsNotComplete() {
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		sent(0).bytes("id: 2\nda");
+		sent(0).complete();
+		sent(1).refuse(503);
+		assertThat(this.caller.aborted()).isTrue();
+	}
+
+	@Test
+	void targetOfLeavingIsNotChosen() {
+		this.fixture.list("p1", "desk", true);
+		for (int i = 0; i < 10; i++) {
+			this.fixture.accept("/order/" + i, new RecordingCaller());
+			assertThat(sent(i).request().target().id()).isEqualTo("p2");
+		}
+	}
+
+	@Test
+	void fullEnginesMakeARequestWaitAndThenRefuseIt() {
+		for (String id : new String[] { "e1", "e2", "e3" }) {
+			this.fixture.load(id, 8, RelayFixture.MEMORY_TOKENS);
+		}
+		this.fixture.accept("/notes/1", this.caller);
+		assertThat(sends()).isZero();
+		this.fixture.advance(1_200);
+		assertThat(this.caller.status()).isEqualTo(503);
+		assertThat(this.caller.failure().retryAfterMillis()).isPositive();
+	}
+
+	@Test
+	void waitingRequestIsSentWhenRoomAppears() {
+		for (String id : new String[] { "e1", "e2", "e3" }) {
+			this.fixture.load(id, 8, RelayFixture.MEMORY_TOKENS);
+		}
+		this.fixture.accept("/notes/1", this.caller);
+		this.fixture.advance(300);
+		this.fixture.load("e2", 1, 2_000);
+		assertThat(sent(0).request().target().id()).isEqualTo("e2");
+	}
+
+	@Test
+	void planNeverReverts() {
+		this.fixture.service().plan(RelayFixture.plan(5));
+		this.fixture.service().plan(RelayFixture.plan(4));
+		assertThat(this.fixture.service().dump()).containsEntry("planVersion", 5L);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/SendBudgetProperties.java
@@ -0,0 +1,101 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import io.dotterelcrank.common.Clock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Model check of {@link SendBudget}: hosts that freeze and wake never repeat more, in any
+ * window, than the budget that they share.
+ */
+class SendBudgetProperties {
+
+	private static final long WINDOW_MILLIS = 10_000;
+
+	private static final double RATIO = 0.2;
+
+	private static final double SLACK = 52;
+
+	private static final int HOSTS = 4;
+
+	@Property(tries = 10_000, seed = "11")
+	void repeatsOfAllHostsStayWithinTheBudget(@ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
+		Random random = new Random(seed);
+		List<Clock.Manual> clocks = new ArrayList<>();
+		List<SendBudget> budgets = new ArrayList<>();
+		for (int i = 0; i < HOSTS; i++) {
+			clocks.add(Clock.manual(random.nextInt(5_000)));
+			budgets.add(SendBudget.of(clocks.get(i), new RelaySettings("giza", RATIO, SLACK, WINDOW_MILLIS)));
+		}
+		List<long[]> sends = new ArrayList<>();
+		long nowMillis = 0;
+		for (int step = 0; step < 60; step++) {
+			long passed = random.nextInt(900);
+			nowMillis += passed;
+			for (int host = 0; host < HOSTS; host++) {
+				boolean frozen = random.nextInt(6) == 0;
+				clocks.get(host).advance(frozen ? 0 : passed);
+				serve(budgets.get(host), random, sends, nowMillis, frozen);
+			}
+		}
+		checkWindows(times(sends, 0), times(sends, 1));
+	}
+
+	private static long[] times(List<long[]> sends, int repeat) {
+		return sends.stream().filter((send) -> send[1] == repeat).mapToLong((send) -> send[0]).sorted().toArray();
+	}
+
+	private static void serve(SendBudget budget, Random random, List<long[]> sends, long nowMillis, boolean frozen) {
+		if (frozen) {
+			return;
+		}
+		int requests = random.nextInt(4);
+		for (int i = 0; i < requests; i++) {
+			budget.first();
+			sends.add(new long[] { nowMillis, 0 });
+			while (random.nextInt(10) < 8 && budget.allows(HOSTS)) {
+				budget.repeated();
+				sends.add(new long[] { nowMillis, 1 });
+			}
+		}
+	}
+
+	private static void checkWindows(long[] firsts, long[] repeats) {
+		for (long endMillis : repeats) {
+			long repeated = count(repeats, endMillis - WINDOW_MILLIS, endMillis);
+			long now = count(firsts, endMillis - WINDOW_MILLIS, endMillis);
+			long before = count(firsts, endMillis - 2 * WINDOW_MILLIS, endMillis - WINDOW_MILLIS);
+			long between = count(firsts, endMillis - WINDOW_MILLIS * 3 / 2, endMillis - WINDOW_MILLIS / 2);
+			double allowed = RATIO * Math.max(now, Math.max(before, between)) + SLACK;
+			assertThat((double) repeated).isLessThanOrEqualTo(allowed);
+		}
+	}
+
+	private static long count(long[] times, long afterMillis, long untilMillis) {
+		return upTo(times, untilMillis) - upTo(times, afterMillis);
+	}
+
+	private static int upTo(long[] times, long millis) {
+		int low = 0;
+		int high = times.length;
+		while (low < high) {
+			int middle = (low + high) >>> 1;
+			if (times[middle] <= millis) {
+				low = middle + 1;
+			}
+			else {
+				high = middle;
+			}
+		}
+		return low;
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests.
+ */
+package io.dotterelcrank.process.relay;
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/KeyedTableTests.java
@@ -0,0 +1,71 @@
+package io.dotterelcrank.process.replica;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link KeyedTable}.
+ */
+class KeyedTableTests {
+
+	private final KeyedTable table = KeyedTable.empty();
+
+	private static KeyedRecord record(String key, long offset) {
+		return new KeyedRecord(key, offset, new byte[] { 1 });
+	}
+
+	private static KeyedRecord dropped(String key, long offset) {
+		return new KeyedRecord(key, offset, null);
+	}
+
+	@Test
+	void newerRecordReplacesOlderOne() {
+		assertThat(this.table.apply(List.of(record("a", 1)), 2)).hasSize(1);
+		assertThat(this.table.apply(List.of(record("a", 5)), 6)).hasSize(1);
+		assertThat(this.table.since(0)).extracting(KeyedRecord::offset).containsExactly(5L);
+		assertThat(this.table.end()).isEqualTo(6);
+	}
+
+	@Test
+	void rewoundReadChangesNothing() {
+		this.table.apply(List.of(record("a", 5), dropped("b", 6)), 7);
+		assertThat(this.table.apply(List.of(record("a", 1), record("b", 2)), 3)).isEmpty();
+		assertThat(this.table.end()).isEqualTo(7);
+		assertThat(this.table.since(6)).extracting(KeyedRecord::dropped).containsExactly(true);
+	}
+
+	@Test
+	void keyMissingFromListingIsDropped() {
+		this.table.apply(List.of(record("a", 1), record("b", 2)), 3);
+		List<KeyedRecord> changes = this.table.replace(List.of(record("a", 1)), 10);
+		assertThat(changes).extracting(KeyedRecord::key).containsExactly("b");
+		assertThat(changes.get(0).dropped()).isTrue();
+	}
+
+	@Test
+	void staleListingDropsNothingNewer() {
+		this.table.apply(List.of(record("a", 1), record("b", 9)), 10);
+		assertThat(this.table.replace(List.of(record("a", 1)), 5)).isEmpty();
+	}
+
+	@Test
+	void listingRecordNewerThanItsEndIsKept() {
+		this.table.replace(List.of(record("a", 12)), 10);
+		assertThat(this.table.replace(List.of(record("a", 12)), 10)).isEmpty();
+		assertThat(this.table.since(0)).hasSize(1);
+	}
+
+	@Test
+	void droppedKeysAreForgottenOldestFirst() {
+		for (int i = 0; i < KeyedTable.MAX_DROPPED + 10; i++) {
+			this.table.apply(List.of(dropped("k" + i, i)), i + 1);
+		}
+		List<KeyedRecord> held = this.table.since(0);
+		assertThat(held).hasSizeLessThanOrEqualTo(KeyedTable.MAX_DROPPED);
+		assertThat(held.get(held.size() - 1).key()).isEqualTo("k" + (KeyedTable.MAX_DROPPED + 9));
+	}
+
+}
