Copy runs without a backup off engines that are about to leave

Change: a copy while the run goes on, a last one that stops it, then it goes on at the holder; backups only where the holder's memory is under 0.6 in use. Relay is split into Relay, RelayAttempt and Continuation.

--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
@@ -0,0 +1,223 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.process.membership.TargetEntry;
+import io.dotterelcrank.version.plan.ServiceSpec;
+
+/**
+ * Lets one run go on at another engine: from the copy that an engine keeps as a backup,
+ * or from one that is made when the engine that runs it is about to leave. Answers the
+ * load pattern of engines that are reclaimed every few seconds, with less notice than a
+ * generation takes. Invariant: the run works at one engine at a time; it is given to the
+ * next one from its own memory only, and the engine before is given up as soon as the
+ * next one streams. Belongs to the traffic thread.
+ */
+final class Continuation {
+
+	/**
+	 * Time between two tries, in milliseconds; engines send memory on several times a
+	 * second.
+	 */
+	static final long RETRY_MILLIS = 200;
+
+	/**
+	 * Silence of a stream after which it goes on from its copy, in milliseconds; callers
+	 * give up after 2 s.
+	 */
+	static final long SILENT_MILLIS = 1_200;
+
+	/** Tries to go on from a backup before a copy is made instead. */
+	static final int MAX_BACKUP_TRIES = 2;
+
+	/**
+	 * Part of an engine's memory up to which it is given backups, so that they leave room
+	 * for new requests.
+	 */
+	static final double BACKUP_PART = 0.6;
+
+	/** Logger of the class. */
+	private static final Logger logger = LoggerFactory.getLogger(Continuation.class);
+
+	/** The request. */
+	private final Relay relay;
+
+	/** Where the run is, or {@code null} before it is sent. */
+	private RelayAttempt source;
+
+	/** Tries to go on from the backup. */
+	private int backupTries;
+
+	/** Whether the backup was tried after the run's engine had broken off. */
+	private boolean backupTriedAfterEnd;
+
+	/** Copy that was made for a move, or {@code null}. */
+	private TargetRequest.RunCopy moved;
+
+	/** Whether a copy is under way. */
+	private boolean copying;
+
+	/** When to try next, in milliseconds. */
+	private long nextTryMillis;
+
+	Continuation(Relay relay) {
+		this.relay = relay;
+	}
+
+	/**
+	 * Chooses the engine that is to keep a backup of a run.
+	 * @param chosen engine that is to run it
+	 * @return the engine, if backups are worth their memory now
+	 */
+	Optional<TargetEntry> backup(TargetState chosen) {
+		ServiceSpec service = this.relay.service();
+		if (service.engine().filter(ServiceSpec.EngineSpec::backups).isEmpty()) {
+			return Optional.empty();
+		}
+		TargetState holder = holder(chosen);
+		boolean roomy = holder != null && holder.load() != null && holder.load().memoryUsed()
+				+ this.relay.demand().expectedTokens() <= BACKUP_PART * holder.load().memoryTotal();
+		return roomy ? Optional.of(holder.target().entry()) : Optional.empty();
+	}
+
+	private TargetState holder(TargetState runsAt) {
+		Placement.Demand near = this.relay.demand().near(runsAt.target().entry().dataCentre());
+		return this.relay.targets().choose(this.relay.service(), near, Set.of(runsAt.id())).target();
+	}
+
+	/**
+	 * Takes in where the run is now.
+	 * @param attempt attempt that was sent first, or whose stream has begun
+	 */
+	void runsAt(RelayAttempt attempt) {
+		this.source = attempt;
+		this.backupTries = 0;
+		this.backupTriedAfterEnd = false;
+		this.moved = null;
+		this.copying = false;
+	}
+
+	/**
+	 * Lets the run go on elsewhere if its engine is about to leave, or is silent.
+	 */
+	void look() {
+		if (this.source == null || this.copying || this.relay.now() < this.nextTryMillis) {
+			return;
+		}
+		boolean leaving = this.source.target().leaving() || !this.source.target().target().listed();
+		boolean silent = this.relay.silentMillis() > SILENT_MILLIS;
+		if (!leaving && !silent) {
+			return;
+		}
+		this.nextTryMillis = this.relay.now() + RETRY_MILLIS;
+		this.backupTries++;
+		boolean goesOn = this.backupTries <= MAX_BACKUP_TRIES && goOnFromBackup(leaving ? "leaving" : "silent");
+		boolean moves = this.relay.service().engine().filter(ServiceSpec.EngineSpec::moves).isPresent();
+		if (!goesOn && leaving && moves) {
+			copy();
+		}
+	}
+
+	private boolean goOnFromBackup(String cause) {
+		Optional<TargetState> holder = this.source.backup().flatMap((entry) -> this.relay.targets().find(entry.id()));
+		if (holder.isEmpty() || holder.get().avoided()) {
+			return false;
+		}
+		TargetEntry entry = holder.get().target().entry();
+		return goOn(new TargetRequest.RunCopy(entry, entry, this.relay.id()), cause);
+	}
+
+	private boolean goOn(TargetRequest.RunCopy copy, String cause) {
+		Optional<TargetState> holder = this.relay.targets().find(copy.holder().id());
+		if (holder.isEmpty() || !this.relay.budgetAllows()) {
+			this.relay.metrics().handover(holder.isEmpty() ? "holder-gone" : "over-budget");
+			return false;
+		}
+		LogEvent.RUN_GOES_ON.log(logger, this.relay.id(), this.source.target().id(), copy.holder().id(), cause,
+				this.relay.lastEventId());
+		this.relay.metrics().handover("begun");
+		this.relay.send(holder.get(), Optional.of(copy), cause);
+		return true;
+	}
+
+	private void copy() {
+		TargetState holder = holder(this.source.target());
+		if (holder != null) {
+			copyTo(holder.target().entry(), false);
+		}
+	}
+
+	private void copyTo(TargetEntry holder, boolean last) {
+		RelayAttempt from = this.source;
+		this.copying = true;
+		long startedMillis = this.relay.now();
+		TargetClient.CopyRequest request = new TargetClient.CopyRequest(this.relay.id(), from.target().target().entry(),
+				holder, last);
+		this.relay.client().copy(request, (answer) -> {
+			LogEvent.RUN_COPIED.log(logger, this.relay.id(), from.target().id(), holder.id(), last, answer.outcome(),
+					this.relay.now() - startedMillis);
+			this.relay.metrics().handover("copy-" + answer.outcome());
+			if (!this.relay.done() && this.source == from) {
+				this.copying = false;
+				copied(holder, last, answer);
+			}
+		});
+	}
+
+	private void copied(TargetEntry holder, boolean last, TargetClient.CopyAnswer answer) {
+		boolean whole = answer.outcome() == TargetClient.CopyOutcome.COPIED && answer.handle().isPresent();
+		if (whole) {
+			this.moved = new TargetRequest.RunCopy(holder, this.source.target().target().entry(),
+					answer.handle().get());
+		}
+		if (whole && !last && this.source.alive()) {
+			copyTo(holder, true);
+		}
+		else if (whole && last) {
+			if (!goOn(this.moved, "moved")) {
+				this.relay.runLost("no engine goes on with the run that was moved");
+			}
+		}
+		else if (last && answer.outcome() == TargetClient.CopyOutcome.NO_ROOM && answer.handle().isPresent()) {
+			goOnAtSource(answer.handle().get());
+		}
+		else if (!this.source.alive() && !broken()) {
+			this.relay.runLost("the engine broke off while the run was copied: " + answer.outcome());
+		}
+	}
+
+	/**
+	 * Lets a run that was stopped for its last copy go on where it was.
+	 * @param handle name of its memory there
+	 */
+	private void goOnAtSource(String handle) {
+		TargetEntry entry = this.source.target().target().entry();
+		if (!goOn(new TargetRequest.RunCopy(entry, entry, handle), "not moved")) {
+			this.relay.runLost("the run was stopped and its engine is gone");
+		}
+	}
+
+	/**
+	 * The connection of the run's engine has ended before its answer.
+	 * @return whether the run goes on, or may still do so
+	 */
+	boolean broken() {
+		if (this.copying) {
+			return true;
+		}
+		if (this.moved != null) {
+			TargetRequest.RunCopy copy = this.moved;
+			this.moved = null;
+			return goOn(copy, "broken");
+		}
+		boolean first = !this.backupTriedAfterEnd;
+		this.backupTriedAfterEnd = true;
+		return first && goOnFromBackup("broken");
+	}
+
+}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
@@ -38,6 +38,15 @@
 					traits.map(GenerationTraits::expectedTokens).orElse(0L), dataCentre, hosts);
 		}
 
+		/**
+		 * Returns a copy that prefers another data centre.
+		 * @param preferred name of the data centre
+		 * @return the changed copy
+		 */
+		Demand near(String preferred) {
+			return new Demand(this.promptTokens, this.expectedTokens, preferred, this.hosts);
+		}
+
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -1,6 +1,5 @@
 package io.dotterelcrank.process.relay;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -49,21 +48,6 @@
 	 */
 	static final long SHORT_TOKENS = 64;
 
-	/**
-	 * Silence of a stream after which it goes on from its copy, in milliseconds; callers
-	 * give up after 2 s.
-	 */
-	static final long SILENT_MILLIS = 1_200;
-
-	/**
-	 * Time between two tries to go on from a copy, in milliseconds; engines send memory
-	 * on several times a second.
-	 */
-	static final long GO_ON_MILLIS = 200;
-
-	/** Time for which a target is avoided after a failed connection, in milliseconds. */
-	static final long AVOID_MILLIS = 1_000;
-
 	/** Time after a planned stop begins from when long requests are refused. */
 	static final long LAST_LONG_MILLIS = 2_500;
 
@@ -73,9 +57,6 @@
 	/** Width of the range of times to come back, in milliseconds. */
 	static final int RETRY_RANGE_MILLIS = 800;
 
-	/** Largest answer that is held whole, in bytes. */
-	static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-
 	/** First status that tells a target's own failure. */
 	private static final int SERVER_ERROR = 500;
 
@@ -95,7 +76,10 @@
 	private final CallerChannel caller;
 
 	/** Targets that may be working on the request. */
-	private final List<Attempt> attempts = new ArrayList<>();
+	private final List<RelayAttempt> attempts = new ArrayList<>();
+
+	/** Lets a run go on elsewhere. */
+	private final Continuation continuation = new Continuation(this);
 
 	/** Ids of targets that were tried. */
 	private final Set<String> tried = new HashSet<>();
@@ -232,12 +216,12 @@
 		return now() - this.request.arrivedMillis() > this.route.goalMillis() * WAIT_PART;
 	}
 
-	private Placement.Demand demand() {
+	Placement.Demand demand() {
 		return Placement.Demand.of(this.request.traits(), this.service.settings().dataCentre(), this.service.hosts());
 	}
 
-	private void send(TargetState chosen, Optional<TargetRequest.RunCopy> copy, String cause) {
-		Optional<TargetEntry> backup = backup(chosen);
+	void send(TargetState chosen, Optional<TargetRequest.RunCopy> copy, String cause) {
+		Optional<TargetEntry> backup = movable() ? this.continuation.backup(chosen) : Optional.empty();
 		this.sends++;
 		if (this.sends > 1) {
 			this.service.budget(this.target.name()).repeated();
@@ -246,17 +230,20 @@
 			chosen.coldLimit().sent();
 		}
 		this.tried.add(chosen.id());
-		Attempt attempt = new Attempt(chosen, backup, copy.isPresent());
+		RelayAttempt attempt = new RelayAttempt(this, chosen, backup, copy.isPresent());
 		this.attempts.add(attempt);
 		LogEvent.REQUEST_SENT.log(logger, this.request.id(), chosen.id(), this.target.name(), this.sends, cause,
 				backup.map(TargetEntry::id).orElse("-"), this.service.plan().version(), chosen.load());
 		this.service.metrics().sent(cause);
 		long leftMillis = Math.max(1, this.request.endsAtMillis() - now());
-		attempt.exchange = this.service.client()
+		OptionalLong from = copy.isPresent() ? OptionalLong.of(lastEventId()) : OptionalLong.empty();
+		attempt.sentBy(this.service.client()
 			.send(new TargetRequest(this.request, chosen.target().entry(), this.workspace.map(Workspace::name),
-					leftMillis, engineRank(), this.route.kind() == RequestKind.IDEMPOTENT, copy,
-					copy.isPresent() ? OptionalLong.of(this.lastEventId.orElse(0)) : OptionalLong.empty(), backup),
-					attempt);
+					leftMillis, engineRank(), this.route.kind() == RequestKind.IDEMPOTENT, copy, from, backup),
+					attempt));
+		if (copy.isEmpty()) {
+			this.continuation.runsAt(attempt);
+		}
 	}
 
 	private OptionalInt engineRank() {
@@ -264,17 +251,6 @@
 				: OptionalInt.empty();
 	}
 
-	private Optional<TargetEntry> backup(TargetState chosen) {
-		boolean worthwhile = movable() && this.target.engine().filter(ServiceSpec.EngineSpec::backups).isPresent();
-		if (!worthwhile) {
-			return Optional.empty();
-		}
-		Placement.Demand near = new Placement.Demand(demand().promptTokens(), demand().expectedTokens(),
-				chosen.target().entry().dataCentre(), this.service.hosts());
-		TargetState holder = this.service.book().choose(this.target, near, Set.of(chosen.id())).target();
-		return Optional.ofNullable(holder).map((state) -> state.target().entry());
-	}
-
 	private boolean movable() {
 		return streaming() && this.request.traits()
 			.map(GenerationTraits::maxTokens)
@@ -290,7 +266,7 @@
 		return this.workspace.map(Workspace::priority).orElse(OptionalInt.empty()).orElse(this.route.priority());
 	}
 
-	private long now() {
+	long now() {
 		return this.service.clock().millis();
 	}
 
@@ -298,19 +274,14 @@
 	 * Looks whether the stream has to go on elsewhere, or an idempotent request is late.
 	 */
 	void look() {
-		if (this.done || this.route == null || this.attempts.size() != 1) {
+		if (this.done || this.attempts.size() != 1) {
 			return;
 		}
-		Attempt only = this.attempts.get(0);
 		if (movable()) {
-			boolean ending = only.target.leaving() || !only.target.target().listed();
-			boolean silent = this.begun && now() - this.lastEventMillis > SILENT_MILLIS;
-			if ((ending || silent) && now() >= only.goOnAtMillis) {
-				goOn(only, ending ? "leaving" : "silent");
-			}
+			this.continuation.look();
 		}
 		else if (this.route.kind() == RequestKind.IDEMPOTENT
-				&& now() - only.sentMillis > this.route.goalMillis() * HEDGE_PART) {
+				&& now() - this.attempts.get(0).sentMillis() > this.route.goalMillis() * HEDGE_PART) {
 			hedge();
 		}
 	}
@@ -325,28 +296,10 @@
 		}
 	}
 
-	private boolean budgetAllows() {
+	boolean budgetAllows() {
 		return this.service.budget(this.target.name()).allows(this.service.hosts());
 	}
 
-	/**
-	 * Lets the run go on at the engine that keeps its copy.
-	 * @param from the run
-	 * @param cause why
-	 * @return whether the run is on its way
-	 */
-	private boolean goOn(Attempt from, String cause) {
-		from.goOnAtMillis = now() + GO_ON_MILLIS;
-		Optional<TargetState> holder = from.backup.flatMap((entry) -> this.service.book().find(entry.id()))
-			.filter((state) -> state.target().listed() && !state.avoided());
-		LogEvent.RUN_GOES_ON.log(logger, this.request.id(), from.target.id(), holder.map(TargetState::id).orElse("-"),
-				cause, this.lastEventId.orElse(0));
-		this.service.metrics().handover(holder.isPresent() ? "begun" : "without-copy");
-		holder.ifPresent((state) -> send(state,
-				Optional.of(new TargetRequest.RunCopy(state.target().entry(), this.request.id())), cause));
-		return holder.isPresent();
-	}
-
 	private void expired() {
 		if (this.done) {
 			return;
@@ -355,7 +308,7 @@
 	}
 
 	private void refuseOrFail(ResultCode code, String message) {
-		boolean written = this.mayHaveRun || this.attempts.stream().anyMatch((attempt) -> attempt.exchange.written());
+		boolean written = this.mayHaveRun || this.attempts.stream().anyMatch(RelayAttempt::written);
 		if (this.begun) {
 			end("cut", message);
 			this.caller.abort();
@@ -380,7 +333,7 @@
 	private void end(String outcome, String message) {
 		this.done = true;
 		this.expiry.cancel();
-		List.copyOf(this.attempts).forEach(Attempt::close);
+		List.copyOf(this.attempts).forEach(RelayAttempt::close);
 		this.service.ended(this);
 		long millis = now() - this.request.arrivedMillis();
 		String kind = (this.route != null) ? this.route.kind().name() : "UNROUTED";
@@ -403,21 +356,24 @@
 	 * @param writable whether pieces may be sent
 	 */
 	public void callerWritable(boolean writable) {
-		this.attempts.forEach((attempt) -> attempt.exchange.read(writable));
+		this.attempts.forEach((attempt) -> attempt.read(writable));
 	}
 
-	private void failed(Attempt attempt, Ran ran, String reason) {
-		attempt.leave();
+	/**
+	 * An attempt has ended without an answer.
+	 * @param attempt the attempt
+	 * @param ran whether its target has run the request
+	 * @param reason what happened
+	 */
+	void failed(RelayAttempt attempt, Ran ran, String reason) {
 		this.mayHaveRun |= ran != Ran.NO;
-		LogEvent.SEND_FAILED.log(logger, this.request.id(), attempt.target.id(), ran.word(), reason);
+		LogEvent.SEND_FAILED.log(logger, this.request.id(), attempt.target().id(), ran.word(), reason);
 		if (this.done || !this.attempts.isEmpty()) {
 			return;
 		}
-		boolean started = this.begun || this.mayHaveRun;
-		if (movable() && started) {
-			boolean held = attempt.streaming || !attempt.resumed;
-			if (!held || !goOn(attempt, "broken")) {
-				refuseOrFail(ResultCode.TARGET_LOST, reason);
+		if (movable() && (this.begun || this.mayHaveRun)) {
+			if (!this.continuation.broken()) {
+				runLost(reason);
 			}
 			return;
 		}
@@ -436,193 +392,132 @@
 	}
 
 	/**
-	 * The request at one target.
+	 * Ends a request whose run cannot go on.
+	 * @param reason what happened
 	 */
-	private final class Attempt implements TargetClient.Listener {
-
-		/** The target. */
-		private final TargetState target;
-
-		/** Engine that keeps a copy of the run. */
-		private final Optional<TargetEntry> backup;
-
-		/** The request in the target's book. */
-		private final TargetState.OwnRun run;
-
-		/** When it was sent, in milliseconds. */
-		private final long sentMillis = now();
-
-		/** Cuts the stream into events. */
-		private final EventFramer framer = new EventFramer();
-
-		/** Body of a plain answer. */
-		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-
-		/** The exchange. */
-		private TargetClient.Exchange exchange;
-
-		/** Head of the answer, or {@code null} before it arrived. */
-		private TargetClient.Head head;
-
-		/** Whether it goes on from a copy. */
-		private final boolean resumed;
-
-		/** Whether its stream has begun. */
-		private boolean streaming;
-
-		/** When it may be tried to go on elsewhere, in milliseconds. */
-		private long goOnAtMillis;
-
-		Attempt(TargetState target, Optional<TargetEntry> backup, boolean resumed) {
-			this.target = target;
-			this.backup = backup;
-			this.resumed = resumed;
-			long promptTokens = Relay.this.request.traits().map(GenerationTraits::promptTokens).orElse(0L);
-			long expected = Relay.this.request.traits().map(GenerationTraits::expectedTokens).orElse(0L);
-			this.run = target.sent(promptTokens, expected);
+	void runLost(String reason) {
+		if (!this.done) {
+			refuseOrFail(ResultCode.TARGET_LOST, reason);
 		}
+	}
 
-		private void leave() {
-			this.target.ended(this.run);
-			Relay.this.attempts.remove(this);
+	/**
+	 * A stream of events has begun: it replaces that of any other attempt.
+	 * @param attempt the attempt
+	 * @param head head of its answer
+	 */
+	void streamBegun(RelayAttempt attempt, TargetClient.Head head) {
+		List.copyOf(this.attempts).stream().filter((other) -> other != attempt).forEach(RelayAttempt::close);
+		this.continuation.runsAt(attempt);
+		if (!this.begun) {
+			this.begun = true;
+			this.lastEventMillis = now();
+			this.caller.begin(head.status(), head.headers());
 		}
-
-		private void close() {
-			leave();
-			this.exchange.cancel();
+		else {
+			this.service.metrics().handover("done");
+			LogEvent.RUN_WENT_ON.log(logger, this.request.id(), attempt.target().id(), lastEventId(), silentMillis());
 		}
+	}
 
-		@Override
-		public void head(TargetClient.Head received) {
-			this.head = received;
-			if (received.misdirected() || received.ran() == Ran.NO) {
-				if (!this.resumed) {
-					this.target.avoid(AVOID_MILLIS);
-				}
-				this.exchange.cancel();
-				Relay.this.failed(this, Ran.NO, "refused with status " + received.status());
-				return;
-			}
-			if (received.success() && !received.sealed()) {
-				broken("answer without a seal");
-				return;
+	/**
+	 * Passes an event on, unless the caller has it already.
+	 * @param attempt the attempt that it comes from
+	 * @param event the event
+	 * @return whether the attempt may go on
+	 */
+	boolean pass(RelayAttempt attempt, EventFramer.Event event) {
+		if (event.id().isPresent()) {
+			long id = event.id().getAsLong();
+			if (this.lastEventId.isPresent() && id <= this.lastEventId.getAsLong()) {
+				return true;
 			}
-			if (received.success() && received.events()) {
-				beginStream();
+			if (this.lastEventId.isPresent() && id != this.lastEventId.getAsLong() + 1) {
+				attempt.broken("event " + id + " after event " + this.lastEventId.getAsLong());
+				return false;
 			}
+			this.lastEventId = event.id();
 		}
-
-		private void beginStream() {
-			Relay relay = Relay.this;
-			this.run.started();
-			this.streaming = true;
-			this.target.succeeded(now() - this.sentMillis);
-			List.copyOf(relay.attempts).stream().filter((other) -> other != this).forEach(Attempt::close);
-			if (!relay.begun) {
-				relay.begun = true;
-				relay.lastEventMillis = now();
-				relay.caller.begin(this.head.status(), this.head.headers());
-			}
-			else {
-				relay.service.metrics().handover("done");
-				LogEvent.RUN_WENT_ON.log(logger, relay.request.id(), this.target.id(), relay.lastEventId.orElse(0),
-						now() - relay.lastEventMillis);
-			}
+		this.lastEventMillis = now();
+		if (this.firstMillis < 0) {
+			this.firstMillis = this.lastEventMillis - this.request.arrivedMillis();
 		}
-
-		@Override
-		public void body(byte[] piece) {
-			if (this.head.success() && this.head.events()) {
-				for (EventFramer.Event event : this.framer.take(piece)) {
-					if (Relay.this.done || !pass(event)) {
-						return;
-					}
-				}
-				return;
-			}
-			this.body.writeBytes(piece);
-			if (this.body.size() > MAX_ANSWER_BYTES) {
-				broken("answer larger than " + MAX_ANSWER_BYTES + " bytes");
-			}
+		this.caller.write(event.bytes());
+		if (!this.caller.writable()) {
+			attempt.read(false);
 		}
+		return true;
+	}
 
-		private boolean pass(EventFramer.Event event) {
-			Relay relay = Relay.this;
-			if (event.id().isPresent()) {
-				long id = event.id().getAsLong();
-				if (relay.lastEventId.isPresent() && id <= relay.lastEventId.getAsLong()) {
-					return true;
-				}
-				if (relay.lastEventId.isPresent() && id != relay.lastEventId.getAsLong() + 1) {
-					broken("event " + id + " after event " + relay.lastEventId.getAsLong());
-					return false;
-				}
-				relay.lastEventId = event.id();
-			}
-			relay.lastEventMillis = now();
-			if (relay.firstMillis < 0) {
-				relay.firstMillis = relay.lastEventMillis - relay.request.arrivedMillis();
-			}
-			relay.caller.write(event.bytes());
-			if (!relay.caller.writable()) {
-				this.exchange.read(false);
-			}
-			return true;
-		}
+	void streamComplete() {
+		end("served", "stream complete");
+		this.caller.end();
+	}
 
-		@Override
-		public void complete() {
-			Relay relay = Relay.this;
-			if (this.head.success() && this.head.events()) {
-				if (this.framer.restBytes() > 0) {
-					broken("stream ended inside an event");
-					return;
-				}
-				leave();
-				relay.end("served", "stream complete");
-				relay.caller.end();
-				return;
-			}
-			leave();
-			if (this.head.status() >= SERVER_ERROR) {
-				this.target.failed();
-				if (relay.route.kind() == RequestKind.IDEMPOTENT && repeatFailed()) {
-					return;
-				}
-			}
-			else {
-				this.target.succeeded(now() - this.sentMillis);
-			}
-			relay.end((this.head.success()) ? "served" : "failed-by-target", "status " + this.head.status());
-			relay.caller.answer(this.head.status(), this.head.headers(), this.body.toByteArray());
+	/**
+	 * A target has given a whole answer.
+	 * @param head head of the answer
+	 * @param body its body
+	 */
+	void answered(TargetClient.Head head, byte[] body) {
+		if (head.status() >= SERVER_ERROR && this.route.kind() == RequestKind.IDEMPOTENT && repeatFailed()) {
+			return;
 		}
+		end(head.success() ? "served" : "failed-by-target", "status " + head.status());
+		this.caller.answer(head.status(), head.headers(), body);
+	}
 
-		private boolean repeatFailed() {
-			Relay relay = Relay.this;
-			relay.mayHaveRun = true;
-			if (!relay.attempts.isEmpty()) {
-				return true;
-			}
-			if (!relay.mayRepeat() || !relay.budgetAllows()) {
-				return false;
-			}
-			return relay.place();
-		}
+	private boolean repeatFailed() {
+		this.mayHaveRun = true;
+		return !this.attempts.isEmpty() || (mayRepeat() && budgetAllows() && place());
+	}
 
-		private void broken(String reason) {
-			this.exchange.cancel();
-			failed(Ran.YES, reason);
-		}
+	void left(RelayAttempt attempt) {
+		this.attempts.remove(attempt);
+	}
 
-		@Override
-		public void failed(Ran ran, String reason) {
-			if (ran == Ran.NO) {
-				this.target.avoid(AVOID_MILLIS);
-			}
-			this.target.failed();
-			Relay.this.failed(this, ran, reason);
-		}
+	/**
+	 * Returns the id of the last event that the caller has.
+	 * @return the id; 0 before the first event
+	 */
+	long lastEventId() {
+		return this.lastEventId.orElse(0);
+	}
+
+	/**
+	 * Returns how long the caller has had no event.
+	 * @return time in milliseconds; 0 before the stream has begun
+	 */
+	long silentMillis() {
+		return this.begun ? now() - this.lastEventMillis : 0;
+	}
+
+	String id() {
+		return this.request.id();
+	}
+
+	CallerRequest request() {
+		return this.request;
+	}
+
+	boolean done() {
+		return this.done;
+	}
+
+	ServiceSpec service() {
+		return this.target;
+	}
+
+	TargetBook targets() {
+		return this.service.book();
+	}
+
+	TargetClient client() {
+		return this.service.client();
+	}
 
+	RelayMetrics metrics() {
+		return this.service.metrics();
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -1,8 +1,11 @@
 package io.dotterelcrank.process.relay;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.function.Consumer;
 
+import io.dotterelcrank.process.membership.TargetEntry;
 import io.dotterelcrank.request.Header;
 import io.dotterelcrank.request.Ran;
 
@@ -20,6 +23,55 @@
 	 */
 	Exchange send(TargetRequest request, Listener listener);
 
+	/**
+	 * Has an engine copy the memory of a run to another engine.
+	 * @param request what to copy where
+	 * @param listener hears of the outcome, once
+	 */
+	void copy(CopyRequest request, Consumer<CopyAnswer> listener);
+
+	/**
+	 * A copy of a run's memory that is asked for. Immutable.
+	 *
+	 * @param runId id of the attempt that started the run
+	 * @param source engine that runs it
+	 * @param holder engine that is to hold the copy
+	 * @param last whether the run stops first, so that the copy is whole
+	 */
+	record CopyRequest(String runId, TargetEntry source, TargetEntry holder, boolean last) {
+	}
+
+	/**
+	 * Outcome of a copy. Immutable.
+	 *
+	 * @param outcome what happened
+	 * @param handle name of the copy at the source, if there is one
+	 */
+	record CopyAnswer(CopyOutcome outcome, Optional<String> handle) {
+	}
+
+	/**
+	 * What happened to a copy. Immutable.
+	 */
+	enum CopyOutcome {
+
+		/** The holder has it. */
+		COPIED,
+
+		/** The source runs no such request. */
+		UNKNOWN_RUN,
+
+		/** An earlier copy of the run is under way. */
+		BUSY,
+
+		/** The holder has no room, or the source cannot reach it. */
+		NO_ROOM,
+
+		/** The source did not answer, or not as expected. */
+		UNANSWERED
+
+	}
+
 	/**
 	 * A request that was sent.
 	 */
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetRequest.java
@@ -25,12 +25,13 @@
 		Optional<TargetEntry> backup) {
 
 	/**
-	 * Where the memory of a run is copied to. Immutable.
+	 * A copy of a run's memory. Immutable.
 	 *
-	 * @param holder target that holds the copy
+	 * @param holder target that holds the copy, and at which the run goes on
+	 * @param namedBy target whose address names the copy
 	 * @param handle name of the copy there
 	 */
-	public record RunCopy(TargetEntry holder, String handle) {
+	public record RunCopy(TargetEntry holder, TargetEntry namedBy, String handle) {
 	}
 
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargets.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargets.java
@@ -3,7 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.function.Consumer;
 
 import io.dotterelcrank.request.Ran;
 
@@ -15,6 +17,12 @@
 	/** Exchanges in the order in which they were sent. */
 	private final List<Sent> sent = new ArrayList<>();
 
+	/** Copies that were asked for. */
+	private final List<CopyRequest> copies = new ArrayList<>();
+
+	/** Hear of the copies' outcomes. */
+	private final List<Consumer<CopyAnswer>> copyListeners = new ArrayList<>();
+
 	@Override
 	public Exchange send(TargetRequest request, Listener listener) {
 		Sent exchange = new Sent(request, listener);
@@ -22,6 +30,24 @@
 		return exchange;
 	}
 
+	@Override
+	public void copy(CopyRequest request, Consumer<CopyAnswer> listener) {
+		this.copies.add(request);
+		this.copyListeners.add(listener);
+	}
+
+	CopyRequest copy(int index) {
+		return this.copies.get(index);
+	}
+
+	int copies() {
+		return this.copies.size();
+	}
+
+	void answerCopy(int index, CopyOutcome outcome, String handle) {
+		this.copyListeners.get(index).accept(new CopyAnswer(outcome, Optional.ofNullable(handle)));
+	}
+
 	Sent sent(int index) {
 		return this.sent.get(index);
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -59,6 +59,9 @@
 		list("e1", "bench", false);
 		list("e2", "bench", false);
 		list("e3", "bench", false);
+		load("e1", 0, 0);
+		load("e2", 0, 0);
+		load("e3", 0, 0);
 		list("p1", "desk", false);
 		list("p2", "desk", false);
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
@@ -189,7 +189,7 @@
 		this.fixture.list(sent(0).request().target().id(), "bench", true);
 		sent(1).refuse(503);
 		sent(0).event(1);
-		this.fixture.advance(Relay.GO_ON_MILLIS + RelayService.TICK_MILLIS);
+		this.fixture.advance(Continuation.RETRY_MILLIS + RelayService.TICK_MILLIS);
 		assertThat(sends()).isEqualTo(3);
 		sent(2).stream();
 		sent(2).event(2);
@@ -237,7 +237,7 @@
 		this.fixture.accept("/notes/1", this.caller);
 		sent(0).stream();
 		sent(0).event(1);
-		this.fixture.advance(Relay.SILENT_MILLIS + RelayService.TICK_MILLIS);
+		this.fixture.advance(Continuation.SILENT_MILLIS + RelayService.TICK_MILLIS);
 		assertThat(sent(1).request().lastEventId()).hasValue(1);
 	}
 
@@ -291,4 +291,93 @@
 		assertThat(this.fixture.service().dump()).containsEntry("planVersion", 5L);
 	}
 
+	private void crowdEngines() {
+		for (String id : new String[] { "e1", "e2", "e3" }) {
+			this.fixture.load(id, 4, RelayFixture.MEMORY_TOKENS * 6 / 10);
+		}
+	}
+
+	@Test
+	void crowdedEnginesKeepNoBackup() {
+		crowdEngines();
+		this.fixture.accept("/notes/1", this.caller);
+		assertThat(sent(0).request().backup()).isEmpty();
+	}
+
+	@Test
+	void runWithoutBackupIsCopiedTwiceAndGoesOnAtTheHolder() {
+		crowdEngines();
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		this.fixture.list(sent(0).request().target().id(), "bench", true);
+		RecordingTargets targets = this.fixture.targets();
+		assertThat(targets.copy(0).last()).isFalse();
+		targets.answerCopy(0, TargetClient.CopyOutcome.COPIED, "h1");
+		assertThat(targets.copy(1).last()).isTrue();
+		assertThat(targets.copy(1).holder()).isEqualTo(targets.copy(0).holder());
+		sent(0).event(2);
+		sent(0).fail(Ran.UNKNOWN);
+		assertThat(sends()).isOne();
+		targets.answerCopy(1, TargetClient.CopyOutcome.COPIED, "h1");
+		assertThat(sent(1).request().target()).isEqualTo(targets.copy(0).holder());
+		assertThat(sent(1).request().copy().orElseThrow().namedBy().id()).isEqualTo(sent(0).request().target().id());
+		assertThat(sent(1).request().lastEventId()).hasValue(2);
+		sent(1).stream();
+		sent(1).event(3);
+		sent(1).complete();
+		assertThat(this.caller.ids()).isEqualTo("1 2 3");
+	}
+
+	@Test
+	void runWhoseCopyFindsNoRoomGoesOnWhereItWas() {
+		crowdEngines();
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		this.fixture.list(sent(0).request().target().id(), "bench", true);
+		RecordingTargets targets = this.fixture.targets();
+		targets.answerCopy(0, TargetClient.CopyOutcome.COPIED, "h1");
+		sent(0).fail(Ran.UNKNOWN);
+		targets.answerCopy(1, TargetClient.CopyOutcome.NO_ROOM, "h1");
+		assertThat(sent(1).request().target().id()).isEqualTo(sent(0).request().target().id());
+	}
+
+	@Test
+	void crashDuringTheFirstCopyEndsTheRun() {
+		crowdEngines();
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		this.fixture.list(sent(0).request().target().id(), "bench", true);
+		sent(0).fail(Ran.UNKNOWN);
+		assertThat(this.caller.ends()).isZero();
+		this.fixture.targets().answerCopy(0, TargetClient.CopyOutcome.UNANSWERED, null);
+		assertThat(this.caller.aborted()).isTrue();
+	}
+
+	@Test
+	void crashAfterTheFirstCopyGoesOnFromIt() {
+		crowdEngines();
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		this.fixture.list(sent(0).request().target().id(), "bench", true);
+		this.fixture.targets().answerCopy(0, TargetClient.CopyOutcome.COPIED, "h1");
+		sent(0).fail(Ran.UNKNOWN);
+		this.fixture.targets().answerCopy(1, TargetClient.CopyOutcome.UNANSWERED, null);
+		assertThat(sent(1).request().copy().orElseThrow().handle()).isEqualTo("h1");
+	}
+
+	@Test
+	void copyAnsweredAfterTheCallerLeftSendsNothing() {
+		crowdEngines();
+		Relay relay = this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		this.fixture.list(sent(0).request().target().id(), "bench", true);
+		relay.callerGone();
+		this.fixture.targets().answerCopy(0, TargetClient.CopyOutcome.COPIED, "h1");
+		assertThat(this.fixture.targets().copies()).isOne();
+		assertThat(sends()).isOne();
+	}
+
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpDialect.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpDialect.java
@@ -46,6 +46,20 @@
 	 */
 	TargetClient.Head head(HttpResponse response, TargetRequest request, boolean reused) throws RequestException;
 
+	/**
+	 * Returns the call that has an engine copy a run's memory.
+	 * @param request what to copy where
+	 * @return the call
+	 */
+	HttpExchanges.Call copyCall(TargetClient.CopyRequest request);
+
+	/**
+	 * Reads the answer to a call for a copy.
+	 * @param reply the answer
+	 * @return what happened
+	 */
+	TargetClient.CopyAnswer copyAnswer(HttpReply reply);
+
 	/**
 	 * Returns the headers of this system's own failure.
 	 * @param failure the failure
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
@@ -1,8 +1,14 @@
 package io.dotterelcrank.daemon.relay;
 
+import java.util.Optional;
+import java.util.function.Consumer;
+
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.process.relay.TargetClient;
 import io.dotterelcrank.process.relay.TargetRequest;
 import io.dotterelcrank.request.Ran;
@@ -16,6 +22,12 @@
 	/** Longest time until a connection to a target is open, in milliseconds. */
 	static final int CONNECT_MILLIS = 400;
 
+	/** Longest time for a copy, in milliseconds; above the notice that engines give. */
+	static final long COPY_MILLIS = 3_000;
+
+	/** Logger of the class. */
+	private static final Logger logger = LoggerFactory.getLogger(HttpTargetClient.class);
+
 	/** Connections to targets. */
 	private final HttpExchanges exchanges;
 
@@ -47,6 +59,17 @@
 		return answer;
 	}
 
+	@Override
+	public void copy(CopyRequest request, Consumer<CopyAnswer> listener) {
+		HttpReply.to(this.exchanges, this.dialect.copyCall(request), COPY_MILLIS).whenComplete((reply, failure) -> {
+			if (failure != null) {
+				LogEvent.COPY_UNANSWERED.log(logger, request.runId(), request.source().id(), failure.getMessage());
+			}
+			listener.accept((failure != null) ? new CopyAnswer(CopyOutcome.UNANSWERED, Optional.empty())
+					: this.dialect.copyAnswer(reply));
+		});
+	}
+
 	/**
 	 * One exchange with a target.
 	 */
