A successor keeps its generation; targets that are not listed yet are not unknown

Cause: (1) a caller that comes back at the same entry host takes over its attempt's id; when the old connection closed, or its deadline passed, it removed the successor from the link, or cancelled its generation. (2) The entry host was ready before it had read any target, and called a model unknown that it had only not read. Change: an attempt ends, or is cancelled, only while the link still carries it; ready needs a target; the host list is read again before a model or service is called unknown.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/AbstractRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/AbstractRequest.java
@@ -45,6 +45,9 @@
 	/** Whether an earlier attempt may have run. */
 	private boolean maybeRan;
 
+	/** Whether the host list was read for this request. */
+	private boolean listChecked;
+
 	/** Whether the caller has heard the end. */
 	private boolean ended;
 
@@ -76,10 +79,11 @@
 	abstract void cancelLimit();
 
 	/**
-	 * Gives the current attempt up at its target, if there is one.
+	 * Gives the current attempt up at its target, if there is one and no other request
+	 * has taken it over.
 	 */
 	void cancelAttempt() {
-		if (this.target != null) {
+		if (this.target != null && this.target.carries(this)) {
 			this.target.send(new Message.Cancel(id()));
 		}
 	}
@@ -106,6 +110,34 @@
 		this.tried.add(choice.host().name());
 	}
 
+	/**
+	 * Reads the host list again if it names no target of a kind, which may just not have
+	 * been read yet. Happens once for a request.
+	 * @param kind which targets serve the request
+	 * @param again tries again after the list was read
+	 * @return whether the list is being read
+	 */
+	boolean readsList(Predicate<HostList.Host> kind, Runnable again) {
+		boolean named = this.entry.targets().exists(kind);
+		if (named || this.listChecked || this.lastFailure != null || this.entry.listFresh()) {
+			return false;
+		}
+		this.listChecked = true;
+		this.entry.readHostList((read) -> {
+			if (this.ended) {
+				return;
+			}
+			if (read) {
+				again.run();
+			}
+			else {
+				fail(Failure.notRun(ResultCode.NOT_READY, "the host list cannot be read")
+					.withRetryAfter(Entry.HOST_LIST_MILLIS));
+			}
+		});
+		return true;
+	}
+
 	/**
 	 * Says why no target was found.
 	 * @param kind which targets serve the request
@@ -170,7 +202,7 @@
 		this.deadline.cancel();
 		cancelLimit();
 		if (this.target != null) {
-			this.target.end(id());
+			this.target.end(this);
 		}
 		this.entry.ended(this);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/CallRequest.java
@@ -83,6 +83,9 @@
 				&& host.role() == HostList.Role.SERVICE;
 		Optional<TargetLink> choice = this.call.keyed() ? hinted(kind)
 				: entry().targets().choose(kind, this.call.workspace(), tried());
+		if (choice.isEmpty() && readsList(kind, this::attempt)) {
+			return;
+		}
 		if (choice.isEmpty()) {
 			fail(noTarget(kind, Failure.notRun(ResultCode.UNKNOWN_SERVICE, "no target serves " + this.call.service())));
 			return;
@@ -189,7 +192,7 @@
 			fail(claimLost());
 			return;
 		}
-		target().end(this.call.id());
+		target().end(this);
 		this.redirected = true;
 		attemptAt(holder.get());
 	}
@@ -211,7 +214,7 @@
 		maybeRan(maybeRan() && !settledByHolder(failure));
 		boolean unconfirmed = failure.code() == ResultCode.CLAIM_UNCONFIRMED;
 		if (safe && another && !unconfirmed && !this.redirected && mayTryAgain(failure)) {
-			target().end(this.call.id());
+			target().end(this);
 			attempt();
 			return;
 		}
@@ -271,7 +274,7 @@
 		boolean keyed = this.call.keyed();
 		tried().remove(target().host().name());
 		if ((notSent || keyed || this.call.idempotent()) && mayTryAgain()) {
-			target().end(this.call.id());
+			target().end(this);
 			attempt();
 			return;
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/Entry.java
@@ -57,6 +57,12 @@
 	/** Advice on when to try again while no target takes work, in milliseconds. */
 	static final long NO_TARGET_RETRY_MILLIS = 1_000;
 
+	/**
+	 * Age up to which the host list is not read again for a target that it lacks, in
+	 * milliseconds.
+	 */
+	static final long LIST_FRESH_MILLIS = 250;
+
 	/** Time between checks whether a planned stop is complete, in milliseconds. */
 	private static final long LEAVE_CHECK_MILLIS = 100;
 
@@ -96,8 +102,11 @@
 	/** Number of ids given out. */
 	private long ids;
 
-	/** Whether the host list has been read once. */
-	private volatile boolean listRead;
+	/** When the host list was last read, in milliseconds. */
+	private long listReadMillis;
+
+	/** Whether the host list has named a target. */
+	private volatile boolean targetsListed;
 
 	/** Whether a planned stop has begun. */
 	private volatile boolean leaving;
@@ -128,7 +137,10 @@
 			Transport transport, Threads threads) {
 		Entry entry = new Entry(identity, hostList, platform, policy, transport, threads);
 		entry.feed.start();
-		threads.scheduler().execute(entry::readHostList);
+		Runnable readList = () -> entry.readHostList((read) -> {
+		});
+		threads.scheduler().execute(readList);
+		threads.scheduler().repeat(HOST_LIST_MILLIS, readList);
 		threads.scheduler().repeat(CHECK_MILLIS, entry.targets::check);
 		threads.scheduler().repeat(Targets.HEARTBEAT_INTERVAL_MILLIS, entry.targets::beat);
 		return entry;
@@ -138,22 +150,36 @@
 		return (this.targets != null) ? this.targets.entryHosts() : List.of(this.identity.name());
 	}
 
-	private void readHostList() {
+	/**
+	 * Reads the host list.
+	 * @param then hears on the control thread whether it was read
+	 */
+	void readHostList(Consumer<Boolean> then) {
 		this.threads.io().execute(() -> {
 			try {
 				List<HostList.Host> hosts = this.hostList.hosts();
 				this.threads.scheduler().execute(() -> {
 					this.targets.listed(hosts);
-					this.listRead = true;
+					this.listReadMillis = this.threads.clock().millis();
+					this.targetsListed |= !this.targets.all().isEmpty();
+					then.accept(true);
 				});
 			}
 			catch (PlatformException ex) {
 				LogEvent.HOST_LIST_UNREADABLE.log(logger, ex.getMessage());
+				this.threads.scheduler().execute(() -> then.accept(false));
 			}
-			this.threads.scheduler().schedule(HOST_LIST_MILLIS, this::readHostList);
 		});
 	}
 
+	/**
+	 * Tells whether the host list was read just now.
+	 * @return {@code true} if reading it again would tell nothing new
+	 */
+	boolean listFresh() {
+		return this.threads.clock().millis() - this.listReadMillis < LIST_FRESH_MILLIS;
+	}
+
 	/**
 	 * Starts a generation.
 	 * @param request the request; its id is ignored
@@ -220,15 +246,17 @@
 	}
 
 	private Failure refusal() {
-		return ready() ? null : Failure.notRun(ResultCode.NOT_READY, "this entry host knows no configuration yet");
+		return ready() ? null
+				: Failure.notRun(ResultCode.NOT_READY, "this entry host knows no configuration, or no target, yet")
+					.withRetryAfter(HOST_LIST_MILLIS);
 	}
 
 	/**
 	 * Tells whether requests can be taken.
-	 * @return {@code true} once configuration and host list are known
+	 * @return {@code true} once configuration and targets are known
 	 */
 	public boolean ready() {
-		return this.holder.ready() && this.listRead;
+		return this.holder.ready() && this.targetsListed;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -136,6 +136,9 @@
 		Predicate<HostList.Host> kind = (host) -> host.model().equals(this.request.model())
 				&& host.role() == HostList.Role.ENGINE;
 		Optional<TargetLink> choice = entry().targets().choose(kind, affinity(), tried());
+		if (choice.isEmpty() && readsList(kind, this::attempt)) {
+			return;
+		}
 		if (choice.isEmpty()) {
 			fail(noTarget(kind, Failure.notRun(ResultCode.UNKNOWN_MODEL, "no target serves " + this.request.model())));
 			return;
@@ -234,7 +237,7 @@
 	}
 
 	private void startAgain() {
-		target().end(this.request.id());
+		target().end(this);
 		if (this.sequencer.nextIndex() > 0) {
 			this.caller.restarted();
 		}
@@ -326,7 +329,6 @@
 		if (ended()) {
 			return;
 		}
-		finish();
 		if (this.caller.streams() && target() != null) {
 			long waitMillis = entry().reconnectMillis();
 			entry().scheduler().schedule(waitMillis, this::cancelUnlessTakenOver);
@@ -334,11 +336,12 @@
 		else {
 			cancelAttempt();
 		}
+		finish();
 	}
 
 	private void cancelUnlessTakenOver() {
 		if (!target().has(id())) {
-			cancelAttempt();
+			target().send(new Message.Cancel(id()));
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/TargetLink.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/TargetLink.java
@@ -152,11 +152,20 @@
 	}
 
 	/**
-	 * Stops passing messages on to an attempt.
-	 * @param id id of the attempt
+	 * Stops passing messages on to an attempt. One that has taken over its id stays.
+	 * @param attempt the attempt
+	 */
+	void end(Attempt attempt) {
+		this.attempts.remove(attempt.id(), attempt);
+	}
+
+	/**
+	 * Tells whether messages are passed on to an attempt.
+	 * @param attempt the attempt
+	 * @return {@code false} if it has ended, or another one has taken over its id
 	 */
-	void end(String id) {
-		this.attempts.remove(id);
+	boolean carries(Attempt attempt) {
+		return this.attempts.get(attempt.id()) == attempt;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
@@ -39,7 +39,7 @@
 	 * Part of an engine's memory up to which it is given backups, so that they leave room
 	 * for new requests.
 	 */
-	static final double BACKUP_PART = 0.6;
+	static final double BACKUP_PART = 0.85;
 
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(Continuation.class);
--- a/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/one_generation.feature
+++ b/dotterelcrank-standin/src/test/resources/io/dotterelcrank/standin/one_generation.feature
@@ -63,6 +63,29 @@
       | entry-a |
       | entry-b |
 
+  Scenario Outline: a caller comes back at <host> before its old connection closes
+    Given a fleet with two engines and two entry hosts
+    When the caller reads some tokens
+    And the caller comes back at "<host>" while its old connection closes
+    Then both parts together are the whole answer
+
+    Examples:
+      | host    |
+      | entry-a |
+      | entry-b |
+
+  Scenario: a caller comes back and its old connection's deadline passes
+    Given a fleet with two engines and two entry hosts
+    When the caller reads some tokens with 4 seconds left
+    And the caller comes back at "entry-a" while its old connection stays open
+    Then both parts together are the whole answer
+
+  Scenario: a model whose targets are not listed yet is not unknown
+    Given an entry host whose host list names no target yet
+    When a generation is asked for at once
+    Then it is refused for now, with a time to come back
+    And the entry host is not ready
+
   Scenario: a generation whose entry host died is cancelled when nobody returns
     Given a fleet with two engines and two entry hosts
     When the caller's entry host dies after some tokens
