--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -207,8 +207,17 @@
 	 * Tells the load of the engine beside the sender.
 	 *
 	 * @param load the load
+	 * @param answer whether the receiver is to answer with {@link Heard}
 	 */
-	record TellLoad(EngineLoad load) implements Message {
+	record TellLoad(EngineLoad load, boolean answer) implements Message {
+	}
+
+	/**
+	 * Sign of life in answer to {@link TellLoad}.
+	 *
+	 * @param address address of the engine whose load was told
+	 */
+	record Heard(String address) implements Message {
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
@@ -54,7 +54,8 @@
 		return message instanceof Message.Hello || message instanceof Message.Welcome
 				|| message instanceof Message.Heartbeat || message instanceof Message.AskConfiguration
 				|| message instanceof Message.TellConfiguration || message instanceof Message.AskRecords
-				|| message instanceof Message.TellRecords || message instanceof Message.TellLoad;
+				|| message instanceof Message.TellRecords || message instanceof Message.TellLoad
+				|| message instanceof Message.Heard;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
@@ -32,6 +32,12 @@
 	 */
 	static final long SILENT_MILLIS = 1_200;
 
+	/**
+	 * Time from the first event until a copy is worth asking for, in milliseconds; an
+	 * engine knows no run before, and has sent none of its memory on.
+	 */
+	static final long LEAST_STREAM_MILLIS = 150;
+
 	/** Tries to go on from a backup before a copy is made instead. */
 	static final int MAX_BACKUP_TRIES = 2;
 
@@ -106,7 +112,8 @@
 	 * Lets the run go on elsewhere if its engine is about to leave, or is silent.
 	 */
 	void look() {
-		if (this.source == null || this.copying || this.relay.now() < this.nextTryMillis) {
+		boolean held = this.source != null && this.source.streamingMillis() >= LEAST_STREAM_MILLIS;
+		if (!held || this.copying || this.relay.now() < this.nextTryMillis) {
 			return;
 		}
 		boolean leaving = this.source.target().leaving() || !this.source.target().target().listed();
@@ -147,9 +154,15 @@
 
 	private void copy() {
 		TargetState holder = holder(this.source.target());
-		if (holder != null) {
+		if (holder == null || !this.relay.budgetAllows()) {
+			return;
+		}
+		if (this.source.target().beginMove()) {
 			copyTo(holder.target().entry(), false);
 		}
+		else {
+			this.nextTryMillis = this.relay.now();
+		}
 	}
 
 	private void copyTo(TargetEntry holder, boolean last) {
@@ -162,7 +175,12 @@
 			LogEvent.RUN_COPIED.log(logger, this.relay.id(), from.target().id(), holder.id(), last, answer.outcome(),
 					this.relay.now() - startedMillis);
 			this.relay.metrics().handover("copy-" + answer.outcome());
-			if (!this.relay.done() && this.source == from) {
+			boolean current = !this.relay.done() && this.source == from;
+			boolean lastFollows = current && !last && whole(answer) && from.alive();
+			if (!lastFollows) {
+				from.target().endMove();
+			}
+			if (current) {
 				this.copying = false;
 				copied(holder, last, answer);
 			}
@@ -170,7 +188,7 @@
 	}
 
 	private void copied(TargetEntry holder, boolean last, TargetClient.CopyAnswer answer) {
-		boolean whole = answer.outcome() == TargetClient.CopyOutcome.COPIED && answer.handle().isPresent();
+		boolean whole = whole(answer);
 		if (whole) {
 			this.moved = new TargetRequest.RunCopy(holder, this.source.target().target().entry(),
 					answer.handle().get());
@@ -191,6 +209,10 @@
 		}
 	}
 
+	private static boolean whole(TargetClient.CopyAnswer answer) {
+		return answer.outcome() == TargetClient.CopyOutcome.COPIED && answer.handle().isPresent();
+	}
+
 	/**
 	 * Lets a run that was stopped for its last copy go on where it was.
 	 * @param handle name of its memory there
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -37,8 +37,14 @@
 	/** Targets that a request is sent to at most, if all before refused it. */
 	static final int MAX_SENDS = 3;
 
-	/** Part of the goal that a request waits for room at most. */
-	static final double WAIT_PART = 0.6;
+	/** Part of the goal that a request may wait for room. */
+	static final double WAIT_GOAL_PART = 0.6;
+
+	/**
+	 * Part of the deadline that a request may wait for room, if that is longer: a late
+	 * answer is worth more to its caller than none.
+	 */
+	static final double WAIT_DEADLINE_PART = 0.15;
 
 	/** Part of the goal after which an idempotent request is also sent elsewhere. */
 	static final double HEDGE_PART = 0.5;
@@ -213,7 +219,9 @@
 	}
 
 	private boolean waitedTooLong() {
-		return now() - this.request.arrivedMillis() > this.route.goalMillis() * WAIT_PART;
+		double longestMillis = Math.max(this.route.goalMillis() * WAIT_GOAL_PART,
+				this.request.deadlineMillis() * WAIT_DEADLINE_PART);
+		return now() - this.request.arrivedMillis() > longestMillis;
 	}
 
 	Placement.Demand demand() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -52,8 +52,8 @@
 	/** Head of the answer, or {@code null} before it arrived. */
 	private TargetClient.Head head;
 
-	/** Whether its stream has begun. */
-	private boolean streaming;
+	/** When its stream began, in milliseconds; -1 before. */
+	private long streamedAtMillis = -1;
 
 	/** Whether the target may still answer. */
 	private boolean alive = true;
@@ -80,12 +80,12 @@
 		return this.backup;
 	}
 
-	boolean resumed() {
-		return this.resumed;
-	}
-
-	boolean streaming() {
-		return this.streaming;
+	/**
+	 * Returns how long its stream has run.
+	 * @return time in milliseconds; -1 if it has not begun
+	 */
+	long streamingMillis() {
+		return (this.streamedAtMillis < 0) ? -1 : this.relay.now() - this.streamedAtMillis;
 	}
 
 	boolean alive() {
@@ -133,7 +133,7 @@
 		}
 		else if (events()) {
 			this.run.started();
-			this.streaming = true;
+			this.streamedAtMillis = this.relay.now();
 			this.target.succeeded(this.relay.now() - this.sentMillis);
 			this.relay.streamBegun(this, received);
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
@@ -31,6 +31,9 @@
 	/** Requests of this process that are there. */
 	private final Set<OwnRun> own = new LinkedHashSet<>();
 
+	/** Whether a run of this process is being moved off the engine. */
+	private boolean moving;
+
 	/** The target. */
 	private Target target;
 
@@ -98,6 +101,21 @@
 		return this.target.open() && !leaving();
 	}
 
+	/**
+	 * Begins to move a run off the engine. An engine sends one copy after another, so a
+	 * second move would only delay the first.
+	 * @return {@code false} if another move of this process is under way
+	 */
+	boolean beginMove() {
+		boolean free = !this.moving;
+		this.moving = true;
+		return free;
+	}
+
+	void endMove() {
+		this.moving = false;
+	}
+
 	boolean avoided() {
 		return this.clock.millis() < this.avoidUntilMillis;
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -30,6 +31,12 @@
 	/** Longest time between two messages, in milliseconds. */
 	static final long TELL_MILLIS = 1_000;
 
+	/** Time without an answer after which a link is replaced, in milliseconds. */
+	static final long SILENCE_MILLIS = 3_000;
+
+	/** Time until a link that ended is opened again, in milliseconds. */
+	static final long REOPEN_MILLIS = 500;
+
 	/** Shortest time between two messages of mere load, in milliseconds. */
 	static final long LEAST_MILLIS = 100;
 
@@ -49,7 +56,7 @@
 	private final RelayProcess process;
 
 	/** Links to entry hosts, by address. */
-	private final Map<InetSocketAddress, Link> links = new HashMap<>();
+	private final Map<InetSocketAddress, EntryLink> links = new HashMap<>();
 
 	/** Load last told, or {@code null}. */
 	private EngineLoad told;
@@ -91,12 +98,11 @@
 		this.links.entrySet().removeIf((link) -> {
 			boolean gone = !wanted.contains(link.getKey());
 			if (gone) {
-				link.getValue().close();
+				link.getValue().link.close();
 			}
 			return gone;
 		});
-		wanted.forEach((address) -> this.links.computeIfAbsent(address,
-				(peer) -> this.process.transport().open(peer, new EntryListener(peer))));
+		wanted.forEach((address) -> this.links.computeIfAbsent(address, EntryLink::new));
 	}
 
 	private void look() {
@@ -119,7 +125,7 @@
 		if (worthTelling(load)) {
 			this.told = load;
 			this.toldAtMillis = this.process.clock().millis();
-			this.links.values().forEach((link) -> link.send(new Message.TellLoad(load)));
+			List.copyOf(this.links.values()).forEach((link) -> link.tell(load));
 		}
 	}
 
@@ -145,40 +151,61 @@
 	}
 
 	/**
-	 * Hears of the end of a link to an entry host.
+	 * Link to one entry host. Belongs to the control thread.
 	 */
-	private final class EntryListener implements Link.Listener {
+	private final class EntryLink implements Link.Listener {
 
 		/** Address of the entry host. */
 		private final InetSocketAddress address;
 
-		EntryListener(InetSocketAddress address) {
+		/** The link. */
+		private final Link link;
+
+		/** When the entry host was last heard, or the link was made, in milliseconds. */
+		private long heardMillis;
+
+		/** When an answer was last asked for, in milliseconds. */
+		private long askedMillis;
+
+		EntryLink(InetSocketAddress address) {
 			this.address = address;
+			this.heardMillis = RelaySidecarDaemon.this.process.clock().millis();
+			this.link = RelaySidecarDaemon.this.process.transport().open(address, this);
+		}
+
+		void tell(EngineLoad load) {
+			long nowMillis = RelaySidecarDaemon.this.process.clock().millis();
+			if (nowMillis - this.heardMillis > SILENCE_MILLIS) {
+				this.link.close();
+				return;
+			}
+			boolean ask = nowMillis - this.askedMillis >= TELL_MILLIS;
+			if (ask) {
+				this.askedMillis = nowMillis;
+			}
+			this.link.send(new Message.TellLoad(load, ask));
 		}
 
 		@Override
-		public void opened(Link link) {
-			RelaySidecarDaemon.this.process.control().execute(() -> {
-				if (RelaySidecarDaemon.this.told != null) {
-					link.send(new Message.TellLoad(RelaySidecarDaemon.this.told));
-				}
-			});
+		public void opened(Link opened) {
+			// The load follows within a second.
 		}
 
 		@Override
-		public void received(Link link, long version, Message message) {
-			// Entry hosts do not answer.
+		public void received(Link sender, long version, Message message) {
+			RelaySidecarDaemon.this.process.control()
+				.execute(() -> this.heardMillis = RelaySidecarDaemon.this.process.clock().millis());
 		}
 
 		@Override
-		public void writable(Link link) {
+		public void writable(Link free) {
 			// Loads are small.
 		}
 
 		@Override
-		public void closed(Link link) {
-			RelaySidecarDaemon.this.process.control().schedule(TELL_MILLIS, () -> {
-				if (RelaySidecarDaemon.this.links.remove(this.address, link)) {
+		public void closed(Link ended) {
+			RelaySidecarDaemon.this.process.control().schedule(REOPEN_MILLIS, () -> {
+				if (RelaySidecarDaemon.this.links.remove(this.address, this)) {
 					connect();
 				}
 			});
