Runs go on from the first copy while their engine still streams

Change: the holder goes on from the copy and reads the tokens produced meanwhile; the engine before is given up when the next one streams. Nothing is looked after once its engine has ended.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -140,7 +140,7 @@
 	RUN_WENT_ON(829, Level.INFO, "request={} went on at={} lastEvent={} silentMillis={}"),
 
 	/** The memory of a run was to be copied to another engine. */
-	RUN_COPIED(830, Level.INFO, "request={} copied from={} to={} last={} outcome={} millis={}"),
+	RUN_COPIED(830, Level.INFO, "request={} copied from={} to={} outcome={} millis={}"),
 
 	/** An engine did not answer a call for a copy of a run. */
 	COPY_UNANSWERED(831, Level.INFO, "request={} target={} copy not answered reason=\"{}\"");
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
@@ -62,9 +62,6 @@
 	/** Whether the backup was tried after the run's engine had broken off. */
 	private boolean backupTriedAfterEnd;
 
-	/** Copy that was made for a move, or {@code null}. */
-	private TargetRequest.RunCopy moved;
-
 	/** Whether a copy is under way. */
 	private boolean copying;
 
@@ -104,7 +101,6 @@
 		this.source = attempt;
 		this.backupTries = 0;
 		this.backupTriedAfterEnd = false;
-		this.moved = null;
 		this.copying = false;
 	}
 
@@ -112,7 +108,8 @@
 	 * Lets the run go on elsewhere if its engine is about to leave, or is silent.
 	 */
 	void look() {
-		boolean held = this.source != null && this.source.streamingMillis() >= LEAST_STREAM_MILLIS;
+		boolean held = this.source != null && this.source.alive()
+				&& this.source.streamingMillis() >= LEAST_STREAM_MILLIS;
 		if (!held || this.copying || this.relay.now() < this.nextTryMillis) {
 			return;
 		}
@@ -158,72 +155,51 @@
 			return;
 		}
 		if (this.source.target().beginMove()) {
-			copyTo(holder.target().entry(), false);
+			copyTo(holder.target().entry());
 		}
 		else {
 			this.nextTryMillis = this.relay.now();
 		}
 	}
 
-	private void copyTo(TargetEntry holder, boolean last) {
+	private void copyTo(TargetEntry holder) {
 		RelayAttempt from = this.source;
 		this.copying = true;
 		long startedMillis = this.relay.now();
 		TargetClient.CopyRequest request = new TargetClient.CopyRequest(this.relay.id(), from.target().target().entry(),
-				holder, last);
+				holder);
 		this.relay.client().copy(request, (answer) -> {
-			LogEvent.RUN_COPIED.log(logger, this.relay.id(), from.target().id(), holder.id(), last, answer.outcome(),
+			LogEvent.RUN_COPIED.log(logger, this.relay.id(), from.target().id(), holder.id(), answer.outcome(),
 					this.relay.now() - startedMillis);
 			this.relay.metrics().handover("copy-" + answer.outcome());
-			boolean current = !this.relay.done() && this.source == from;
-			boolean lastFollows = current && !last && whole(answer) && from.alive();
-			if (!lastFollows) {
-				from.target().endMove();
-			}
-			if (current) {
+			from.target().endMove();
+			if (!this.relay.done() && this.source == from) {
 				this.copying = false;
-				copied(holder, last, answer);
+				copied(holder, answer);
 			}
 		});
 	}
 
-	private void copied(TargetEntry holder, boolean last, TargetClient.CopyAnswer answer) {
-		boolean whole = whole(answer);
-		if (whole) {
-			this.moved = new TargetRequest.RunCopy(holder, this.source.target().target().entry(),
+	/**
+	 * A copy was made, or not, while the run went on. The holder reads the tokens that
+	 * were produced meanwhile, so that the caller sees no pause.
+	 * @param holder engine that is to hold the copy
+	 * @param answer outcome of the copy
+	 */
+	private void copied(TargetEntry holder, TargetClient.CopyAnswer answer) {
+		if (answer.outcome() == TargetClient.CopyOutcome.COPIED && answer.handle().isPresent()) {
+			TargetRequest.RunCopy copy = new TargetRequest.RunCopy(holder, this.source.target().target().entry(),
 					answer.handle().get());
-		}
-		if (whole && !last && this.source.alive()) {
-			copyTo(holder, true);
-		}
-		else if (whole && last) {
-			if (!goOn(this.moved, "moved")) {
-				this.relay.runLost("no engine goes on with the run that was moved");
+			this.nextTryMillis = this.relay.now() + RETRY_MILLIS;
+			if (goOn(copy, "moved")) {
+				return;
 			}
 		}
-		else if (last && answer.outcome() == TargetClient.CopyOutcome.NO_ROOM && answer.handle().isPresent()) {
-			goOnAtSource(answer.handle().get());
-		}
-		else if (!this.source.alive() && !broken()) {
+		if (!this.source.alive() && !broken()) {
 			this.relay.runLost("the engine broke off while the run was copied: " + answer.outcome());
 		}
 	}
 
-	private static boolean whole(TargetClient.CopyAnswer answer) {
-		return answer.outcome() == TargetClient.CopyOutcome.COPIED && answer.handle().isPresent();
-	}
-
-	/**
-	 * Lets a run that was stopped for its last copy go on where it was.
-	 * @param handle name of its memory there
-	 */
-	private void goOnAtSource(String handle) {
-		TargetEntry entry = this.source.target().target().entry();
-		if (!goOn(new TargetRequest.RunCopy(entry, entry, handle), "not moved")) {
-			this.relay.runLost("the run was stopped and its engine is gone");
-		}
-	}
-
 	/**
 	 * The connection of the run's engine has ended before its answer.
 	 * @return whether the run goes on, or may still do so
@@ -232,11 +208,6 @@
 		if (this.copying) {
 			return true;
 		}
-		if (this.moved != null) {
-			TargetRequest.RunCopy copy = this.moved;
-			this.moved = null;
-			return goOn(copy, "broken");
-		}
 		boolean first = !this.backupTriedAfterEnd;
 		this.backupTriedAfterEnd = true;
 		return first && goOnFromBackup("broken");
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -24,7 +24,7 @@
 	Exchange send(TargetRequest request, Listener listener);
 
 	/**
-	 * Has an engine copy the memory of a run to another engine.
+	 * Has an engine copy the memory of a run to another engine, while the run goes on.
 	 * @param request what to copy where
 	 * @param listener hears of the outcome, once
 	 */
@@ -36,9 +36,8 @@
 	 * @param runId id of the attempt that started the run
 	 * @param source engine that runs it
 	 * @param holder engine that is to hold the copy
-	 * @param last whether the run stops first, so that the copy is whole
 	 */
-	record CopyRequest(String runId, TargetEntry source, TargetEntry holder, boolean last) {
+	record CopyRequest(String runId, TargetEntry source, TargetEntry holder) {
 	}
 
 	/**
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableFeedTests.java
@@ -0,0 +1,143 @@
+package io.dotterelcrank.process.replica;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.process.platform.PlatformException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link TableFeed}.
+ */
+class TableFeedTests {
+
+	private final Clock.Manual clock = Clock.manual(10_000);
+
+	private final Scheduler.Manual control = Scheduler.manual(this.clock);
+
+	private final ScriptedLog log = new ScriptedLog();
+
+	private final List<KeyedRecord> changes = new ArrayList<>();
+
+	private final TableFeed feed = TableFeed.polling("op", this.log, this.clock, this.control, 500,
+			this.changes::addAll);
+
+	private static KeyedRecord record(String key, long offset) {
+		return new KeyedRecord(key, offset, new byte[] { 1 });
+	}
+
+	private static KeyedLog.Batch batch(long end, KeyedRecord... records) {
+		return new KeyedLog.Batch(List.of(records), end, false);
+	}
+
+	private void run(long millis) {
+		this.control.advance(millis);
+	}
+
+	@Test
+	void listsOnceAndThenReadsOn() {
+		this.log.answers.add(batch(5, record("config", 4)));
+		this.log.answers.add(batch(6, record("config", 5)));
+		this.feed.start();
+		run(1_100);
+		assertThat(this.log.calls).startsWith("list", "read 5", "read 6");
+		assertThat(this.changes).extracting(KeyedRecord::offset).containsExactly(4L, 5L);
+		assertThat(this.feed.ageMillis()).isLessThan(1_000);
+	}
+
+	@Test
+	void expiredRecordsAreListedAgain() {
+		this.log.answers.add(batch(5, record("config", 4), record("evacuate/giza", 3)));
+		this.log.answers.add(new KeyedLog.Batch(List.of(), 5, true));
+		this.log.answers.add(batch(90, record("config", 80)));
+		this.feed.start();
+		run(600);
+		assertThat(this.log.calls).startsWith("list", "read 5", "list");
+		assertThat(this.changes).filteredOn(KeyedRecord::dropped)
+			.extracting(KeyedRecord::key)
+			.containsExactly("evacuate/giza");
+	}
+
+	@Test
+	void outageKeepsRecordsAndAges() {
+		this.log.answers.add(batch(5, record("config", 4)));
+		this.feed.start();
+		run(1);
+		this.log.down = true;
+		run(3_000);
+		assertThat(this.feed.reachable()).isFalse();
+		assertThat(this.feed.ageMillis()).isGreaterThanOrEqualTo(2_500);
+		assertThat(this.feed.records().since(0)).hasSize(1);
+		this.log.down = false;
+		run(1_000);
+		assertThat(this.feed.reachable()).isTrue();
+		assertThat(this.feed.ageMillis()).isLessThan(1_000);
+	}
+
+	@Test
+	void peersRecordsCountWithTheirAge() {
+		this.log.down = true;
+		this.feed.start();
+		run(1_000);
+		this.feed.offer(List.of(record("config", 7)), 8, 400);
+		assertThat(this.changes).hasSize(1);
+		assertThat(this.feed.ageMillis()).isEqualTo(400);
+		this.feed.offer(List.of(record("config", 2)), 3, 0);
+		assertThat(this.changes).hasSize(1);
+	}
+
+	@Test
+	void staleReadAfterPeersRecordsDoesNotRevert() {
+		this.feed.offer(List.of(record("config", 7), new KeyedRecord("evacuate/giza", 8, null)), 9, 0);
+		this.log.answers.add(batch(5, record("config", 4), record("evacuate/giza", 3)));
+		this.feed.start();
+		run(10);
+		assertThat(this.feed.records().since(0)).extracting(KeyedRecord::offset).containsExactly(7L, 8L);
+	}
+
+	/**
+	 * A log that gives its answers in turn, then empty ones.
+	 */
+	private static final class ScriptedLog implements KeyedLog {
+
+		private final Queue<Batch> answers = new ArrayDeque<>();
+
+		private final List<String> calls = new ArrayList<>();
+
+		private boolean down;
+
+		private CompletableFuture<Batch> answer(String call, long end) {
+			this.calls.add(call);
+			if (this.down) {
+				return CompletableFuture.failedFuture(new PlatformException("down"));
+			}
+			Batch next = this.answers.poll();
+			return CompletableFuture.completedFuture((next != null) ? next : new Batch(List.of(), end, false));
+		}
+
+		@Override
+		public CompletableFuture<Batch> list(String table) {
+			return answer("list", 0);
+		}
+
+		@Override
+		public CompletableFuture<Batch> read(String table, long fromOffset, long waitMillis) {
+			return answer("read " + fromOffset, fromOffset);
+		}
+
+		@Override
+		public CompletableFuture<Void> put(String table, String key, byte[] value) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PlainDialect.java
@@ -0,0 +1,77 @@
+package io.dotterelcrank.daemon.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+
+import io.dotterelcrank.process.relay.TargetClient;
+import io.dotterelcrank.process.relay.TargetRequest;
+import io.dotterelcrank.request.CallerRequest;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Header;
+import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.RequestException;
+import io.dotterelcrank.request.ResultCode;
+
+/**
+ * A dialect of the tests' own: {@code Id} names the request, {@code Seal} vouches for an
+ * answer, {@code Not-Run} says that a request did not run.
+ */
+final class PlainDialect implements HttpDialect {
+
+	@Override
+	public CallerRequest request(HttpRequest head, byte[] body, long arrivedMillis) {
+		List<Header> headers = new ArrayList<>();
+		for (Map.Entry<String, String> header : head.headers()) {
+			if (!header.getKey().equalsIgnoreCase("Connection") && !header.getKey().equalsIgnoreCase("Content-Length")
+					&& !header.getKey().equalsIgnoreCase("Transfer-Encoding")) {
+				headers.add(new Header(header.getKey(), header.getValue()));
+			}
+		}
+		return new CallerRequest(head.headers().get("Id", ""), head.method().name(), head.headers().get("Host", ""),
+				head.uri(), headers, body, Optional.empty(), Optional.empty(), 5_000, arrivedMillis);
+	}
+
+	@Override
+	public HttpHeaders targetHeaders(TargetRequest request) {
+		HttpHeaders headers = new DefaultHttpHeaders();
+		request.request().headers().forEach((header) -> headers.add(header.name(), header.value()));
+		return headers;
+	}
+
+	@Override
+	public TargetClient.Head head(HttpResponse response, TargetRequest request, boolean reused)
+			throws RequestException {
+		if (!request.request().id().equals(response.headers().get("Id"))) {
+			throw Failure.unknown(ResultCode.TARGET_LOST, "answer to another request").toException();
+		}
+		Ran ran = response.headers().contains("Not-Run") ? Ran.NO : Ran.YES;
+		boolean events = response.headers().get("Content-Type", "").startsWith("text/event-stream");
+		return new TargetClient.Head(response.status().code(),
+				List.of(new Header("Seal", response.headers().get("Seal", "none"))), ran, false,
+				response.headers().contains("Seal"), events, OptionalDouble.empty());
+	}
+
+	@Override
+	public HttpExchanges.Call copyCall(TargetClient.CopyRequest request) {
+		throw new UnsupportedOperationException("no test copies a run over sockets");
+	}
+
+	@Override
+	public TargetClient.CopyAnswer copyAnswer(HttpReply reply) {
+		throw new UnsupportedOperationException("no test copies a run over sockets");
+	}
+
+	@Override
+	public List<Header> failureHeaders(Failure failure) {
+		return List.of(new Header("Ran", failure.ran().word()));
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/ScriptedTarget.java
@@ -0,0 +1,127 @@
+package io.dotterelcrank.daemon.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/**
+ * A target that answers each request it reads with the next script: bytes to send, then
+ * {@code close}, {@code reset} or nothing.
+ */
+final class ScriptedTarget implements AutoCloseable {
+
+	/** Ends a script with a closed connection. */
+	static final String CLOSE = "<close>";
+
+	/** Ends a script with a reset connection. */
+	static final String RESET = "<reset>";
+
+	/** Accepts connections. */
+	private final ServerSocket server;
+
+	/** Scripts that wait for a request. */
+	private final BlockingQueue<String> scripts = new LinkedBlockingQueue<>();
+
+	/** Requests read, as text. */
+	private final List<String> requests = new CopyOnWriteArrayList<>();
+
+	/** Number of connections accepted. */
+	private volatile int connections;
+
+	ScriptedTarget() throws IOException {
+		this.server = new ServerSocket(0, 50, new InetSocketAddress("127.0.0.1", 0).getAddress());
+		Thread thread = new Thread(this::accept, "target");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	InetSocketAddress address() {
+		return new InetSocketAddress("127.0.0.1", this.server.getLocalPort());
+	}
+
+	void answers(String script) {
+		this.scripts.add(script);
+	}
+
+	List<String> requests() {
+		return this.requests;
+	}
+
+	int connections() {
+		return this.connections;
+	}
+
+	private void accept() {
+		try {
+			while (!this.server.isClosed()) {
+				Socket socket = this.server.accept();
+				this.connections++;
+				Thread thread = new Thread(() -> serve(socket), "target-connection");
+				thread.setDaemon(true);
+				thread.start();
+			}
+		}
+		catch (IOException ex) {
+			// The test has ended.
+		}
+	}
+
+	private void serve(Socket socket) {
+		try (socket) {
+			while (true) {
+				this.requests.add(read(socket.getInputStream()));
+				String script = this.scripts.take();
+				boolean close = script.endsWith(CLOSE);
+				boolean reset = script.endsWith(RESET);
+				String bytes = script.replace(CLOSE, "").replace(RESET, "");
+				socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+				socket.getOutputStream().flush();
+				if (reset) {
+					socket.setSoLinger(true, 0);
+				}
+				if (close || reset) {
+					return;
+				}
+			}
+		}
+		catch (IOException ex) {
+			// The other side has closed the connection.
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static String read(InputStream input) throws IOException {
+		ByteArrayOutputStream head = new ByteArrayOutputStream();
+		while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+			int next = input.read();
+			if (next < 0) {
+				throw new IOException("closed");
+			}
+			head.write(next);
+		}
+		String text = head.toString(StandardCharsets.ISO_8859_1);
+		int length = text.toLowerCase().indexOf("content-length: ");
+		if (length < 0) {
+			return text;
+		}
+		int start = length + "content-length: ".length();
+		int count = Integer.parseInt(text.substring(start, text.indexOf('\r', start)).trim());
+		return text + new String(input.readNBytes(count), StandardCharsets.ISO_8859_1);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.server.close();
+	}
+
+}
