Engines that start while the store is away are named by their sidecars; waits at the start; unreachable targets

Change: a sidecar asks its engine's id once for each start; its word counts while the list is old, unless the list has dropped the id; the time to avoid an unreachable target doubles up to 8 s; prompts that wait at an engine count as memory in use; requests wait up to 1.2 s after a start for the first plan.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -143,7 +143,10 @@
 	RUN_COPIED(830, Level.INFO, "request={} copied from={} to={} outcome={} millis={}"),
 
 	/** An engine did not answer a call for a copy of a run. */
-	COPY_UNANSWERED(831, Level.INFO, "request={} target={} copy not answered reason=\"{}\"");
+	COPY_UNANSWERED(831, Level.INFO, "request={} target={} copy not answered reason=\"{}\""),
+
+	/** A target that is not listed is named by the sidecar beside it. */
+	TARGET_TOLD(832, Level.INFO, "target={} service={} address={} dataCentre={} told by its sidecar");
 
 	/** Number of the event. */
 	private final int number;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
@@ -3,6 +3,9 @@
 /**
  * Load of a model engine, as the sidecar beside it reads it. Immutable.
  *
+ * @param id id of the engine's incarnation, or an empty string if it is not known
+ * @param service service that the engine belongs to
+ * @param dataCentre its data centre
  * @param address address of the engine, as {@code ip:port}
  * @param bornMillis when the engine started, by its own clock, in milliseconds; 0 if it
  * does not tell
@@ -14,6 +17,19 @@
  * @param leaving whether the engine takes no new work
  * @param leavesMillis how much longer it serves, in milliseconds; negative if not known
  */
-public record EngineLoad(String address, long bornMillis, int running, int waiting, int reading, long memoryUsed,
-		long memoryTotal, boolean leaving, long leavesMillis) {
+public record EngineLoad(String id, String service, String dataCentre, String address, long bornMillis, int running,
+		int waiting, int reading, long memoryUsed, long memoryTotal, boolean leaving, long leavesMillis) {
+
+	/**
+	 * Returns a copy that names the engine.
+	 * @param engineId id of the engine's incarnation, or an empty string
+	 * @param serviceName service that the engine belongs to
+	 * @param dataCentreName its data centre
+	 * @return the changed copy
+	 */
+	public EngineLoad named(String engineId, String serviceName, String dataCentreName) {
+		return new EngineLoad(engineId, serviceName, dataCentreName, this.address, this.bornMillis, this.running,
+				this.waiting, this.reading, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis);
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/membership/TargetRegistry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/membership/TargetRegistry.java
@@ -1,6 +1,9 @@
 package io.dotterelcrank.process.membership;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +30,15 @@
 	 */
 	static final long LAPSED_MILLIS = 1_200;
 
+	/**
+	 * How long a sidecar's word for its target counts, in milliseconds; sidecars tell
+	 * their load at least once a second.
+	 */
+	static final long TOLD_MILLIS = 2_500;
+
+	/** Ids of gone targets remembered, oldest forgotten first. */
+	private static final int MAX_GONE = 1_000;
+
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(TargetRegistry.class);
 
@@ -36,6 +48,21 @@
 	/** Targets by id. */
 	private final Map<String, Held> targets = new HashMap<>();
 
+	/** Targets that only their sidecar names, by id; lapsed when they were last told. */
+	private final Map<String, Held> told = new HashMap<>();
+
+	/** Ids of targets that the list has named and then lacked. */
+	private final Set<String> gone = Collections.newSetFromMap(new LinkedHashMap<>() {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+			return size() > MAX_GONE;
+		}
+
+	});
+
 	/** Data centres taken out. */
 	private Set<String> dataCentresOut = Set.of();
 
@@ -63,6 +90,7 @@
 					held.entry.sequence());
 			return;
 		}
+		this.gone.remove(entry.id());
 		long nowMillis = this.clock.millis();
 		if (held == null || held.entry.leaving() != entry.leaving() || held.lapsedAtMillis > 0
 				|| held.entry.bornMillis() != entry.bornMillis()) {
@@ -78,12 +106,28 @@
 	 */
 	public void missing(String id) {
 		Held held = this.targets.get(id);
+		this.gone.add(id);
 		if (held != null && held.lapsedAtMillis == 0) {
 			LogEvent.TARGET_MISSING.log(logger, id, held.entry.leaving());
 			this.targets.put(id, new Held(held.entry, held.coldUntilMillis, this.clock.millis()));
 		}
 	}
 
+	/**
+	 * Takes in a target that the sidecar beside it names, while the list cannot be read.
+	 * It counts for {@link #TOLD_MILLIS}, and only if the list never named it.
+	 * @param entry what the sidecar says of it
+	 */
+	public void told(TargetEntry entry) {
+		if (this.targets.containsKey(entry.id()) || this.gone.contains(entry.id())) {
+			return;
+		}
+		if (!this.told.containsKey(entry.id())) {
+			LogEvent.TARGET_TOLD.log(logger, entry.id(), entry.service(), entry.address(), entry.dataCentre());
+		}
+		this.told.put(entry.id(), new Held(entry, this.clock.millis() + entry.coldMillis(), this.clock.millis()));
+	}
+
 	/**
 	 * Sets the data centres that are taken out.
 	 * @param names their names
@@ -97,17 +141,27 @@
 
 	/**
 	 * Returns the targets to use.
+	 * @param listCurrent whether the list was read just now, so that it lacks no target
 	 * @return the targets, without those that are gone
 	 */
-	public List<Target> targets() {
+	public List<Target> targets(boolean listCurrent) {
 		long nowMillis = this.clock.millis();
 		this.targets.values()
 			.removeIf((held) -> held.lapsedAtMillis > 0 && nowMillis - held.lapsedAtMillis > LAPSED_MILLIS);
-		return this.targets.values()
-			.stream()
-			.map((held) -> new Target(held.entry, held.coldUntilMillis, held.lapsedAtMillis == 0,
-					this.dataCentresOut.contains(held.entry.dataCentre())))
-			.toList();
+		this.told.values()
+			.removeIf((held) -> nowMillis - held.lapsedAtMillis > TOLD_MILLIS
+					|| this.targets.containsKey(held.entry.id()) || this.gone.contains(held.entry.id()));
+		List<Target> all = new ArrayList<>();
+		this.targets.values().forEach((held) -> all.add(target(held, held.lapsedAtMillis == 0)));
+		if (!listCurrent) {
+			this.told.values().forEach((held) -> all.add(target(held, true)));
+		}
+		return all;
+	}
+
+	private Target target(Held held, boolean listed) {
+		return new Target(held.entry, held.coldUntilMillis, listed,
+				this.dataCentresOut.contains(held.entry.dataCentre()));
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
@@ -121,7 +121,7 @@
 			if (load == null) {
 				return state.ownExpected() * demand.hosts();
 			}
-			return load.memoryUsed() + state.ownUnread();
+			return load.memoryUsed() + unread(state, demand);
 		}
 
 		private static long unread(TargetState state, Demand demand) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -132,6 +132,9 @@
 
 	void start() {
 		ServingPlan plan = this.service.plan();
+		if (plan == null && this.service.planExpected() && this.service.await(this)) {
+			return;
+		}
 		if (plan == null) {
 			refuse(Failure.notRun(ResultCode.NOT_READY, "no configuration is known yet"));
 			return;
@@ -204,6 +207,9 @@
 		if (this.done) {
 			return true;
 		}
+		if (this.route == null) {
+			return startLate();
+		}
 		TargetBook.Choice choice = this.service.book().choose(this.target, demand(), this.tried);
 		if (choice.target() != null) {
 			this.service.metrics().queued(now() - this.request.arrivedMillis());
@@ -218,6 +224,18 @@
 		return false;
 	}
 
+	/**
+	 * Starts a request that waited for the first plan.
+	 * @return {@code false} if it has to wait on
+	 */
+	private boolean startLate() {
+		if (this.service.planExpected()) {
+			return false;
+		}
+		start();
+		return this.done || !this.attempts.isEmpty();
+	}
+
 	private boolean waitedTooLong() {
 		double longestMillis = Math.max(this.route.goalMillis() * WAIT_GOAL_PART,
 				this.request.deadlineMillis() * WAIT_DEADLINE_PART);
@@ -271,7 +289,8 @@
 	}
 
 	int priority() {
-		return this.workspace.map(Workspace::priority).orElse(OptionalInt.empty()).orElse(this.route.priority());
+		int routes = (this.route != null) ? this.route.priority() : 0;
+		return this.workspace.map(Workspace::priority).orElse(OptionalInt.empty()).orElse(routes);
 	}
 
 	long now() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -123,7 +123,7 @@
 		this.head = received;
 		if (received.misdirected() || received.ran() == Ran.NO) {
 			if (!this.resumed) {
-				this.target.avoid(AVOID_MILLIS);
+				this.target.refused(AVOID_MILLIS);
 			}
 			close();
 			this.relay.failed(this, Ran.NO, "refused with status " + received.status());
@@ -192,7 +192,7 @@
 	public void failed(Ran ran, String reason) {
 		leave();
 		if (ran == Ran.NO) {
-			this.target.avoid(AVOID_MILLIS);
+			this.target.unreached(AVOID_MILLIS);
 		}
 		this.target.failed();
 		this.relay.failed(this, ran, reason);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -38,6 +38,12 @@
 	 */
 	static final long PLAN_FRESH_MILLIS = 3_500;
 
+	/**
+	 * Time from the start of the process within which requests wait for the first plan,
+	 * in milliseconds; reading it takes a few tenths of a second.
+	 */
+	static final long FIRST_PLAN_MILLIS = 1_200;
+
 	/** Requests that wait at most; more are refused at once. */
 	static final int MAX_WAITING = 200;
 
@@ -74,6 +80,9 @@
 	/** Requests that wait for room at a target. */
 	private final List<Relay> waiting = new ArrayList<>();
 
+	/** When the process started, in milliseconds. */
+	private final long startedMillis;
+
 	/** Plan in force, or {@code null} before the first. */
 	private ServingPlan plan;
 
@@ -95,6 +104,7 @@
 		this.random = random;
 		this.metrics = new RelayMetrics(metrics);
 		this.book = new TargetBook(clock, random);
+		this.startedMillis = clock.millis();
 	}
 
 	/**
@@ -238,6 +248,14 @@
 		return this.budgets.computeIfAbsent(service, (name) -> SendBudget.of(this.clock, this.settings));
 	}
 
+	/**
+	 * Tells whether the first plan is still on its way.
+	 * @return {@code true} for a short time after the start
+	 */
+	boolean planExpected() {
+		return this.plan == null && this.clock.millis() - this.startedMillis < FIRST_PLAN_MILLIS;
+	}
+
 	ServingPlan plan() {
 		return this.plan;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
@@ -19,6 +19,12 @@
 	 */
 	static final long LOAD_MILLIS = 2_500;
 
+	/** Longest time for which an unreachable target is avoided, in milliseconds. */
+	static final long MAX_AVOID_MILLIS = 8_000;
+
+	/** Doublings after which the time to avoid a target is longest in any case. */
+	private static final int MAX_DOUBLINGS = 10;
+
 	/** Weight of a new observation in smoothed ones. */
 	private static final double SMOOTHING = 0.2;
 
@@ -52,6 +58,9 @@
 	/** Time before which no request is sent, after failed connections. */
 	private long avoidUntilMillis;
 
+	/** Failed connections in a row. */
+	private int unreached;
+
 	TargetState(Clock clock, Target target) {
 		this.clock = clock;
 		this.target = target;
@@ -120,7 +129,22 @@
 		return this.clock.millis() < this.avoidUntilMillis;
 	}
 
-	void avoid(long millis) {
+	/**
+	 * Avoids the target for a time that doubles with each failed connection in a row, up
+	 * to {@link #MAX_AVOID_MILLIS}.
+	 * @param firstMillis time after the first one, in milliseconds
+	 */
+	void unreached(long firstMillis) {
+		long millis = Math.min(MAX_AVOID_MILLIS, firstMillis << Math.min(this.unreached, MAX_DOUBLINGS));
+		this.unreached++;
+		this.avoidUntilMillis = this.clock.millis() + millis;
+	}
+
+	/**
+	 * Avoids the target for a time, since it refused a request.
+	 * @param millis the time in milliseconds
+	 */
+	void refused(long millis) {
 		this.avoidUntilMillis = this.clock.millis() + millis;
 	}
 
@@ -149,6 +173,7 @@
 	}
 
 	void succeeded(double millis) {
+		this.unreached = 0;
 		this.failedShare -= SMOOTHING * this.failedShare;
 		this.answerMillis += ((this.answerMillis == 0) ? 1 : SMOOTHING) * (millis - this.answerMillis);
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
@@ -48,7 +48,8 @@
 				new Message.Failed("g", new Failure(ResultCode.OVERLOADED, Ran.NO, 5, "why"), load),
 				new Message.Heartbeat(load, 12), new Message.AskConfiguration(),
 				new Message.TellConfiguration(configuration), new Message.AskRecords("op", 7),
-				new Message.TellLoad(new EngineLoad("10.0.0.1:80", 5, 3, 1, 2, 900, 1000, true, 1_500), true),
+				new Message.TellLoad(
+						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, true, 1_500), true),
 				new Message.Heard("10.0.0.1:80"));
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/membership/TargetRegistryTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/membership/TargetRegistryTests.java
@@ -27,30 +27,30 @@
 	void staleReportDoesNotUndoLeaving() {
 		this.registry.reported(entry("a", true, 10, 7));
 		this.registry.reported(entry("a", false, 10, 6));
-		assertThat(this.registry.targets().get(0).open()).isFalse();
+		assertThat(this.registry.targets(true).get(0).open()).isFalse();
 	}
 
 	@Test
 	void restartedTargetCountsAnew() {
 		this.registry.reported(entry("a", true, 10, 7));
 		this.registry.reported(entry("a", false, 11, 1));
-		assertThat(this.registry.targets().get(0).open()).isTrue();
+		assertThat(this.registry.targets(true).get(0).open()).isTrue();
 	}
 
 	@Test
 	void reportOfEarlierStartIsSkipped() {
 		this.registry.reported(entry("a", true, 11, 1));
 		this.registry.reported(entry("a", false, 10, 9));
-		assertThat(this.registry.targets().get(0).open()).isFalse();
+		assertThat(this.registry.targets(true).get(0).open()).isFalse();
 	}
 
 	@Test
 	void lapsedTargetIsLastResortAndThenGone() {
 		this.registry.reported(entry("a", false, 10, 1));
 		this.registry.missing("a");
-		assertThat(this.registry.targets().get(0).listed()).isFalse();
+		assertThat(this.registry.targets(true).get(0).listed()).isFalse();
 		this.clock.advance(TargetRegistry.LAPSED_MILLIS + 1);
-		assertThat(this.registry.targets()).isEmpty();
+		assertThat(this.registry.targets(true)).isEmpty();
 	}
 
 	@Test
@@ -58,16 +58,43 @@
 		this.registry.reported(entry("a", false, 10, 1));
 		this.registry.missing("a");
 		this.registry.reported(entry("a", false, 10, 2));
-		assertThat(this.registry.targets().get(0).listed()).isTrue();
+		assertThat(this.registry.targets(true).get(0).listed()).isTrue();
 	}
 
 	@Test
 	void targetOfDataCentreTakenOutIsNotOpen() {
 		this.registry.reported(entry("a", false, 10, 1));
 		this.registry.dataCentresOut(Set.of("giza"));
-		assertThat(this.registry.targets().get(0).open()).isFalse();
+		assertThat(this.registry.targets(true).get(0).open()).isFalse();
 		this.registry.dataCentresOut(Set.of());
-		assertThat(this.registry.targets().get(0).open()).isTrue();
+		assertThat(this.registry.targets(true).get(0).open()).isTrue();
+	}
+
+	@Test
+	void toldTargetCountsOnlyWhileTheListIsOldAndForAShortTime() {
+		this.registry.told(entry("a", false, 10, 0));
+		assertThat(this.registry.targets(true)).isEmpty();
+		assertThat(this.registry.targets(false)).hasSize(1);
+		this.clock.advance(TargetRegistry.TOLD_MILLIS + 1);
+		assertThat(this.registry.targets(false)).isEmpty();
+	}
+
+	@Test
+	void toldTargetThatTheListHasDroppedStaysGone() {
+		this.registry.reported(entry("a", false, 10, 1));
+		this.registry.missing("a");
+		this.clock.advance(TargetRegistry.LAPSED_MILLIS + 1);
+		this.registry.targets(true);
+		this.registry.told(entry("a", false, 10, 0));
+		assertThat(this.registry.targets(false)).isEmpty();
+	}
+
+	@Test
+	void listedTargetReplacesTheToldOne() {
+		this.registry.told(entry("a", false, 10, 0));
+		this.registry.reported(entry("a", true, 10, 1));
+		assertThat(this.registry.targets(false)).hasSize(1);
+		assertThat(this.registry.targets(false).get(0).open()).isFalse();
 	}
 
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -53,7 +53,13 @@
 	private int attempts;
 
 	RelayFixture() {
-		this.service.plan(plan(1));
+		this(true);
+	}
+
+	private RelayFixture(boolean planned) {
+		if (planned) {
+			this.service.plan(plan(1));
+		}
 		this.service.planAge(0);
 		this.service.start();
 		list("e1", "bench", false);
@@ -66,6 +72,10 @@
 		list("p2", "desk", false);
 	}
 
+	static RelayFixture withoutPlan() {
+		return new RelayFixture(false);
+	}
+
 	static ServingPlan plan(long version) {
 		ServiceSpec bench = new ServiceSpec("bench", 242, 36,
 				Optional.of(new ServiceSpec.EngineSpec(24, MEMORY_TOKENS, true, true)));
@@ -103,8 +113,8 @@
 			.filter((candidate) -> candidate.id().equals(id))
 			.findFirst()
 			.orElseThrow();
-		this.service.load(new EngineLoad(entry.address().getAddress().getHostAddress() + ":80", 1, running, 0, 0,
-				memoryUsed, MEMORY_TOKENS, false, -1));
+		this.service.load(new EngineLoad(id, "bench", "giza", entry.address().getAddress().getHostAddress() + ":80", 1,
+				running, 0, 0, memoryUsed, MEMORY_TOKENS, false, -1));
 	}
 
 	Relay accept(String path, RecordingCaller caller) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
@@ -436,4 +436,37 @@
 		assertThat(sends()).isOne();
 	}
 
+	@Test
+	void unreachableTargetIsAvoided() {
+		this.fixture.gone("p2");
+		this.fixture.accept("/order/1", this.caller);
+		sent(0).fail(Ran.NO);
+		this.fixture.list("p2", "desk", false);
+		this.fixture.advance(RelayAttempt.AVOID_MILLIS - 100);
+		this.fixture.accept("/order/2", new RecordingCaller());
+		assertThat(sent(sends() - 1).request().target().id()).isEqualTo("p2");
+	}
+
+	@Test
+	void requestsWaitForTheFirstPlanAfterTheStart() {
+		RelayFixture fresh = RelayFixture.withoutPlan();
+		fresh.accept("/order/1", this.caller);
+		fresh.advance(300);
+		assertThat(this.caller.ends()).isZero();
+		fresh.service().plan(RelayFixture.plan(1));
+		fresh.advance(RelayService.TICK_MILLIS);
+		assertThat(fresh.targets().count()).isOne();
+	}
+
+	@Test
+	void requestsAreRefusedWhenTheFirstPlanDoesNotCome() {
+		RelayFixture fresh = RelayFixture.withoutPlan();
+		fresh.accept("/order/1", this.caller);
+		fresh.advance(RelayService.FIRST_PLAN_MILLIS + RelayService.TICK_MILLIS);
+		assertThat(this.caller.failure().code()).isEqualTo(ResultCode.NOT_READY);
+		RecordingCaller later = new RecordingCaller();
+		fresh.accept("/order/2", later);
+		assertThat(later.failure().code()).isEqualTo(ResultCode.NOT_READY);
+	}
+
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpReply.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpReply.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 
 import io.dotterelcrank.process.platform.PlatformException;
@@ -12,9 +13,10 @@
  * A whole answer. The body array is not modified after construction.
  *
  * @param status the HTTP status
+ * @param headers headers
  * @param body body
  */
-public record HttpReply(int status, byte[] body) {
+public record HttpReply(int status, HttpHeaders headers, byte[] body) {
 
 	/**
 	 * Checks the status.
@@ -60,9 +62,13 @@
 		/** Status of the answer. */
 		private int answered;
 
+		/** Headers of the answer. */
+		private HttpHeaders headers;
+
 		@Override
 		public void head(HttpResponse response, boolean reused) {
 			this.answered = response.status().code();
+			this.headers = response.headers();
 		}
 
 		@Override
@@ -72,7 +78,7 @@
 
 		@Override
 		public void complete() {
-			complete(new HttpReply(this.answered, this.collected.toByteArray()));
+			complete(new HttpReply(this.answered, this.headers, this.collected.toByteArray()));
 		}
 
 		@Override
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -1,6 +1,7 @@
 package io.dotterelcrank.daemon.relay;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -10,10 +11,12 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.daemon.wiring.Daemon;
 import io.dotterelcrank.process.membership.Target;
+import io.dotterelcrank.process.membership.TargetEntry;
 import io.dotterelcrank.process.membership.TargetRegistry;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.process.relay.RelayService;
@@ -80,6 +83,9 @@
 	/** Feed of the operators' table. */
 	private TableFeed operators;
 
+	/** Feed of the targets' table. */
+	private TableFeed targetsFeed;
+
 	/** Serves callers. */
 	private CallerServer callers;
 
@@ -122,15 +128,15 @@
 	private void follow() {
 		this.operators = TableFeed.waiting(this.platform.operatorsTable(), this.process.store(), this.process.clock(),
 				this.process.control(), OPERATORS_WAIT_MILLIS, this::operatorsChanged);
-		TableFeed targets = TableFeed.polling(this.platform.targetsTable(), this.process.store(), this.process.clock(),
+		this.targetsFeed = TableFeed.polling(this.platform.targetsTable(), this.process.store(), this.process.clock(),
 				this.process.control(), (long) (this.settings.drainMillis() * TARGETS_PAUSE_PART),
 				this::targetsChanged);
 		this.peers.add(this.operators);
-		this.peers.add(targets);
+		this.peers.add(this.targetsFeed);
 		this.peers.add(this.process.readMembers(() -> {
 		}));
 		this.operators.start();
-		targets.start();
+		this.targetsFeed.start();
 		this.peers.start();
 		this.process.announce(this.settings.peers());
 		this.process.control().repeat(BELIEFS_MILLIS, this::tell);
@@ -183,8 +189,19 @@
 		tell();
 	}
 
+	private void told(EngineLoad load) {
+		if (load.id().isEmpty()) {
+			return;
+		}
+		int colon = load.address().lastIndexOf(':');
+		InetSocketAddress address = new InetSocketAddress(load.address().substring(0, colon),
+				Integer.parseInt(load.address().substring(colon + 1)));
+		this.registry.told(new TargetEntry(load.id(), load.service(), address, load.dataCentre(), 0, load.leaving(), 0,
+				load.bornMillis(), 0));
+	}
+
 	private void tell() {
-		List<Target> targets = this.registry.targets();
+		List<Target> targets = this.registry.targets(this.targetsFeed.ageMillis() < this.settings.drainMillis());
 		long planAgeMillis = this.operators.ageMillis();
 		int hosts = Math.max(1, this.process.members().size());
 		this.process.loop().execute(() -> {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayPlatform.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayPlatform.java
@@ -72,6 +72,14 @@
 	 */
 	CompletableFuture<EngineLoad> engineLoad(HttpExchanges exchanges, InetSocketAddress engine);
 
+	/**
+	 * Asks an engine for the id of its incarnation.
+	 * @param exchanges connections to engines
+	 * @param engine address of the engine
+	 * @return the id
+	 */
+	CompletableFuture<String> engineId(HttpExchanges exchanges, InetSocketAddress engine);
+
 	/**
 	 * What operators wrote. Immutable.
 	 */
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
@@ -50,7 +50,8 @@
 	 */
 	public static RelaySidecarSettings sidecar(Map<String, String> environment) throws RequestException {
 		SettingsReader reader = SettingsReader.of(environment);
-		RelaySidecarSettings settings = new RelaySidecarSettings(process(reader), address(reader, "engine"));
+		RelaySidecarSettings settings = new RelaySidecarSettings(process(reader), address(reader, "engine"),
+				reader.name("service", null, null));
 		reader.check();
 		return settings;
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -40,6 +40,9 @@
 	/** Shortest time between two messages of mere load, in milliseconds. */
 	static final long LEAST_MILLIS = 100;
 
+	/** Stands for an engine that was not asked for its id. */
+	private static final long NOT_ASKED = -1;
+
 	/** Part of the memory by which the use must change to be told early. */
 	static final double CHANGED_PART = 0.03;
 
@@ -58,6 +61,15 @@
 	/** Links to entry hosts, by address. */
 	private final Map<InetSocketAddress, EntryLink> links = new HashMap<>();
 
+	/** Start of the engine whose id was asked for. */
+	private long askedBornMillis = NOT_ASKED;
+
+	/** Start of the engine whose id is known. */
+	private long identifiedBornMillis = NOT_ASKED;
+
+	/** Id of the engine that started then. */
+	private String engineId = "";
+
 	/** Load last told, or {@code null}. */
 	private EngineLoad told;
 
@@ -122,11 +134,35 @@
 			return;
 		}
 		this.engineAnswers = true;
-		if (worthTelling(load)) {
-			this.told = load;
+		identify(load.bornMillis());
+		EngineLoad named = load.named((load.bornMillis() == this.identifiedBornMillis) ? this.engineId : "",
+				this.settings.service(), this.settings.process().dataCentre());
+		if (worthTelling(named)) {
+			this.told = named;
 			this.toldAtMillis = this.process.clock().millis();
-			List.copyOf(this.links.values()).forEach((link) -> link.tell(load));
+			List.copyOf(this.links.values()).forEach((link) -> link.tell(named));
+		}
+	}
+
+	/**
+	 * Asks the engine for its id, once for each of its starts.
+	 * @param bornMillis when the engine started, in milliseconds
+	 */
+	private void identify(long bornMillis) {
+		if (bornMillis == this.askedBornMillis) {
+			return;
 		}
+		this.askedBornMillis = bornMillis;
+		this.platform.engineId(this.process.exchanges(), this.settings.engine())
+			.whenComplete((id, failure) -> this.process.control().execute(() -> {
+				if (failure != null) {
+					LogEvent.ENGINE_UNREADABLE.log(logger, this.settings.engine(), failure.getMessage());
+					this.askedBornMillis = NOT_ASKED;
+					return;
+				}
+				this.engineId = id;
+				this.identifiedBornMillis = bornMillis;
+			}));
 	}
 
 	private boolean worthTelling(EngineLoad load) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarSettings.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarSettings.java
@@ -7,6 +7,7 @@
  *
  * @param process settings that all relaying daemons have
  * @param engine address of the engine beside it
+ * @param service service that the engine belongs to
  */
-public record RelaySidecarSettings(RelayProcessSettings process, InetSocketAddress engine) {
+public record RelaySidecarSettings(RelayProcessSettings process, InetSocketAddress engine, String service) {
 }
