--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -42,7 +42,7 @@
 	 * Time from the start of the process within which requests wait for the first plan,
 	 * in milliseconds; reading it takes a few tenths of a second.
 	 */
-	static final long FIRST_PLAN_MILLIS = 1_200;
+	static final long FIRST_PLAN_MILLIS = 600;
 
 	/** Requests that wait at most; more are refused at once. */
 	static final int MAX_WAITING = 200;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -16,7 +16,6 @@
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.daemon.wiring.Daemon;
-import io.dotterelcrank.process.membership.Member;
 
 /**
  * A sidecar daemon that tells entry hosts the load of the engine beside it. It is on no
@@ -99,14 +98,16 @@
 	public void start() throws IOException {
 		this.process.serveMetrics(() -> Map.of("load", String.valueOf(this.told), "links", this.links.size()));
 		this.process.readMembers(this::connect);
-		this.process.control().execute(this::look);
+		this.process.control().execute(() -> {
+			connect();
+			look();
+		});
 		LogEvent.PROCESS_STARTED.log(logger, "sidecar", this.settings.process().name(),
 				this.settings.process().dataCentre());
 	}
 
 	private void connect() {
-		Set<InetSocketAddress> wanted = new HashSet<>();
-		this.process.members().stream().map(Member::address).forEach(wanted::add);
+		Set<InetSocketAddress> wanted = new HashSet<>(this.process.peers());
 		this.links.entrySet().removeIf((link) -> {
 			boolean gone = !wanted.contains(link.getKey());
 			if (gone) {
