--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -146,7 +146,13 @@
 	COPY_UNANSWERED(831, Level.INFO, "request={} target={} copy not answered reason=\"{}\""),
 
 	/** A target that is not listed is named by the sidecar beside it. */
-	TARGET_TOLD(832, Level.INFO, "target={} service={} address={} dataCentre={} told by its sidecar");
+	TARGET_TOLD(832, Level.INFO, "target={} service={} address={} dataCentre={} told by its sidecar"),
+
+	/** A sidecar has a link to an entry host. */
+	ENTRY_LINKED(833, Level.INFO, "linked to entry host={}"),
+
+	/** The engine beside the sidecar has told its id. */
+	ENGINE_IDENTIFIED(834, Level.INFO, "engine={} id={} born={}");
 
 	/** Number of the event. */
 	private final int number;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -161,6 +161,7 @@
 					this.askedBornMillis = NOT_ASKED;
 					return;
 				}
+				LogEvent.ENGINE_IDENTIFIED.log(logger, this.settings.engine(), id, bornMillis);
 				this.engineId = id;
 				this.identifiedBornMillis = bornMillis;
 			}));
@@ -225,7 +226,7 @@
 
 		@Override
 		public void opened(Link opened) {
-			// The load follows within a second.
+			LogEvent.ENTRY_LINKED.log(logger, this.address);
 		}
 
 		@Override
