Entry daemons answer sidecars' signs of life and hear their engines' ids

Change: the entry daemon answers, and tells its registry. Measured: RelayEntryDaemonTests failed before and passes now.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -262,7 +262,12 @@
 				RelayEntryDaemon.this.peers.asked(link, question);
 			}
 			else if (message instanceof Message.TellLoad told) {
-				RelayEntryDaemon.this.process.loop().execute(() -> RelayEntryDaemon.this.service.load(told.load()));
+				EngineLoad load = told.load();
+				RelayEntryDaemon.this.process.loop().execute(() -> RelayEntryDaemon.this.service.load(load));
+				RelayEntryDaemon.this.process.control().execute(() -> told(load));
+				if (told.answer()) {
+					link.send(new Message.Heard(load.address()));
+				}
 			}
 		}
 
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
@@ -0,0 +1,183 @@
+package io.dotterelcrank.daemon.relay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.Link;
+import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.process.membership.TargetEntry;
+import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.process.replica.KeyedLog;
+import io.dotterelcrank.process.replica.KeyedRecord;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of what {@link RelayEntryDaemon} says to peers and sidecars, without a store.
+ */
+class RelayEntryDaemonTests {
+
+	/** Longest wait for an answer, in seconds; far above the time that it takes. */
+	private static final long WAIT_SECONDS = 20;
+
+	private final Transport transport = Transport.overTcp(() -> 0);
+
+	private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+
+	private RelayEntryDaemon daemon;
+
+	private Link link;
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	@BeforeEach
+	void start() throws Exception {
+		int peers = freePort();
+		this.daemon = RelayEntryDaemon.of(RelaySettingsReader.entry(Map.of("DOTTERELCRANK_NAME", "e",
+				"DOTTERELCRANK_DATA_CENTRE", "dc", "DOTTERELCRANK_IP", "127.0.0.1", "DOTTERELCRANK_CALLERS",
+				"127.0.0.1:" + freePort(), "DOTTERELCRANK_READY", "127.0.0.1:" + freePort(), "DOTTERELCRANK_PEERS",
+				"127.0.0.1:" + peers, "DOTTERELCRANK_STORE", "127.0.0.1:1")), new UnreachablePlatform());
+		this.daemon.start();
+		this.link = this.transport.open(new InetSocketAddress("127.0.0.1", peers), new Listener());
+	}
+
+	@AfterEach
+	void stop() {
+		this.transport.close();
+		this.daemon.kill();
+	}
+
+	@Test
+	void loadThatAsksForItGetsASignOfLife() throws Exception {
+		EngineLoad load = new EngineLoad("i", "s", "dc", "10.0.0.1:80", 1, 0, 0, 0, 0, 10, false, -1);
+		this.link.send(new Message.TellLoad(load, false));
+		this.link.send(new Message.TellLoad(load, true));
+		assertThat(this.received.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(new Message.Heard("10.0.0.1:80"));
+		assertThat(this.received).isEmpty();
+	}
+
+	@Test
+	void questionForRecordsIsAnsweredWithTheirAge() throws Exception {
+		this.link.send(new Message.AskRecords("operators", 0));
+		Message.TellRecords told = (Message.TellRecords) this.received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+		assertThat(told.records()).isEmpty();
+		assertThat(told.ageMillis()).isEqualTo(Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Keeps what the daemon says.
+	 */
+	private final class Listener implements Link.Listener {
+
+		@Override
+		public void opened(Link opened) {
+			// Messages sent before wait on the link.
+		}
+
+		@Override
+		public void received(Link sender, long version, Message message) {
+			RelayEntryDaemonTests.this.received.add(message);
+		}
+
+		@Override
+		public void writable(Link free) {
+			// Messages are small.
+		}
+
+		@Override
+		public void closed(Link ended) {
+			// The test has ended.
+		}
+
+	}
+
+	/**
+	 * A platform whose store never answers.
+	 */
+	private static final class UnreachablePlatform implements RelayPlatform {
+
+		private static <T> CompletableFuture<T> failed() {
+			return CompletableFuture.failedFuture(new PlatformException("unreachable"));
+		}
+
+		@Override
+		public KeyedLog store(HttpExchanges exchanges) {
+			return new KeyedLog() {
+
+				@Override
+				public CompletableFuture<Batch> list(String table) {
+					return failed();
+				}
+
+				@Override
+				public CompletableFuture<Batch> read(String table, long fromOffset, long waitMillis) {
+					return failed();
+				}
+
+				@Override
+				public CompletableFuture<Void> put(String table, String key, byte[] value) {
+					return failed();
+				}
+
+			};
+		}
+
+		@Override
+		public HttpDialect dialect() {
+			return new PlainDialect();
+		}
+
+		@Override
+		public String operatorsTable() {
+			return "operators";
+		}
+
+		@Override
+		public String targetsTable() {
+			return "targets";
+		}
+
+		@Override
+		public OperatorRecord operatorRecord(KeyedRecord record) {
+			return new Unrelated();
+		}
+
+		@Override
+		public String targetId(KeyedRecord record) {
+			return record.key();
+		}
+
+		@Override
+		public TargetEntry targetEntry(KeyedRecord record) throws PlatformException {
+			throw new PlatformException("no target");
+		}
+
+		@Override
+		public CompletableFuture<EngineLoad> engineLoad(HttpExchanges exchanges, InetSocketAddress engine) {
+			return failed();
+		}
+
+		@Override
+		public CompletableFuture<String> engineId(HttpExchanges exchanges, InetSocketAddress engine) {
+			return failed();
+		}
+
+	}
+
+}
