--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerRecordsTests.java
@@ -0,0 +1,210 @@
+package io.dotterelcrank.process.replica;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.Link;
+import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.process.platform.PlatformException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link PeerRecords}: a host that the store turns away, among hosts that it
+ * serves.
+ */
+class PeerRecordsTests {
+
+	private static final List<InetSocketAddress> PEERS = List.of(new InetSocketAddress("10.0.0.1", 80),
+			new InetSocketAddress("10.0.0.2", 80), new InetSocketAddress("10.0.0.3", 80));
+
+	private final Clock.Manual clock = Clock.manual(10_000);
+
+	private final Scheduler.Manual control = Scheduler.manual(this.clock);
+
+	private final RecordingTransport transport = new RecordingTransport();
+
+	private final SwitchedLog log = new SwitchedLog();
+
+	private final List<KeyedRecord> changes = new ArrayList<>();
+
+	private final TableFeed feed = TableFeed.polling("op", this.log, this.clock, this.control, 500,
+			this.changes::addAll);
+
+	private final PeerRecords peers = PeerRecords.of(this.transport, this.control, () -> PEERS,
+			RandomSource.XO_RO_SHI_RO_128_PP.create(3));
+
+	private void start() {
+		this.peers.add(this.feed);
+		this.feed.start();
+		this.peers.start();
+	}
+
+	@Test
+	void nobodyIsAskedWhileTheStoreAnswers() {
+		start();
+		this.control.advance(10_000);
+		assertThat(this.transport.links).isEmpty();
+	}
+
+	@Test
+	void twoPeersAreAskedEachRoundFromTheOwnOffset() {
+		start();
+		this.control.advance(600);
+		this.log.down = true;
+		this.control.advance(1_000);
+		assertThat(this.transport.links).hasSizeBetween(2, 3);
+		assertThat(this.transport.links.get(0).sent.get(0)).isEqualTo(new Message.AskRecords("op", 4));
+		assertThat(this.transport.questions()).isLessThanOrEqualTo(2 * 3);
+	}
+
+	@Test
+	void peersAnswerBringsChangesAndTheirAge() {
+		this.log.down = true;
+		start();
+		this.control.advance(500);
+		RecordingLink link = this.transport.links.get(0);
+		link.listener.received(link, 0,
+				new Message.TellRecords("op", 9, 200, List.of(new KeyedRecord("config", 8, new byte[] { 1 }))));
+		this.control.runDue();
+		assertThat(this.changes).extracting(KeyedRecord::offset).containsExactly(8L);
+		assertThat(this.feed.ageMillis()).isEqualTo(200);
+	}
+
+	@Test
+	void silentPeerIsAskedOnANewLink() {
+		this.log.down = true;
+		start();
+		this.control.advance(10_000);
+		assertThat(this.transport.links).anyMatch((link) -> link.closed);
+		assertThat(this.transport.links).hasSizeGreaterThan(PEERS.size());
+	}
+
+	@Test
+	void questionIsAnsweredWithWhatCameAfterIt() {
+		start();
+		this.control.advance(600);
+		RecordingLink link = new RecordingLink(null);
+		this.peers.asked(link, new Message.AskRecords("op", 3));
+		this.peers.asked(link, new Message.AskRecords("other", 0));
+		this.control.runDue();
+		Message.TellRecords told = (Message.TellRecords) link.sent.get(0);
+		assertThat(told.records()).extracting(KeyedRecord::offset).containsExactly(3L);
+		assertThat(told.end()).isEqualTo(4);
+		assertThat(link.sent).hasSize(1);
+	}
+
+	/**
+	 * A log with two records, which can be switched off.
+	 */
+	private static final class SwitchedLog implements KeyedLog {
+
+		private boolean down;
+
+		@Override
+		public CompletableFuture<Batch> list(String table) {
+			return answer(List.of(new KeyedRecord("config", 2, new byte[] { 1 }),
+					new KeyedRecord("evacuate/giza", 3, new byte[] { 1 })));
+		}
+
+		@Override
+		public CompletableFuture<Batch> read(String table, long fromOffset, long waitMillis) {
+			return answer(List.of());
+		}
+
+		private CompletableFuture<Batch> answer(List<KeyedRecord> records) {
+			return this.down ? CompletableFuture.failedFuture(new PlatformException("turned away"))
+					: CompletableFuture.completedFuture(new Batch(records, 4, false));
+		}
+
+		@Override
+		public CompletableFuture<Void> put(String table, String key, byte[] value) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+	}
+
+	/**
+	 * Keeps the links that are opened.
+	 */
+	private static final class RecordingTransport implements Transport {
+
+		private final List<RecordingLink> links = new ArrayList<>();
+
+		long questions() {
+			return this.links.stream().mapToLong((link) -> link.sent.size()).sum();
+		}
+
+		@Override
+		public InetSocketAddress listen(InetSocketAddress address, Link.Listener listener) {
+			return address;
+		}
+
+		@Override
+		public Link open(InetSocketAddress address, Link.Listener listener) {
+			RecordingLink link = new RecordingLink(listener);
+			this.links.add(link);
+			return link;
+		}
+
+		@Override
+		public Traffic traffic() {
+			return new Traffic(0, 0, 0, 0);
+		}
+
+		@Override
+		public void close() {
+			// Nothing is open.
+		}
+
+	}
+
+	/**
+	 * Keeps what is sent.
+	 */
+	private static final class RecordingLink implements Link {
+
+		private final Link.Listener listener;
+
+		private final List<Message> sent = new ArrayList<>();
+
+		private boolean closed;
+
+		RecordingLink(Link.Listener listener) {
+			this.listener = listener;
+		}
+
+		@Override
+		public void send(Message message) {
+			this.sent.add(message);
+		}
+
+		@Override
+		public boolean writable() {
+			return true;
+		}
+
+		@Override
+		public void close() {
+			if (!this.closed) {
+				this.closed = true;
+				this.listener.closed(this);
+			}
+		}
+
+		@Override
+		public String peer() {
+			return "peer";
+		}
+
+	}
+
+}
