--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -152,7 +152,10 @@
 	ENTRY_LINKED(833, Level.INFO, "linked to entry host={}"),
 
 	/** The engine beside the sidecar has told its id. */
-	ENGINE_IDENTIFIED(834, Level.INFO, "engine={} id={} born={}");
+	ENGINE_IDENTIFIED(834, Level.INFO, "engine={} id={} born={}"),
+
+	/** A run does not go on from a copy. */
+	RUN_STAYS(835, Level.INFO, "request={} target={} does not go on at={} cause={} reason={}");
 
 	/** Number of the event. */
 	private final int number;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
@@ -139,7 +139,10 @@
 	private boolean goOn(TargetRequest.RunCopy copy, String cause) {
 		Optional<TargetState> holder = this.relay.targets().find(copy.holder().id());
 		if (holder.isEmpty() || !this.relay.budgetAllows()) {
-			this.relay.metrics().handover(holder.isEmpty() ? "holder-gone" : "over-budget");
+			String reason = holder.isEmpty() ? "holder-gone" : "over-budget";
+			LogEvent.RUN_STAYS.log(logger, this.relay.id(), this.source.target().id(), copy.holder().id(), cause,
+					reason);
+			this.relay.metrics().handover(reason);
 			return false;
 		}
 		LogEvent.RUN_GOES_ON.log(logger, this.relay.id(), this.source.target().id(), copy.holder().id(), cause,
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -72,8 +72,8 @@
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(Relay.class);
 
-	/** The service. */
-	private final RelayService service;
+	/** Requests under way, and what they share. */
+	private final RelayService relays;
 
 	/** The request. */
 	private final CallerRequest request;
@@ -94,7 +94,7 @@
 	private Route route;
 
 	/** Service of the request. */
-	private ServiceSpec target;
+	private ServiceSpec service;
 
 	/** Workspace of the caller. */
 	private Optional<Workspace> workspace = Optional.empty();
@@ -124,15 +124,15 @@
 	/** When the last event was passed on, in milliseconds. */
 	private long lastEventMillis;
 
-	Relay(RelayService service, CallerRequest request, CallerChannel caller) {
-		this.service = service;
+	Relay(RelayService relays, CallerRequest request, CallerChannel caller) {
+		this.relays = relays;
 		this.request = request;
 		this.caller = caller;
 	}
 
 	void start() {
-		ServingPlan plan = this.service.plan();
-		if (plan == null && this.service.planExpected() && this.service.await(this)) {
+		ServingPlan plan = this.relays.plan();
+		if (plan == null && this.relays.planExpected() && this.relays.await(this)) {
 			return;
 		}
 		if (plan == null) {
@@ -157,12 +157,12 @@
 			refuse(Failure.notRun(ResultCode.NO_TARGET, "route " + this.route.name() + " names no known service"));
 			return;
 		}
-		this.target = named.get();
+		this.service = named.get();
 		admit();
 	}
 
 	private void refuseUnknown(ResultCode code, String message) {
-		if (this.service.planFresh()) {
+		if (this.relays.planFresh()) {
 			refuse(Failure.notRun(code, message));
 		}
 		else {
@@ -175,7 +175,7 @@
 	}
 
 	private void admit() {
-		if (streaming() && this.service.stoppingMillis() > LAST_LONG_MILLIS) {
+		if (streaming() && this.relays.stoppingMillis() > LAST_LONG_MILLIS) {
 			refuse(Failure.notRun(ResultCode.ENTRY_LEAVING, "the entry host is stopping"));
 			return;
 		}
@@ -184,8 +184,8 @@
 			refuse(Failure.notRun(ResultCode.OVERLOADED, "the deadline passed before the request was sent"));
 			return;
 		}
-		this.expiry = this.service.traffic().schedule(leftMillis, this::expired);
-		this.service.budget(this.target.name()).first();
+		this.expiry = this.relays.traffic().schedule(leftMillis, this::expired);
+		this.relays.budget(this.service.name()).first();
 		placeOrAwait();
 	}
 
@@ -194,7 +194,7 @@
 	}
 
 	private void placeOrAwait() {
-		if (!place() && !this.service.await(this)) {
+		if (!place() && !this.relays.await(this)) {
 			refuse(Failure.notRun(ResultCode.OVERLOADED, "too many requests wait"));
 		}
 	}
@@ -210,15 +210,18 @@
 		if (this.route == null) {
 			return startLate();
 		}
-		TargetBook.Choice choice = this.service.book().choose(this.target, demand(), this.tried);
+		TargetBook.Choice choice = this.relays.book().choose(this.service, demand(), this.tried);
 		if (choice.target() != null) {
-			this.service.metrics().queued(now() - this.request.arrivedMillis());
+			this.relays.metrics().queued(now() - this.request.arrivedMillis());
 			send(choice.target(), Optional.empty(), "placed");
 			return true;
 		}
+		if (this.relays.targetsExpected()) {
+			return false;
+		}
 		if (waitedTooLong() || (!choice.known() && !this.tried.isEmpty())) {
 			ResultCode code = choice.known() ? ResultCode.OVERLOADED : ResultCode.NO_TARGET;
-			refuseOrFail(code, "no target of " + this.target.name() + " has room");
+			refuseOrFail(code, "no target of " + this.service.name() + " has room");
 			return true;
 		}
 		return false;
@@ -229,7 +232,7 @@
 	 * @return {@code false} if it has to wait on
 	 */
 	private boolean startLate() {
-		if (this.service.planExpected()) {
+		if (this.relays.planExpected()) {
 			return false;
 		}
 		start();
@@ -243,14 +246,14 @@
 	}
 
 	Placement.Demand demand() {
-		return Placement.Demand.of(this.request.traits(), this.service.settings().dataCentre(), this.service.hosts());
+		return Placement.Demand.of(this.request.traits(), this.relays.settings().dataCentre(), this.relays.hosts());
 	}
 
 	void send(TargetState chosen, Optional<TargetRequest.RunCopy> copy, String cause) {
 		Optional<TargetEntry> backup = movable() ? this.continuation.backup(chosen) : Optional.empty();
 		this.sends++;
 		if (this.sends > 1) {
-			this.service.budget(this.target.name()).repeated();
+			this.relays.budget(this.service.name()).repeated();
 		}
 		if (chosen.cold()) {
 			chosen.coldLimit().sent();
@@ -258,12 +261,12 @@
 		this.tried.add(chosen.id());
 		RelayAttempt attempt = new RelayAttempt(this, chosen, backup, copy.isPresent());
 		this.attempts.add(attempt);
-		LogEvent.REQUEST_SENT.log(logger, this.request.id(), chosen.id(), this.target.name(), this.sends, cause,
-				backup.map(TargetEntry::id).orElse("-"), this.service.plan().version(), chosen.load());
-		this.service.metrics().sent(cause);
+		LogEvent.REQUEST_SENT.log(logger, this.request.id(), chosen.id(), this.service.name(), this.sends, cause,
+				backup.map(TargetEntry::id).orElse("-"), this.relays.plan().version(), chosen.load());
+		this.relays.metrics().sent(cause);
 		long leftMillis = Math.max(1, this.request.endsAtMillis() - now());
 		OptionalLong from = copy.isPresent() ? OptionalLong.of(lastEventId()) : OptionalLong.empty();
-		attempt.sentBy(this.service.client()
+		attempt.sentBy(this.relays.client()
 			.send(new TargetRequest(this.request, chosen.target().entry(), this.workspace.map(Workspace::name),
 					leftMillis, engineRank(), this.route.kind() == RequestKind.IDEMPOTENT, copy, from, backup),
 					attempt));
@@ -273,7 +276,7 @@
 	}
 
 	private OptionalInt engineRank() {
-		return this.target.engine().isPresent() ? OptionalInt.of(Math.min(MAX_PRIORITY, priority()))
+		return this.service.engine().isPresent() ? OptionalInt.of(Math.min(MAX_PRIORITY, priority()))
 				: OptionalInt.empty();
 	}
 
@@ -294,7 +297,7 @@
 	}
 
 	long now() {
-		return this.service.clock().millis();
+		return this.relays.clock().millis();
 	}
 
 	/**
@@ -317,14 +320,14 @@
 		if (this.sends >= this.route.maxAttempts() || !budgetAllows()) {
 			return;
 		}
-		TargetBook.Choice choice = this.service.book().choose(this.target, demand(), this.tried);
+		TargetBook.Choice choice = this.relays.book().choose(this.service, demand(), this.tried);
 		if (choice.target() != null) {
 			send(choice.target(), Optional.empty(), "hedge");
 		}
 	}
 
 	boolean budgetAllows() {
-		return this.service.budget(this.target.name()).allows(this.service.hosts());
+		return this.relays.budget(this.service.name()).allows(this.relays.hosts());
 	}
 
 	private void expired() {
@@ -351,7 +354,7 @@
 
 	private void refuse(Failure failure) {
 		Failure told = (failure.ran() == Ran.NO)
-				? failure.withRetryAfter(RETRY_LEAST_MILLIS + this.service.random().nextInt(RETRY_RANGE_MILLIS))
+				? failure.withRetryAfter(RETRY_LEAST_MILLIS + this.relays.random().nextInt(RETRY_RANGE_MILLIS))
 				: failure;
 		end(failure.code().name(), failure.message());
 		this.caller.refuse(told);
@@ -361,12 +364,12 @@
 		this.done = true;
 		this.expiry.cancel();
 		List.copyOf(this.attempts).forEach(RelayAttempt::close);
-		this.service.ended(this);
+		this.relays.ended(this);
 		long millis = now() - this.request.arrivedMillis();
 		String kind = (this.route != null) ? this.route.kind().name() : "UNROUTED";
 		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.firstMillis, this.sends,
 				this.lastEventId.orElse(0), message);
-		this.service.metrics().ended(kind, outcome, millis);
+		this.relays.metrics().ended(kind, outcome, millis);
 	}
 
 	/**
@@ -442,7 +445,7 @@
 			this.caller.begin(head.status(), head.headers());
 		}
 		else {
-			this.service.metrics().handover("done");
+			this.relays.metrics().handover("done");
 			LogEvent.RUN_WENT_ON.log(logger, this.request.id(), attempt.target().id(), lastEventId(), silentMillis());
 		}
 	}
@@ -532,19 +535,19 @@
 	}
 
 	ServiceSpec service() {
-		return this.target;
+		return this.service;
 	}
 
 	TargetBook targets() {
-		return this.service.book();
+		return this.relays.book();
 	}
 
 	TargetClient client() {
-		return this.service.client();
+		return this.relays.client();
 	}
 
 	RelayMetrics metrics() {
-		return this.service.metrics();
+		return this.relays.metrics();
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -256,6 +256,14 @@
 		return this.plan == null && this.clock.millis() - this.startedMillis < FIRST_PLAN_MILLIS;
 	}
 
+	/**
+	 * Tells whether the first targets are still on their way.
+	 * @return {@code true} for a short time after the start
+	 */
+	boolean targetsExpected() {
+		return this.book.states().isEmpty() && this.clock.millis() - this.startedMillis < FIRST_PLAN_MILLIS;
+	}
+
 	ServingPlan plan() {
 		return this.plan;
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -53,15 +53,18 @@
 	private int attempts;
 
 	RelayFixture() {
-		this(true);
+		this(true, true);
 	}
 
-	private RelayFixture(boolean planned) {
+	private RelayFixture(boolean planned, boolean listedTargets) {
 		if (planned) {
 			this.service.plan(plan(1));
 		}
 		this.service.planAge(0);
 		this.service.start();
+		if (!listedTargets) {
+			return;
+		}
 		list("e1", "bench", false);
 		list("e2", "bench", false);
 		list("e3", "bench", false);
@@ -72,8 +75,12 @@
 		list("p2", "desk", false);
 	}
 
+	static RelayFixture withoutTargets() {
+		return new RelayFixture(true, false);
+	}
+
 	static RelayFixture withoutPlan() {
-		return new RelayFixture(false);
+		return new RelayFixture(false, true);
 	}
 
 	static ServingPlan plan(long version) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
@@ -469,4 +469,14 @@
 		assertThat(later.failure().code()).isEqualTo(ResultCode.NOT_READY);
 	}
 
+	@Test
+	void callsWaitForTheFirstTargetsAfterTheStart() {
+		RelayFixture fresh = RelayFixture.withoutTargets();
+		fresh.accept("/order/1", this.caller);
+		fresh.advance(RelayService.FIRST_PLAN_MILLIS - 100);
+		assertThat(this.caller.ends()).isZero();
+		fresh.list("p1", "desk", false);
+		assertThat(fresh.targets().count()).isOne();
+	}
+
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -197,8 +198,7 @@
 		this.ended = true;
 		new Answer(this.head, false).refuse(failure);
 		this.head = null;
-		this.channel.eventLoop()
-			.schedule(() -> this.channel.close(), LINGER_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+		this.channel.eventLoop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void serve() {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -241,9 +240,4 @@
 		}
 	}
 
-	@Override
-	public String toString() {
-		return HttpHeaderNames.CONNECTION + " to " + this.address;
-	}
-
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpExchanges.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpExchanges.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -178,8 +179,7 @@
 
 		DefaultFullHttpRequest message() {
 			DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.method, this.uri,
-					Unpooled.wrappedBuffer(this.body), this.headers,
-					io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+					Unpooled.wrappedBuffer(this.body), this.headers, EmptyHttpHeaders.INSTANCE);
 			if (!this.headers.contains(HttpHeaderNames.HOST)) {
 				this.headers.set(HttpHeaderNames.HOST, this.address.getHostString() + ':' + this.address.getPort());
 			}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/StrictRequestDecoder.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/StrictRequestDecoder.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -31,8 +33,7 @@
 	}
 
 	@Override
-	protected void decode(ChannelHandlerContext context, io.netty.buffer.ByteBuf buffer, List<Object> out)
-			throws Exception {
+	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
 		int before = out.size();
 		super.decode(context, buffer, out);
 		for (int i = before; i < out.size(); i++) {
@@ -47,8 +48,8 @@
 		boolean chunked = encodings.size() == 1
 				&& HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0).trim());
 		if (!encodings.isEmpty() && (!chunked || HttpVersion.HTTP_1_0.equals(message.protocolVersion()))) {
-			message.setDecoderResult(io.netty.handler.codec.DecoderResult
-				.failure(new IllegalArgumentException("transfer encoding other than chunked")));
+			message.setDecoderResult(
+					DecoderResult.failure(new IllegalArgumentException("transfer encoding other than chunked")));
 		}
 	}
 
