A stopping host refuses new requests late in its grace time

A call was read 7.67 s after SIGTERM, passed on, and the process ended 0.01 s later at 0.96 of the grace time, while a stream kept it alive until then. Ruled out: the balancer (all hosts of the zone were out of rotation, so it used them all). Change: after 0.7 of the grace time every new request is refused as not run, with a time to come back.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -175,7 +175,8 @@
 	}
 
 	private void admit() {
-		if (streaming() && this.relays.stoppingMillis() > LAST_LONG_MILLIS) {
+		boolean tooLong = streaming() && this.relays.stoppingMillis() > LAST_LONG_MILLIS;
+		if (tooLong || this.relays.closed()) {
 			refuse(Failure.notRun(ResultCode.ENTRY_LEAVING, "the entry host is stopping"));
 			return;
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -95,6 +95,9 @@
 	/** When the planned stop began, in milliseconds; 0 if it did not. */
 	private long stoppingAtMillis;
 
+	/** When new requests are no longer served, in a planned stop, in milliseconds. */
+	private long servesUntilMillis;
+
 	private RelayService(Clock clock, Scheduler traffic, TargetClient client, RelaySettings settings,
 			UniformRandomProvider random, MetricRegistry metrics) {
 		this.clock = clock;
@@ -181,10 +184,21 @@
 	}
 
 	/**
-	 * Begins a planned stop: requests go on, and new long ones are refused after a while.
+	 * Begins a planned stop: requests go on, new long ones are refused after a while, and
+	 * then all new ones, so that none is under way when the process ends.
+	 * @param servesMillis how long new requests are still served, in milliseconds
 	 */
-	public void stopping() {
+	public void stopping(long servesMillis) {
 		this.stoppingAtMillis = this.clock.millis();
+		this.servesUntilMillis = this.stoppingAtMillis + servesMillis;
+	}
+
+	/**
+	 * Tells whether the process is too close to its end for new requests.
+	 * @return {@code true} late in a planned stop
+	 */
+	boolean closed() {
+		return this.stoppingAtMillis > 0 && this.clock.millis() >= this.servesUntilMillis;
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
@@ -479,4 +479,21 @@
 		assertThat(fresh.targets().count()).isOne();
 	}
 
+	@Test
+	void stoppingHostServesCallsForAWhileAndThenRefusesThem() {
+		this.fixture.service().stopping(5_600);
+		this.fixture.advance(3_000);
+		this.fixture.accept("/order/1", this.caller);
+		assertThat(sends()).isOne();
+		RecordingCaller stream = new RecordingCaller();
+		this.fixture.accept("/notes/1", stream);
+		assertThat(stream.failure().code()).isEqualTo(ResultCode.ENTRY_LEAVING);
+		this.fixture.advance(2_700);
+		RecordingCaller late = new RecordingCaller();
+		this.fixture.accept("/order/2", late);
+		assertThat(late.failure().code()).isEqualTo(ResultCode.ENTRY_LEAVING);
+		assertThat(late.failure().ran()).isEqualTo(Ran.NO);
+		assertThat(sends()).isOne();
+	}
+
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -50,6 +50,12 @@
 	/** Part of the grace time after which the process ends whatever runs. */
 	static final double GRACE_PART = 0.96;
 
+	/**
+	 * Part of the grace time for which new requests are served; the rest is longer than
+	 * the routes of calls allow them.
+	 */
+	static final double SERVE_PART = 0.7;
+
 	/** Time between two looks whether a planned stop is complete, in milliseconds. */
 	private static final long STOP_LOOK_MILLIS = 50;
 
@@ -215,7 +221,7 @@
 	public void stop() {
 		this.process.loop().execute(() -> {
 			LogEvent.PROCESS_LEAVING.log(logger, this.settings.process().name(), this.service.underWay());
-			this.service.stopping();
+			this.service.stopping((long) (this.settings.graceMillis() * SERVE_PART));
 			this.callers.closeAfterAnswers();
 		});
 		long beganMillis = this.process.clock().millis();
