What nothing reads goes: a parsed load of answers, a bound without a check, two methods

Cause: reading the whole change again. Each answer's load header was parsed and never read; a largest event size was declared and not checked; two methods and a variable had no use. Change: they go. Ruled out: the relay's tests that stand alike, since each names its own fault. Left: nothing bounds the bytes of one unfinished event; MaxConns is read and not used.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/EventFramer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/EventFramer.java
@@ -12,9 +12,6 @@
  */
 final class EventFramer {
 
-	/** Largest event, in bytes; far above what engines send. */
-	static final int MAX_EVENT_BYTES = 256 * 1024;
-
 	/** Field that carries an event's id. */
 	private static final String ID_FIELD = "id:";
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetBook.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetBook.java
@@ -114,17 +114,6 @@
 			.orElseGet(() -> new Placement.ForPlainTargets(this.random));
 	}
 
-	/**
-	 * Tells whether any target of a service is open.
-	 * @param service name of the service
-	 * @return {@code true} if there is one
-	 */
-	boolean anyOpen(String service) {
-		return this.states.values()
-			.stream()
-			.anyMatch((state) -> state.target().entry().service().equals(service) && state.open());
-	}
-
 	/**
 	 * Returns the targets.
 	 * @return all targets
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.function.Consumer;
 
 import io.dotterelcrank.process.membership.TargetEntry;
@@ -137,10 +136,8 @@
 	 * @param misdirected whether another target than the expected one answered
 	 * @param sealed whether the target vouches for the answer
 	 * @param events whether the body is a stream of events
-	 * @param load requests that the target has for each slot, if it tells
 	 */
-	record Head(int status, List<Header> headers, Ran ran, boolean misdirected, boolean sealed, boolean events,
-			OptionalDouble load) {
+	record Head(int status, List<Header> headers, Ran ran, boolean misdirected, boolean sealed, boolean events) {
 
 		/**
 		 * Tells whether the target has answered with success.
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargets.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargets.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.function.Consumer;
 
 import io.dotterelcrank.request.Ran;
@@ -127,7 +126,7 @@
 		}
 
 		private static Head head(int status, Ran ran, boolean sealed, boolean events) {
-			return new Head(status, List.of(), ran, status == 421, sealed, events, OptionalDouble.empty());
+			return new Head(status, List.of(), ran, status == 421, sealed, events);
 		}
 
 		@Override
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -145,12 +145,4 @@
 		return this.clock;
 	}
 
-	/**
-	 * Returns the number of open connections.
-	 * @return number of callers' connections
-	 */
-	public int connections() {
-		return this.connections.size();
-	}
-
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayProcess.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayProcess.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
-import com.codahale.metrics.Counting;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
@@ -197,9 +196,8 @@
 	}
 
 	private static void lines(StringBuilder text, String name, Timer timer) {
-		Counting counting = timer;
 		Snapshot snapshot = timer.getSnapshot();
-		line(text, name + ".count", counting.getCount());
+		line(text, name + ".count", timer.getCount());
 		line(text, name + ".p50", snapshot.getMedian() / NANOS_PER_MILLI);
 		line(text, name + ".p95", snapshot.get95thPercentile() / NANOS_PER_MILLI);
 		line(text, name + ".max", snapshot.getMax() / NANOS_PER_MILLI);
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PlainDialect.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PlainDialect.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -56,7 +55,7 @@
 		boolean events = response.headers().get("Content-Type", "").startsWith("text/event-stream");
 		return new TargetClient.Head(response.status().code(),
 				List.of(new Header("Seal", response.headers().get("Seal", "none"))), ran, false,
-				response.headers().contains("Seal"), events, OptionalDouble.empty());
+				response.headers().contains("Seal"), events);
 	}
 
 	@Override
