Sidecars decide which generations their engines take

Cause: many entry hosts read the same report and all choose the engine that was free a moment ago. Ruled out: waiting at the entry host (2 of 97 late first events had waited there).

Change: an entry host asks the sidecar beside the chosen engine; RoomLedger grants while no more is queued there than the host knew of and memory has room. The log also tells the longest pause between two events of a stream.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -122,7 +122,7 @@
 
 	/** A request has ended. */
 	REQUEST_ENDED(824, Level.INFO,
-			"request={} kind={} outcome={} millis={} firstMillis={} sends={} lastEvent={} message=\"{}\""),
+			"request={} kind={} outcome={} millis={} firstMillis={} pauseMillis={} sends={} lastEvent={} message=\"{}\""),
 
 	/** A target sent bytes that belong to no request; the connection is closed. */
 	SURPLUS_BYTES(825, Level.WARN, "surplus bytes from={}"),
@@ -155,7 +155,13 @@
 	ENGINE_IDENTIFIED(834, Level.INFO, "engine={} id={} born={}"),
 
 	/** A run does not go on from a copy. */
-	RUN_STAYS(835, Level.INFO, "request={} target={} does not go on at={} cause={} reason={}");
+	RUN_STAYS(835, Level.INFO, "request={} target={} does not go on at={} cause={} reason={}"),
+
+	/** A sidecar does not take a request, since its engine is fuller than was known. */
+	ROOM_REFUSED(836, Level.INFO, "request={} target={} no room refusals={} load={}"),
+
+	/** A sidecar did not say in time whether its engine has room. */
+	ROOM_UNANSWERED(837, Level.INFO, "request={} target={} room not answered millis={}");
 
 	/** Number of the event. */
 	private final int number;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
@@ -11,14 +11,14 @@
  * does not tell
  * @param running requests that run
  * @param waiting requests that wait for a slot
- * @param reading requests that run and have not produced a token yet
+ * @param unreadTokens prompt tokens that the engine has still to read
  * @param memoryUsed memory that cannot be freed, in tokens
  * @param memoryTotal memory of the engine, in tokens
  * @param leaving whether the engine takes no new work
  * @param leavesMillis how much longer it serves, in milliseconds; negative if not known
  */
 public record EngineLoad(String id, String service, String dataCentre, String address, long bornMillis, int running,
-		int waiting, int reading, long memoryUsed, long memoryTotal, boolean leaving, long leavesMillis) {
+		int waiting, long unreadTokens, long memoryUsed, long memoryTotal, boolean leaving, long leavesMillis) {
 
 	/**
 	 * Returns a copy that names the engine.
@@ -29,7 +29,17 @@
 	 */
 	public EngineLoad named(String engineId, String serviceName, String dataCentreName) {
 		return new EngineLoad(engineId, serviceName, dataCentreName, this.address, this.bornMillis, this.running,
-				this.waiting, this.reading, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis);
+				this.waiting, this.unreadTokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis);
+	}
+
+	/**
+	 * Returns a copy with another number of prompt tokens to read.
+	 * @param tokens number of tokens
+	 * @return the changed copy
+	 */
+	public EngineLoad withUnreadTokens(long tokens) {
+		return new EngineLoad(this.id, this.service, this.dataCentre, this.address, this.bornMillis, this.running,
+				this.waiting, tokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis);
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -220,4 +220,28 @@
 	record Heard(String address) implements Message {
 	}
 
+	/**
+	 * Asks whether the engine beside the receiver takes a request now.
+	 *
+	 * @param number number of the question, unique per sender
+	 * @param id id of the attempt
+	 * @param promptTokens tokens of the prompt
+	 * @param expectedTokens tokens that the request will probably hold in the end
+	 * @param knownUnreadTokens prompt tokens that the sender believes the engine has
+	 * still to read
+	 */
+	record AskRoom(long number, String id, long promptTokens, long expectedTokens,
+			long knownUnreadTokens) implements Message {
+	}
+
+	/**
+	 * Answer to {@link AskRoom}.
+	 *
+	 * @param number number of the question
+	 * @param granted whether the request may be sent
+	 * @param load load of the engine, with the request if it was granted
+	 */
+	record TellRoom(long number, boolean granted, EngineLoad load) implements Message {
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
@@ -26,7 +26,7 @@
 			Message.Answer.class, Message.ClaimedElsewhere.class, Message.Tokens.class, Message.Finished.class,
 			Message.Failed.class, Message.Heartbeat.class, Message.AskConfiguration.class,
 			Message.TellConfiguration.class, Message.AskRecords.class, Message.TellRecords.class,
-			Message.TellLoad.class, Message.Heard.class);
+			Message.TellLoad.class, Message.Heard.class, Message.AskRoom.class, Message.TellRoom.class);
 
 	/** Writes and reads records as arrays. */
 	private final ObjectMapper mapper;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
@@ -110,33 +110,40 @@
 		}
 
 		private boolean fits(TargetState state, Demand demand) {
-			EngineLoad load = state.load();
-			long growth = (load != null) ? load.running() * GROWTH_TOKENS : 0;
-			return used(state, demand) + growth + demand.expectedTokens() <= USABLE_PART * this.memoryTokens
-					|| (state.ownRequests() == 0 && (load == null || load.running() == 0));
-		}
-
-		private long used(TargetState state, Demand demand) {
 			EngineLoad load = state.load();
 			if (load == null) {
-				return state.ownExpected() * demand.hosts();
+				return state.ownRequests() == 0
+						|| used(state, demand) + demand.expectedTokens() <= USABLE_PART * this.memoryTokens;
 			}
-			return load.memoryUsed() + unread(state, demand);
+			EngineLoad now = load.withUnreadTokens(state.unreadTokens(demand.hosts()));
+			return fits(now, demand.expectedTokens(), this.memoryTokens)
+					|| (state.ownRequests() == 0 && load.running() == 0);
 		}
 
-		private static long unread(TargetState state, Demand demand) {
+		/**
+		 * Tells whether a request probably fits into an engine's memory to its end.
+		 * @param load load of the engine
+		 * @param expectedTokens tokens that the request will probably hold in the end
+		 * @param memoryTokens memory of the engine, in tokens
+		 * @return {@code true} if it does
+		 */
+		static boolean fits(EngineLoad load, long expectedTokens, long memoryTokens) {
+			return load.memoryUsed() + load.unreadTokens() + load.running() * GROWTH_TOKENS
+					+ expectedTokens <= USABLE_PART * memoryTokens;
+		}
+
+		private long used(TargetState state, Demand demand) {
 			EngineLoad load = state.load();
 			if (load == null) {
-				return state.ownUnread() * demand.hosts();
+				return state.ownExpected() * demand.hosts();
 			}
-			int foreign = Math.max(0, load.reading() + load.waiting() - state.ownReading());
-			return state.ownUnread() + foreign * FOREIGN_UNREAD_TOKENS;
+			return load.memoryUsed() + state.unreadTokens(demand.hosts());
 		}
 
 		private double seconds(TargetState state, Demand demand) {
 			EngineLoad load = state.load();
 			int running = (load != null) ? load.running() : state.ownRequests() * demand.hosts();
-			double seconds = unread(state, demand) / READ_PER_SECOND;
+			double seconds = state.unreadTokens(demand.hosts()) / READ_PER_SECOND;
 			seconds += MEMORY_SECONDS * used(state, demand) / this.memoryTokens;
 			seconds += RUNNING_SECONDS * running;
 			seconds += FAILED_SECONDS * state.failedShare();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -87,6 +87,9 @@
 	/** Lets a run go on elsewhere. */
 	private final Continuation continuation = new Continuation(this);
 
+	/** Asks sidecars for room. */
+	private final RoomRequest room;
+
 	/** Ids of targets that were tried. */
 	private final Set<String> tried = new HashSet<>();
 
@@ -124,10 +127,14 @@
 	/** When the last event was passed on, in milliseconds. */
 	private long lastEventMillis;
 
+	/** Longest time between two events, in milliseconds. */
+	private long longestPauseMillis;
+
 	Relay(RelayService relays, CallerRequest request, CallerChannel caller) {
 		this.relays = relays;
 		this.request = request;
 		this.caller = caller;
+		this.room = new RoomRequest(this, relays);
 	}
 
 	void start() {
@@ -213,8 +220,9 @@
 		}
 		TargetBook.Choice choice = this.relays.book().choose(this.service, demand(), this.tried);
 		if (choice.target() != null) {
-			this.relays.metrics().queued(now() - this.request.arrivedMillis());
-			send(choice.target(), Optional.empty(), "placed");
+			if (this.service.engine().isEmpty() || !this.room.ask(choice.target(), demand())) {
+				roomAt(choice.target());
+			}
 			return true;
 		}
 		if (this.relays.targetsExpected()) {
@@ -228,6 +236,33 @@
 		return false;
 	}
 
+	/**
+	 * Sends the request to a target that has room.
+	 * @param target the target
+	 */
+	void roomAt(TargetState target) {
+		if (!target.open()) {
+			placeOrAwait();
+			return;
+		}
+		this.relays.metrics().queued(now() - this.request.arrivedMillis());
+		send(target, Optional.empty(), "placed");
+	}
+
+	/**
+	 * The chosen target has no room after all.
+	 * @param searchOn whether to choose another one at once, not at the next look
+	 */
+	void noRoom(boolean searchOn) {
+		this.relays.metrics().roomRefused();
+		if (searchOn) {
+			placeOrAwait();
+		}
+		else if (!this.relays.await(this)) {
+			refuse(Failure.notRun(ResultCode.OVERLOADED, "too many requests wait"));
+		}
+	}
+
 	/**
 	 * Starts a request that waited for the first plan.
 	 * @return {@code false} if it has to wait on
@@ -237,7 +272,7 @@
 			return false;
 		}
 		start();
-		return this.done || !this.attempts.isEmpty();
+		return this.done || this.room.open() || !this.attempts.isEmpty();
 	}
 
 	private boolean waitedTooLong() {
@@ -364,12 +399,13 @@
 	private void end(String outcome, String message) {
 		this.done = true;
 		this.expiry.cancel();
+		this.room.close();
 		List.copyOf(this.attempts).forEach(RelayAttempt::close);
 		this.relays.ended(this);
 		long millis = now() - this.request.arrivedMillis();
 		String kind = (this.route != null) ? this.route.kind().name() : "UNROUTED";
-		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.firstMillis, this.sends,
-				this.lastEventId.orElse(0), message);
+		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.firstMillis,
+				this.longestPauseMillis, this.sends, this.lastEventId.orElse(0), message);
 		this.relays.metrics().ended(kind, outcome, millis);
 	}
 
@@ -469,10 +505,14 @@
 			}
 			this.lastEventId = event.id();
 		}
-		this.lastEventMillis = now();
+		long nowMillis = now();
 		if (this.firstMillis < 0) {
-			this.firstMillis = this.lastEventMillis - this.request.arrivedMillis();
+			this.firstMillis = nowMillis - this.request.arrivedMillis();
+		}
+		else {
+			this.longestPauseMillis = Math.max(this.longestPauseMillis, nowMillis - this.lastEventMillis);
 		}
+		this.lastEventMillis = nowMillis;
 		this.caller.write(event.bytes());
 		if (!this.caller.writable()) {
 			attempt.read(false);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
@@ -29,6 +29,10 @@
 		this.registry.counter("handovers." + outcome).inc();
 	}
 
+	void roomRefused() {
+		this.registry.counter("rooms.refused").inc();
+	}
+
 	void queued(long millis) {
 		this.registry.timer("queue.millis").update(millis, TimeUnit.MILLISECONDS);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -18,6 +18,7 @@
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.version.plan.ServingPlan;
@@ -59,6 +60,9 @@
 	/** Sends to targets. */
 	private final TargetClient client;
 
+	/** Asks sidecars for room. */
+	private final RoomClient rooms;
+
 	/** Figures of the deployment. */
 	private final RelaySettings settings;
 
@@ -77,9 +81,15 @@
 	/** Requests under way. */
 	private final Set<Relay> active = new LinkedHashSet<>();
 
+	/** Open questions to sidecars, by their numbers. */
+	private final Map<Long, RoomRequest> questions = new HashMap<>();
+
 	/** Requests that wait for room at a target. */
 	private final List<Relay> waiting = new ArrayList<>();
 
+	/** Number of the last question to a sidecar. */
+	private long lastQuestion;
+
 	/** When the process started, in milliseconds. */
 	private final long startedMillis;
 
@@ -98,11 +108,12 @@
 	/** When new requests are no longer served, in a planned stop, in milliseconds. */
 	private long servesUntilMillis;
 
-	private RelayService(Clock clock, Scheduler traffic, TargetClient client, RelaySettings settings,
+	private RelayService(Clock clock, Scheduler traffic, TargetClient client, RoomClient rooms, RelaySettings settings,
 			UniformRandomProvider random, MetricRegistry metrics) {
 		this.clock = clock;
 		this.traffic = traffic;
 		this.client = client;
+		this.rooms = rooms;
 		this.settings = settings;
 		this.random = random;
 		this.metrics = new RelayMetrics(metrics);
@@ -115,14 +126,15 @@
 	 * @param clock clock of the process
 	 * @param traffic the traffic thread
 	 * @param client sends to targets
+	 * @param rooms asks sidecars for room
 	 * @param settings figures of the deployment
 	 * @param random source of randomness
 	 * @param metrics metrics of the process
 	 * @return a new service
 	 */
-	public static RelayService of(Clock clock, Scheduler traffic, TargetClient client, RelaySettings settings,
-			UniformRandomProvider random, MetricRegistry metrics) {
-		return new RelayService(clock, traffic, client, settings, random, metrics);
+	public static RelayService of(Clock clock, Scheduler traffic, TargetClient client, RoomClient rooms,
+			RelaySettings settings, UniformRandomProvider random, MetricRegistry metrics) {
+		return new RelayService(clock, traffic, client, rooms, settings, random, metrics);
 	}
 
 	/**
@@ -175,6 +187,31 @@
 		tick();
 	}
 
+	/**
+	 * Takes in a sidecar's answer to a question for room.
+	 * @param answer the answer
+	 */
+	public void roomAnswered(Message.TellRoom answer) {
+		RoomRequest asked = this.questions.get(answer.number());
+		if (asked != null) {
+			asked.answered(answer.granted(), answer.load());
+		}
+	}
+
+	long nextQuestion(RoomRequest asking) {
+		this.lastQuestion++;
+		this.questions.put(this.lastQuestion, asking);
+		return this.lastQuestion;
+	}
+
+	void closeQuestion(long number) {
+		this.questions.remove(number);
+	}
+
+	RoomClient rooms() {
+		return this.rooms;
+	}
+
 	/**
 	 * Takes in the number of entry hosts.
 	 * @param count number of hosts, this one included
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetState.java
@@ -61,6 +61,9 @@
 	/** Failed connections in a row. */
 	private int unreached;
 
+	/** Time before which its sidecar is not asked for room. */
+	private long sidecarSilentUntilMillis;
+
 	TargetState(Clock clock, Target target) {
 		this.clock = clock;
 		this.target = target;
@@ -163,7 +166,7 @@
 	 * @return a handle, to be given back when the request has ended there
 	 */
 	OwnRun sent(long promptTokens, long expectedTokens) {
-		OwnRun run = new OwnRun(promptTokens, expectedTokens);
+		OwnRun run = new OwnRun(promptTokens, expectedTokens, this.clock.millis());
 		this.own.add(run);
 		return run;
 	}
@@ -195,20 +198,32 @@
 	}
 
 	/**
-	 * Returns the prompt tokens of own requests that have not produced a token yet, so
-	 * that no report counts them whole.
+	 * Returns the prompt tokens that the target has probably still to read: those that
+	 * its sidecar told, and those of own requests since. Without a sidecar, the own ones
+	 * stand for those of all hosts.
+	 * @param hosts number of entry hosts
 	 * @return number of tokens
 	 */
-	long ownUnread() {
-		return this.own.stream().filter((run) -> !run.started).mapToLong((run) -> run.promptTokens).sum();
+	long unreadTokens(int hosts) {
+		EngineLoad fresh = load();
+		long sinceMillis = (fresh != null) ? this.loadAtMillis : 0;
+		long own = this.own.stream()
+			.filter((run) -> !run.started && run.sentMillis >= sinceMillis)
+			.mapToLong((run) -> run.promptTokens)
+			.sum();
+		return (fresh != null) ? fresh.unreadTokens() + own : own * hosts;
 	}
 
 	/**
-	 * Returns the number of own requests that have not produced a token yet.
-	 * @return number of requests
+	 * Tells whether its sidecar is not asked for room at the moment.
+	 * @return {@code true} for a time after a question without an answer
 	 */
-	int ownReading() {
-		return (int) this.own.stream().filter((run) -> !run.started).count();
+	boolean sidecarSilent() {
+		return this.clock.millis() < this.sidecarSilentUntilMillis;
+	}
+
+	void sidecarSilent(long millis) {
+		this.sidecarSilentUntilMillis = this.clock.millis() + millis;
 	}
 
 	/**
@@ -230,12 +245,16 @@
 		/** Tokens that it will probably hold in the end. */
 		private final long expectedTokens;
 
+		/** When it was sent, in milliseconds. */
+		private final long sentMillis;
+
 		/** Whether it has produced an event. */
 		private boolean started;
 
-		OwnRun(long promptTokens, long expectedTokens) {
+		OwnRun(long promptTokens, long expectedTokens, long sentMillis) {
 			this.promptTokens = promptTokens;
 			this.expectedTokens = expectedTokens;
+			this.sentMillis = sentMillis;
 		}
 
 		void started() {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
@@ -50,7 +50,9 @@
 				new Message.TellConfiguration(configuration), new Message.AskRecords("op", 7),
 				new Message.TellLoad(
 						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, true, 1_500), true),
-				new Message.Heard("10.0.0.1:80"));
+				new Message.Heard("10.0.0.1:80"), new Message.AskRoom(9, "r", 3_000, 3_800, 1_500),
+				new Message.TellRoom(9, false,
+						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, false, -1)));
 	}
 
 	@ParameterizedTest
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -41,11 +41,14 @@
 	/** The targets. */
 	private final RecordingTargets targets = new RecordingTargets();
 
+	/** The sidecars; they answer no question until told to. */
+	private final RecordingRooms rooms = new RecordingRooms();
+
 	/** Targets that are listed. */
 	private final List<Target> listed = new ArrayList<>();
 
 	/** The service. */
-	private final RelayService service = RelayService.of(this.clock, this.scheduler, this.targets,
+	private final RelayService service = RelayService.of(this.clock, this.scheduler, this.targets, this.rooms,
 			new RelaySettings("giza", 0.2, 54, 10_000), RandomSource.XO_RO_SHI_RO_128_PP.create(5),
 			new MetricRegistry());
 
@@ -124,6 +127,10 @@
 				running, 0, 0, memoryUsed, MEMORY_TOKENS, false, -1));
 	}
 
+	String address(String id) {
+		return "10.0.0." + Math.floorMod(id.hashCode(), 250) + ":80";
+	}
+
 	Relay accept(String path, RecordingCaller caller) {
 		return accept(path, "key", caller);
 	}
@@ -145,6 +152,10 @@
 		return this.targets;
 	}
 
+	RecordingRooms rooms() {
+		return this.rooms;
+	}
+
 	RelayService service() {
 		return this.service;
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.slf4j.Logger;
@@ -92,6 +94,9 @@
 	/** Feed of the targets' table. */
 	private TableFeed targetsFeed;
 
+	/** Links to sidecars, by the addresses of their engines. */
+	private final Map<String, Link> sidecars = new ConcurrentHashMap<>();
+
 	/** Serves callers. */
 	private CallerServer callers;
 
@@ -100,7 +105,7 @@
 		this.platform = platform;
 		this.process = new RelayProcess(settings.process(), platform);
 		this.service = RelayService.of(this.process.clock(), new LoopScheduler(this.process.loop()),
-				HttpTargetClient.of(this.process.exchanges(), platform.dialect()), settings.relay(),
+				HttpTargetClient.of(this.process.exchanges(), platform.dialect()), this::askRoom, settings.relay(),
 				RandomSource.XO_RO_SHI_RO_128_PP.create(), this.process.metrics());
 		this.registry = TargetRegistry.of(this.process.clock());
 		this.peers = PeerRecords.of(this.process.transport(), this.process.control(), this.process::peers,
@@ -206,6 +211,15 @@
 				load.bornMillis(), 0));
 	}
 
+	private boolean askRoom(String engine, Message.AskRoom question) {
+		Link link = this.sidecars.get(engine);
+		if (link == null || !link.writable()) {
+			return false;
+		}
+		link.send(question);
+		return true;
+	}
+
 	private void tell() {
 		List<Target> targets = this.registry.targets(this.targetsFeed.ageMillis() < this.settings.drainMillis());
 		long planAgeMillis = this.operators.ageMillis();
@@ -269,12 +283,16 @@
 			}
 			else if (message instanceof Message.TellLoad told) {
 				EngineLoad load = told.load();
+				RelayEntryDaemon.this.sidecars.put(load.address(), link);
 				RelayEntryDaemon.this.process.loop().execute(() -> RelayEntryDaemon.this.service.load(load));
 				RelayEntryDaemon.this.process.control().execute(() -> told(load));
 				if (told.answer()) {
 					link.send(new Message.Heard(load.address()));
 				}
 			}
+			else if (message instanceof Message.TellRoom answer) {
+				RelayEntryDaemon.this.process.loop().execute(() -> RelayEntryDaemon.this.service.roomAnswered(answer));
+			}
 		}
 
 		@Override
@@ -284,7 +302,7 @@
 
 		@Override
 		public void closed(Link link) {
-			// Peers and sidecars open links anew.
+			RelayEntryDaemon.this.sidecars.values().remove(link);
 		}
 
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayPlatform.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayPlatform.java
@@ -3,9 +3,9 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 
-import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.process.membership.TargetEntry;
 import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.process.relay.EngineReport;
 import io.dotterelcrank.process.replica.KeyedLog;
 import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.version.plan.ServingPlan;
@@ -65,12 +65,12 @@
 	TargetEntry targetEntry(KeyedRecord record) throws PlatformException;
 
 	/**
-	 * Reads the load of an engine.
+	 * Reads what an engine says of itself.
 	 * @param exchanges connections to engines
 	 * @param engine address of the engine
-	 * @return the load
+	 * @return the report
 	 */
-	CompletableFuture<EngineLoad> engineLoad(HttpExchanges exchanges, InetSocketAddress engine);
+	CompletableFuture<EngineReport> engineReport(HttpExchanges exchanges, InetSocketAddress engine);
 
 	/**
 	 * Asks an engine for the id of its incarnation.
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -16,11 +16,13 @@
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.daemon.wiring.Daemon;
+import io.dotterelcrank.process.relay.EngineReport;
+import io.dotterelcrank.process.relay.RoomLedger;
 
 /**
- * A sidecar daemon that tells entry hosts the load of the engine beside it. It is on no
- * request's way: without it, entry hosts know only their own requests there. All state
- * belongs to the control thread.
+ * A sidecar daemon that tells entry hosts the load of the engine beside it, and decides
+ * which requests the engine takes. No request depends on it: without it, entry hosts know
+ * only their own requests there. All state belongs to the control thread.
  */
 public final class RelaySidecarDaemon implements Daemon {
 
@@ -45,6 +47,9 @@
 	/** Part of the memory by which the use must change to be told early. */
 	static final double CHANGED_PART = 0.03;
 
+	/** Change in the prompt tokens to read that is told early; a third of a prompt. */
+	static final long CHANGED_TOKENS = 1_000;
+
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(RelaySidecarDaemon.class);
 
@@ -69,6 +74,9 @@
 	/** Id of the engine that started then. */
 	private String engineId = "";
 
+	/** Decides which requests the engine takes. */
+	private final RoomLedger ledger;
+
 	/** Load last told, or {@code null}. */
 	private EngineLoad told;
 
@@ -82,6 +90,7 @@
 		this.settings = settings;
 		this.platform = platform;
 		this.process = new RelayProcess(settings.process(), platform);
+		this.ledger = RoomLedger.of(this.process.clock());
 	}
 
 	/**
@@ -119,14 +128,14 @@
 	}
 
 	private void look() {
-		this.platform.engineLoad(this.process.exchanges(), this.settings.engine())
-			.whenComplete((load, failure) -> this.process.control().execute(() -> {
-				seen(load, failure);
+		this.platform.engineReport(this.process.exchanges(), this.settings.engine())
+			.whenComplete((report, failure) -> this.process.control().execute(() -> {
+				seen(report, failure);
 				this.process.control().schedule(LOOK_MILLIS, this::look);
 			}));
 	}
 
-	private void seen(EngineLoad load, Throwable failure) {
+	private void seen(EngineReport report, Throwable failure) {
 		if (failure != null) {
 			if (this.engineAnswers) {
 				LogEvent.ENGINE_UNREADABLE.log(logger, this.settings.engine(), failure.getMessage());
@@ -135,13 +144,30 @@
 			return;
 		}
 		this.engineAnswers = true;
-		identify(load.bornMillis());
-		EngineLoad named = load.named((load.bornMillis() == this.identifiedBornMillis) ? this.engineId : "",
-				this.settings.service(), this.settings.process().dataCentre());
-		if (worthTelling(named)) {
-			this.told = named;
+		long bornMillis = report.load().bornMillis();
+		identify(bornMillis);
+		EngineLoad named = report.load()
+			.named((bornMillis == this.identifiedBornMillis) ? this.engineId : "", this.settings.service(),
+					this.settings.process().dataCentre());
+		this.ledger.report(named, report.runs());
+		EngineLoad load = this.ledger.load();
+		if (worthTelling(load)) {
+			this.told = load;
 			this.toldAtMillis = this.process.clock().millis();
-			List.copyOf(this.links.values()).forEach((link) -> link.tell(named));
+			List.copyOf(this.links.values()).forEach((link) -> link.tell(load));
+		}
+	}
+
+	/**
+	 * Answers a question for room. While the engine does not tell its load, none is
+	 * answered, and entry hosts find out themselves.
+	 * @param asking link to the entry host
+	 * @param question what the request needs
+	 */
+	private void asked(Link asking, Message.AskRoom question) {
+		if (this.engineAnswers && this.ledger.load() != null) {
+			boolean granted = this.ledger.grant(question);
+			asking.send(new Message.TellRoom(question.number(), granted, this.ledger.load()));
 		}
 	}
 
@@ -174,7 +200,8 @@
 			return true;
 		}
 		boolean changed = Math.abs(load.memoryUsed() - this.told.memoryUsed()) > load.memoryTotal() * CHANGED_PART
-				|| load.waiting() != this.told.waiting() || load.reading() != this.told.reading();
+				|| load.waiting() != this.told.waiting()
+				|| Math.abs(load.unreadTokens() - this.told.unreadTokens()) > CHANGED_TOKENS;
 		return changed && sinceMillis >= LEAST_MILLIS;
 	}
 
@@ -231,8 +258,12 @@
 
 		@Override
 		public void received(Link sender, long version, Message message) {
-			RelaySidecarDaemon.this.process.control()
-				.execute(() -> this.heardMillis = RelaySidecarDaemon.this.process.clock().millis());
+			RelaySidecarDaemon.this.process.control().execute(() -> {
+				this.heardMillis = RelaySidecarDaemon.this.process.clock().millis();
+				if (message instanceof Message.AskRoom question) {
+					asked(sender, question);
+				}
+			});
 		}
 
 		@Override
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -25,6 +25,7 @@
 import io.dotterelcrank.process.membership.TargetEntry;
 import io.dotterelcrank.process.relay.RelayService;
 import io.dotterelcrank.process.relay.RelaySettings;
+import io.dotterelcrank.process.relay.RoomClient;
 import io.dotterelcrank.version.plan.CallerLimits;
 import io.dotterelcrank.version.plan.RequestKind;
 import io.dotterelcrank.version.plan.Route;
@@ -58,7 +59,7 @@
 		EventLoop loop = this.group.next();
 		Clock clock = Clock.system();
 		RelayService service = RelayService.of(clock, new LoopScheduler(loop),
-				HttpTargetClient.of(HttpExchanges.on(loop), new PlainDialect()),
+				HttpTargetClient.of(HttpExchanges.on(loop), new PlainDialect()), RoomClient.Disabled.INSTANCE,
 				new RelaySettings("dc", 0.2, 50, 10_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
 				new MetricRegistry());
 		loop.submit(() -> {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
@@ -19,6 +19,7 @@
 import io.dotterelcrank.connection.Transport;
 import io.dotterelcrank.process.membership.TargetEntry;
 import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.process.relay.EngineReport;
 import io.dotterelcrank.process.replica.KeyedLog;
 import io.dotterelcrank.process.replica.KeyedRecord;
 
@@ -169,7 +170,7 @@
 		}
 
 		@Override
-		public CompletableFuture<EngineLoad> engineLoad(HttpExchanges exchanges, InetSocketAddress engine) {
+		public CompletableFuture<EngineReport> engineReport(HttpExchanges exchanges, InetSocketAddress engine) {
 			return failed();
 		}
 
