--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
@@ -45,7 +45,7 @@
 	 * Part of an engine's memory up to which it is given backups, so that they leave room
 	 * for new requests.
 	 */
-	static final double BACKUP_PART = 0.7;
+	static final double BACKUP_PART = 0.4;
 
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(Continuation.class);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
@@ -1,5 +1,7 @@
 package io.dotterelcrank.process.relay;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import io.dotterelcrank.request.Ran;
@@ -496,4 +498,14 @@
 		assertThat(sends()).isOne();
 	}
 
+	@Test
+	void enginesThatAreFairlyFullKeepNoBackups() {
+		List.of("e1", "e2", "e3").forEach((engine) -> this.fixture.load(engine, 3, RelayFixture.MEMORY_TOKENS / 2));
+		this.fixture.accept("/notes/1", this.caller);
+		assertThat(sent(0).request().backup()).isEmpty();
+		List.of("e1", "e2", "e3").forEach((engine) -> this.fixture.load(engine, 1, RelayFixture.MEMORY_TOKENS / 5));
+		this.fixture.accept("/notes/2", new RecordingCaller());
+		assertThat(sent(1).request().backup()).isPresent();
+	}
+
 }
