An engine that tells no load yet is used by one host at a time; long queues take no more

Change: while others tell their load, a host uses such an engine with a chance of one in the number of hosts; above 8,000 tokens to read an engine takes no more. Tests: ForEnginesTests (failed before).

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
@@ -64,9 +64,10 @@
 
 	/**
 	 * Chooses the engine that will probably produce the first token first, among those
-	 * whose memory has room. Answers two load patterns: a few long generations that fill
-	 * engines' memory long before their slots, and prompts that are read one after
-	 * another at one engine while others read none.
+	 * whose memory has room. Answers three load patterns: a few long generations that
+	 * fill engines' memory long before their slots, prompts that are read one after
+	 * another at one engine while others read none, and an engine that has just started,
+	 * which all hosts would choose at once before it tells its load.
 	 */
 	final class ForEngines implements Placement {
 
@@ -85,6 +86,12 @@
 		 */
 		static final double READ_PER_SECOND = 7_000;
 
+		/**
+		 * Prompt tokens to read above which an engine takes no more, so that requests
+		 * wait where they can still go elsewhere; reading them takes about a second.
+		 */
+		static final long MAX_UNREAD_TOKENS = 8_000;
+
 		/** Tokens that a request of another host probably has still to read. */
 		static final long FOREIGN_UNREAD_TOKENS = 1_500;
 
@@ -113,13 +120,24 @@
 
 		@Override
 		public Optional<TargetState> choose(List<TargetState> candidates, Demand demand) {
+			boolean told = candidates.stream().anyMatch((state) -> state.load() != null);
 			return candidates.stream()
+				.filter((state) -> state.load() != null || !told || ownTurn(demand.hosts()))
 				.filter((state) -> fits(state, demand))
 				.map((state) -> new Scored(state, seconds(state, demand)))
 				.min(Comparator.comparingDouble(Scored::cost))
 				.map(Scored::state);
 		}
 
+		/**
+		 * Tells whether this host may use an engine whose load is not known.
+		 * @param hosts number of hosts that would use it
+		 * @return {@code true} for one host on average
+		 */
+		private boolean ownTurn(int hosts) {
+			return this.random.nextDouble() * hosts < 1;
+		}
+
 		private boolean fits(TargetState state, Demand demand) {
 			EngineLoad load = state.load();
 			if (load == null) {
@@ -139,8 +157,8 @@
 		 * @return {@code true} if it does
 		 */
 		static boolean fits(EngineLoad load, long expectedTokens, long memoryTokens) {
-			return load.memoryUsed() + load.unreadTokens() + load.running() * GROWTH_TOKENS
-					+ expectedTokens <= USABLE_PART * memoryTokens;
+			long committed = load.memoryUsed() + load.unreadTokens() + load.running() * GROWTH_TOKENS;
+			return load.unreadTokens() <= MAX_UNREAD_TOKENS && committed + expectedTokens <= USABLE_PART * memoryTokens;
 		}
 
 		private long used(TargetState state, Demand demand) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -61,6 +61,30 @@
 		assertThat(chosen(demand(), engine("full", "giza", 0, 24_000))).isEqualTo("none");
 	}
 
+	@Test
+	void engineThatHasNotToldItsLoadIsUsedByOneHostOnAverage() {
+		TargetState told = engine("told", "giza", 3_000, 15_000);
+		TargetState started = new TargetState(this.clock, told.target());
+		Placement.Demand amongTwenty = new Placement.Demand(3_000, 3_500, "giza", 0, 20);
+		int taken = 0;
+		for (int request = 0; request < 1_000; request++) {
+			taken += (this.placement.choose(List.of(told, started), amongTwenty).orElseThrow() == started) ? 1 : 0;
+		}
+		assertThat(taken).isBetween(25, 75);
+	}
+
+	@Test
+	void enginesThatTellNothingAreAllUsed() {
+		TargetState silent = new TargetState(this.clock, engine("e", "giza", 0, 0).target());
+		assertThat(chosen(demand(), silent)).isEqualTo("e");
+	}
+
+	@Test
+	void longQueueTakesNoMoreThoughMemoryHasRoom() {
+		assertThat(chosen(demand(), engine("e", "giza", Placement.ForEngines.MAX_UNREAD_TOKENS + 1, 3_000)))
+			.isEqualTo("none");
+	}
+
 	@Test
 	void ownRequestsSinceTheReportCount() {
 		TargetState own = engine("own", "giza", 0, 6_000);
