explain and timeline: a request's story and a process's beliefs from log files

The on-call engineers have only logs. explain ID prints the events that name a request over all processes, with what those processes learned meanwhile of its targets, their plan and the store; timeline prints what each process believed at a time. Lines without an event are counted, missing files and bad times are numbered errors. Tests: RequestStoryTests, MainTests.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
@@ -24,6 +24,7 @@
 import io.dotterelcrank.daemon.command.ExceptionListVerb;
 import io.dotterelcrank.daemon.command.ExceptionRemoveVerb;
 import io.dotterelcrank.daemon.command.ExitCode;
+import io.dotterelcrank.daemon.command.ExplainVerb;
 import io.dotterelcrank.daemon.command.HelpVerb;
 import io.dotterelcrank.daemon.command.HostDrainVerb;
 import io.dotterelcrank.daemon.command.HostRestoreVerb;
@@ -32,6 +33,7 @@
 import io.dotterelcrank.daemon.command.SidecarVerb;
 import io.dotterelcrank.daemon.command.StandinVerb;
 import io.dotterelcrank.daemon.command.StatusVerb;
+import io.dotterelcrank.daemon.command.TimelineVerb;
 import io.dotterelcrank.daemon.command.Verb;
 import io.dotterelcrank.process.platform.PlatformException;
 import io.dotterelcrank.request.RequestException;
@@ -93,7 +95,7 @@
 			.withDescription("Serves language-model generations of unknown length on crowded engines")
 			.withDefaultCommand(HelpVerb.class)
 			.withCommands(List.of(HelpVerb.class, DemoVerb.class, EntryVerb.class, SidecarVerb.class, StandinVerb.class,
-					StatusVerb.class, DumpVerb.class, LoadVerb.class));
+					StatusVerb.class, DumpVerb.class, ExplainVerb.class, TimelineVerb.class, LoadVerb.class));
 		builder.withParser().withErrorHandler(new CollectAll());
 		builder.withGroup("config")
 			.withDescription("Publish, show and check the configuration")
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/logs/Beliefs.java
@@ -0,0 +1,119 @@
+package io.dotterelcrank.daemon.logs;
+
+import java.time.LocalTime;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.dotterelcrank.common.LogEvent;
+
+/**
+ * What one process believed at a time, by its log. Not thread-safe.
+ */
+public final class Beliefs {
+
+	/** When the process last started, or {@code null} if its log does not tell. */
+	private LocalTime started;
+
+	/** Version of its plan, or an empty string. */
+	private String plan = "";
+
+	/** Data centres taken out, as logged. */
+	private String dataCentresOut = "[]";
+
+	/** Tables for which the store did not answer. */
+	private final Set<String> tablesLost = new TreeSet<>();
+
+	/** Targets by id, with service, data centre and whether they were leaving. */
+	private final Map<String, String> targets = new TreeMap<>();
+
+	private Beliefs() {
+	}
+
+	/**
+	 * Folds logs into what each process believed.
+	 * @param logs the events of all processes
+	 * @param until the time
+	 * @return beliefs by process
+	 */
+	public static Map<String, Beliefs> at(LogFiles logs, LocalTime until) {
+		Map<String, Beliefs> processes = new LinkedHashMap<>();
+		logs.lines()
+			.stream()
+			.filter((line) -> !line.time().isAfter(until))
+			.forEach((line) -> processes.computeIfAbsent(line.process(), (name) -> new Beliefs()).apply(line));
+		return processes;
+	}
+
+	private void apply(LogLine line) {
+		if (line.number() == LogEvent.PROCESS_STARTED.number()) {
+			this.started = line.time();
+			this.plan = "";
+			this.dataCentresOut = "[]";
+			this.tablesLost.clear();
+			this.targets.clear();
+		}
+		else if (line.number() == LogEvent.PLAN_IN_FORCE.number()) {
+			this.plan = line.field("version").orElse("");
+		}
+		else if (line.number() == LogEvent.DATA_CENTRES_OUT.number()) {
+			this.dataCentresOut = line.text().substring(line.text().indexOf('=') + 1);
+		}
+		else if (line.number() == LogEvent.STORE_LOST.number()) {
+			line.field("table").ifPresent(this.tablesLost::add);
+		}
+		else if (line.number() == LogEvent.STORE_REGAINED.number()) {
+			line.field("table").ifPresent(this.tablesLost::remove);
+		}
+		else if (line.number() == LogEvent.TARGET_SEEN.number() || line.number() == LogEvent.TARGET_TOLD.number()) {
+			this.targets.put(line.field("target").orElse("?"), line.field("service").orElse("?") + " in "
+					+ line.field("dataCentre").orElse("?") + (line.text().contains("leaving=true") ? ", leaving" : ""));
+		}
+		else if (line.number() == LogEvent.TARGET_MISSING.number()) {
+			line.field("target").ifPresent(this.targets::remove);
+		}
+	}
+
+	/**
+	 * Returns the version of the plan in force.
+	 * @return the version, or an empty string if none was logged
+	 */
+	public String plan() {
+		return this.plan;
+	}
+
+	/**
+	 * Returns when the process last started.
+	 * @return time of day, or {@code null} if it was not logged
+	 */
+	public LocalTime started() {
+		return this.started;
+	}
+
+	/**
+	 * Returns the data centres taken out.
+	 * @return their names, as logged
+	 */
+	public String dataCentresOut() {
+		return this.dataCentresOut;
+	}
+
+	/**
+	 * Returns the tables for which the store did not answer.
+	 * @return names of tables
+	 */
+	public Set<String> tablesLost() {
+		return Set.copyOf(this.tablesLost);
+	}
+
+	/**
+	 * Returns the targets that were listed.
+	 * @return service, data centre and state by id
+	 */
+	public Map<String, String> targets() {
+		return Map.copyOf(this.targets);
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/logs/LogFiles.java
@@ -0,0 +1,50 @@
+package io.dotterelcrank.daemon.logs;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Events of several logs in the order of their times. Immutable.
+ *
+ * @param lines the events; those of one time keep the order of their files
+ * @param skipped number of lines without a numbered event
+ */
+public record LogFiles(List<LogLine> lines, int skipped) {
+
+	/**
+	 * Reads logs.
+	 * @param paths the files
+	 * @return their events
+	 * @throws IOException if a file cannot be read
+	 */
+	public static LogFiles read(List<Path> paths) throws IOException {
+		List<LogLine> lines = new ArrayList<>();
+		int skipped = 0;
+		for (Path path : paths) {
+			String process = path.getFileName().toString().replaceFirst("\\.[^.]*$", "");
+			try (BufferedReader reader = new BufferedReader(
+					new InputStreamReader(Files.newInputStream(path), StandardCharsets.UTF_8))) {
+				for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+					Optional<LogLine> event = LogLine.parse(process, line);
+					event.ifPresent(lines::add);
+					skipped += event.isPresent() ? 0 : 1;
+				}
+			}
+			catch (NoSuchFileException ex) {
+				throw new IOException("no log file " + path, ex);
+			}
+		}
+		lines.sort(Comparator.comparing(LogLine::time));
+		return new LogFiles(List.copyOf(lines), skipped);
+	}
+
+}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/MainTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/MainTests.java
@@ -78,6 +78,20 @@
 		assertThat(this.out.toString(StandardCharsets.UTF_8)).contains("data-centre", "exception", "demo");
 	}
 
+	@Test
+	void explainsARequestFromLogs(@TempDir Path folder) throws Exception {
+		Path log = folder.resolve("e1.log");
+		Files.writeString(log, "time=10:00:03.000 level=INFO DC821 request=a1 target=i-1 send=1\n");
+		assertThat(run("explain", "a1", "--log", log.toString())).isEqualTo(ExitCode.DONE);
+		assertThat(this.out.toString(StandardCharsets.UTF_8)).contains("e1 DC821 request=a1");
+		assertThat(run("explain", "b2", "--log", log.toString())).isEqualTo(ExitCode.REFUSED);
+		assertThat(run("explain", "a1")).isEqualTo(ExitCode.BAD_INPUT);
+		assertThat(run("explain", "--log", log.toString())).isEqualTo(ExitCode.BAD_INPUT);
+		assertThat(run("explain", "a1", "--log", folder.resolve("none").toString())).isEqualTo(ExitCode.BAD_INPUT);
+		assertThat(run("timeline", "--log", log.toString(), "--at", "10:00:04")).isEqualTo(ExitCode.DONE);
+		assertThat(run("timeline", "--log", log.toString(), "--at", "noon")).isEqualTo(ExitCode.BAD_INPUT);
+	}
+
 	@Test
 	void publishesShowsAndRefuses() {
 		assertThat(runWithPlatform("default", "set", "token-target-millis", "40")).isEqualTo(ExitCode.DONE);
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/logs/RequestStoryTests.java
@@ -0,0 +1,86 @@
+package io.dotterelcrank.daemon.logs;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.LocalTime;
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests of {@link RequestStory} and {@link Beliefs}.
+ */
+class RequestStoryTests {
+
+	private static final String ENTRY = """
+			time=10:00:00.000 level=INFO DC101 entry e1 started in data centre giza
+			time=10:00:01.000 level=INFO DC801 plan in force version=7
+			time=10:00:02.000 level=INFO DC806 target=i-1 service=bench address=/10.0.0.1:80 dataCentre=giza leaving=false
+			time=10:00:02.500 level=INFO DC806 target=i-9 service=bench address=/10.0.0.9:80 dataCentre=giza leaving=false
+			time=10:00:03.000 level=INFO DC821 request=a1 target=i-1 service=bench send=1 cause=placed
+			java.lang.IllegalStateException: not an event
+			time=10:00:04.000 level=INFO DC806 target=i-1 service=bench address=/10.0.0.1:80 dataCentre=giza leaving=true
+			time=10:00:04.100 level=WARN DC802 store lost table=op reason="timeout"
+			time=10:00:05.000 level=INFO DC824 request=a1 kind=STREAMING outcome=cut message="closed"
+			time=10:00:06.000 level=INFO DC807 target=i-1 no longer listed leaving=true
+			""";
+
+	@TempDir
+	Path folder;
+
+	private LogFiles logs;
+
+	@BeforeEach
+	void write() throws IOException {
+		Path entry = this.folder.resolve("e1.log");
+		Files.writeString(entry, ENTRY);
+		Path collected = this.folder.resolve("all.txt");
+		Files.writeString(collected, """
+				  3.0100 side-1 time=10:00:03.010 level=INFO DC836 request=a1 target=i-1 no room refusals=1
+				  3.0200 side-1 time=25:00:03.010 level=INFO DC836 request=a1 target=i-1 no room refusals=1
+				""");
+		this.logs = LogFiles.read(List.of(entry, collected));
+	}
+
+	@Test
+	void tellsARequestWithWhatItsProcessLearnedOfItsTarget() {
+		assertThat(RequestStory.of("a1", this.logs).lines()).extracting(LogLine::number)
+			.containsExactly(101, 801, 806, 821, 836, 806, 802, 824);
+		assertThat(RequestStory.of("a1", this.logs).lines()).extracting(LogLine::process).contains("e1", "side-1");
+	}
+
+	@Test
+	void unknownRequestHasNoStory() {
+		assertThat(RequestStory.of("a", this.logs).lines()).isEmpty();
+	}
+
+	@Test
+	void linesWithoutAnEventAreCounted() {
+		assertThat(this.logs.skipped()).isEqualTo(2);
+	}
+
+	@Test
+	void missingFileIsNamed() {
+		assertThatExceptionOfType(IOException.class)
+			.isThrownBy(() -> LogFiles.read(List.of(this.folder.resolve("none.log"))))
+			.withMessageContaining("none.log");
+	}
+
+	@Test
+	void beliefsAreThoseOfTheTime() {
+		Beliefs early = Beliefs.at(this.logs, LocalTime.of(10, 0, 3)).get("e1");
+		assertThat(early.plan()).isEqualTo("7");
+		assertThat(early.targets()).containsEntry("i-1", "bench in giza");
+		assertThat(early.tablesLost()).isEmpty();
+		Beliefs late = Beliefs.at(this.logs, LocalTime.MAX).get("e1");
+		assertThat(late.targets()).containsOnlyKeys("i-9");
+		assertThat(late.tablesLost()).containsExactly("op");
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/logs/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of reading logs afterwards.
+ */
+package io.dotterelcrank.daemon.logs;
