Dropped log lines are counted

A full queue of log lines drops events without a trace, so that a gap in a log could not be told from silence. CountingAppender counts them; the metric log_lines_dropped serves the number.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayProcess.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayProcess.java
@@ -23,6 +23,7 @@
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.daemon.logs.CountingAppender;
 import io.dotterelcrank.process.membership.Member;
 import io.dotterelcrank.process.replica.KeyedLog;
 import io.dotterelcrank.process.replica.KeyedRecord;
@@ -77,6 +78,7 @@
 	RelayProcess(RelayProcessSettings settings, RelayPlatform platform) {
 		this.settings = settings;
 		this.store = platform.store(this.exchanges);
+		this.metrics.gauge("log.lines.dropped", () -> CountingAppender::dropped);
 	}
 
 	EventLoop loop() {
