--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/logs/CountingAppenderTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/logs/CountingAppenderTests.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.AppenderBase;
 import org.junit.jupiter.api.Test;
 
@@ -22,17 +23,20 @@
 		CountDownLatch readerIsSlow = new CountDownLatch(1);
 		AtomicLong written = new AtomicLong();
 		LoggerContext context = new LoggerContext();
+		context.setMDCAdapter(new LogbackMDCAdapter());
 		AppenderBase<ILoggingEvent> slow = new AppenderBase<>() {
 
 			@Override
 			protected void append(ILoggingEvent event) {
 				try {
 					readerIsSlow.await();
-					written.incrementAndGet();
 				}
 				catch (InterruptedException ex) {
 					Thread.currentThread().interrupt();
 				}
+				finally {
+					written.incrementAndGet();
+				}
 			}
 
 		};
