Generations that can be on time are served before those that are late anyway

Ruled out: queues at engines (440 refusals). Change: a generation that has waited over 0.7 of its goal waits behind the others and leaves room for one of the usual size. Test: RelayTests (failed before).

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
@@ -51,6 +51,16 @@
 					traits.map(GenerationTraits::expectedTokens).orElse(0L), dataCentre, REQUEST_FAR_SECONDS, hosts);
 		}
 
+		/**
+		 * Returns a copy that leaves room for others.
+		 * @param tokens memory that stays free, in tokens
+		 * @return the changed copy
+		 */
+		Demand sparing(long tokens) {
+			return new Demand(this.promptTokens, this.expectedTokens + tokens, this.dataCentre, this.farSeconds,
+					this.hosts);
+		}
+
 		/**
 		 * Returns the demand of a copy of the run.
 		 * @param source data centre of the engine that runs it
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Relay.java
@@ -46,6 +46,18 @@
 	 */
 	static final double WAIT_DEADLINE_PART = 0.15;
 
+	/**
+	 * Part of the goal after which a generation that waits for room can no longer be on
+	 * time; reading its prompt takes the rest.
+	 */
+	static final double ON_TIME_PART = 0.7;
+
+	/**
+	 * Memory that a late generation leaves to those that can still be on time, in tokens;
+	 * one generation of the usual size.
+	 */
+	static final long LATE_SPARE_TOKENS = 4_000;
+
 	/** Part of the goal after which an idempotent request is also sent elsewhere. */
 	static final double HEDGE_PART = 0.5;
 
@@ -218,9 +230,10 @@
 		if (this.route == null) {
 			return startLate();
 		}
-		TargetBook.Choice choice = this.relays.book().choose(this.service, demand(), this.tried);
+		Placement.Demand demand = late() ? demand().sparing(LATE_SPARE_TOKENS) : demand();
+		TargetBook.Choice choice = this.relays.book().choose(this.service, demand, this.tried);
 		if (choice.target() != null) {
-			if (this.service.engine().isEmpty() || !this.room.ask(choice.target(), demand())) {
+			if (this.service.engine().isEmpty() || !this.room.ask(choice.target(), demand)) {
 				roomAt(choice.target());
 			}
 			return true;
@@ -275,6 +288,21 @@
 		return this.done || this.room.open() || !this.attempts.isEmpty();
 	}
 
+	/**
+	 * Tells whether a generation has waited so long that it cannot be on time any more.
+	 * Such generations wait behind the others: when memory is short for seconds, most
+	 * callers are then served on time in place of all being served late.
+	 * @return {@code true} if its first event will be late
+	 */
+	boolean late() {
+		return this.route != null && streaming()
+				&& now() - this.request.arrivedMillis() > this.route.goalMillis() * ON_TIME_PART;
+	}
+
+	long arrivedMillis() {
+		return this.request.arrivedMillis();
+	}
+
 	private boolean waitedTooLong() {
 		double longestMillis = Math.max(this.route.goalMillis() * WAIT_GOAL_PART,
 				this.request.deadlineMillis() * WAIT_DEADLINE_PART);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -48,6 +48,14 @@
 	/** Requests that wait at most; more are refused at once. */
 	static final int MAX_WAITING = 200;
 
+	/**
+	 * Order in which waiting requests are served: those that can be on time, the most
+	 * urgent, the oldest.
+	 */
+	private static final Comparator<Relay> WAITING_ORDER = Comparator.comparing(Relay::late)
+		.thenComparingInt(Relay::priority)
+		.thenComparingLong(Relay::arrivedMillis);
+
 	/** Logger of the class. */
 	private static final Logger logger = LoggerFactory.getLogger(RelayService.class);
 
@@ -281,12 +289,12 @@
 		}
 		if (!this.waiting.contains(relay)) {
 			this.waiting.add(relay);
-			this.waiting.sort(Comparator.comparingInt(Relay::priority));
 		}
 		return true;
 	}
 
 	void serveWaiting() {
+		this.waiting.sort(WAITING_ORDER);
 		for (Relay relay : List.copyOf(this.waiting)) {
 			if (relay.place()) {
 				this.waiting.remove(relay);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
@@ -343,6 +343,24 @@
 		assertThat(sent(0).request().target().id()).isEqualTo("e2");
 	}
 
+	@Test
+	void generationThatCanBeOnTimeIsServedBeforeOneThatIsLateAnyway() {
+		fillEngines();
+		this.fixture.accept("/notes/late", this.caller);
+		for (int look = 0; look < 14; look++) {
+			this.fixture.advance(100);
+			fillEngines();
+		}
+		this.fixture.accept("/notes/fresh", new RecordingCaller());
+		this.fixture.advance(100);
+		this.fixture.load("e2", 1, RelayFixture.MEMORY_TOKENS - 6_500);
+		assertThat(sends()).isOne();
+		assertThat(sent(0).request().request().uri()).isEqualTo("/notes/fresh");
+		this.fixture.load("e3", 1, 2_000);
+		assertThat(sends()).isEqualTo(2);
+		assertThat(sent(1).request().request().uri()).isEqualTo("/notes/late");
+	}
+
 	@Test
 	void planNeverReverts() {
 		this.fixture.service().plan(RelayFixture.plan(5));
