Granted requests that never arrive are forgotten while others wait

Cause, found on reading: a granted request whose caller left before it was sent stayed in the ledger as long as anything waited at the engine, so that a busy engine would have looked ever more crowded. Change: of the requests that the engine has not shown for a second, as many are kept as wait there, the newest. Test: RoomLedgerTests (failed before).

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RoomLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RoomLedger.java
@@ -77,12 +77,23 @@
 			}
 		}
 		this.reading = unstarted;
-		long nowMillis = this.clock.millis();
-		this.grants.entrySet().removeIf((grant) -> {
-			boolean unseen = !unstarted.containsKey(grant.getKey());
-			boolean expired = nowMillis - grant.getValue().atMillis() > UNSEEN_MILLIS;
-			return started.contains(grant.getKey()) || (unseen && expired && load.waiting() == 0);
-		});
+		this.grants.keySet().removeAll(started);
+		forgetUnseen(load.waiting());
+	}
+
+	/**
+	 * Forgets granted requests that never arrived: those that the engine has not shown
+	 * for {@link #UNSEEN_MILLIS}, but for as many as wait there unnamed.
+	 * @param waiting requests that wait at the engine
+	 */
+	private void forgetUnseen(int waiting) {
+		long grantedBefore = this.clock.millis() - UNSEEN_MILLIS;
+		List<String> unseen = this.grants.entrySet()
+			.stream()
+			.filter((grant) -> !this.reading.containsKey(grant.getKey()) && grant.getValue().atMillis() < grantedBefore)
+			.map(Map.Entry::getKey)
+			.toList();
+		unseen.stream().limit(Math.max(0, unseen.size() - waiting)).forEach(this.grants::remove);
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RoomLedgerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RoomLedgerTests.java
@@ -89,6 +89,16 @@
 		assertThat(this.ledger.load().unreadTokens()).isZero();
 	}
 
+	@Test
+	void grantsThatNeverArriveAreForgottenWhileOthersWait() {
+		this.ledger.report(load(1, 0, 0, false), List.of());
+		ask("gone", 0);
+		ask("waits", 3_000);
+		this.clock.advance(RoomLedger.UNSEEN_MILLIS + 1);
+		this.ledger.report(load(1, 1, 0, false), List.of());
+		assertThat(this.ledger.load().unreadTokens()).isEqualTo(3_000);
+	}
+
 	@Test
 	void requestsThatAskedNobodyCountAsPromptsOfTheUsualSize() {
 		this.ledger.report(load(1, 1, 0, false), List.of(new EngineReport.Run("x", 500, 0)));
