A run is copied where its prompt fits, if no engine holds it whole; its log says why not

Ruled out: notice too short (a copy takes 0.2 to 0.4 s). Change: such a run is copied to an engine with room for its prompt, which may still refuse; DC835 tells when there is none. Test: RelayTests (failed before).

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Continuation.java
@@ -68,6 +68,9 @@
 	/** Whether a copy is under way. */
 	private boolean copying;
 
+	/** Where the run was when it could first not be copied, or {@code null}. */
+	private RelayAttempt stayedAt;
+
 	/** When to try next, in milliseconds. */
 	private long nextTryMillis;
 
@@ -85,14 +88,17 @@
 		if (service.engine().filter(ServiceSpec.EngineSpec::backups).isEmpty()) {
 			return Optional.empty();
 		}
-		TargetState holder = holder(chosen);
+		TargetState holder = holder(chosen, copied(chosen));
 		boolean roomy = holder != null && holder.load() != null && holder.load().memoryUsed()
 				+ this.relay.demand().expectedTokens() <= BACKUP_PART * holder.load().memoryTotal();
 		return roomy ? Optional.of(holder.target().entry()) : Optional.empty();
 	}
 
-	private TargetState holder(TargetState runsAt) {
-		Placement.Demand copied = this.relay.demand().copiedFrom(runsAt.target().entry().dataCentre());
+	private Placement.Demand copied(TargetState runsAt) {
+		return this.relay.demand().copiedFrom(runsAt.target().entry().dataCentre());
+	}
+
+	private TargetState holder(TargetState runsAt, Placement.Demand copied) {
 		return this.relay.targets().choose(this.relay.service(), copied, Set.of(runsAt.id())).target();
 	}
 
@@ -169,8 +175,9 @@
 	}
 
 	private void copy() {
-		TargetState holder = holder(this.source.target());
+		TargetState holder = holderNow();
 		if (holder == null || !this.relay.budgetAllows()) {
+			stays((holder != null) ? "over-budget" : "no-holder");
 			return;
 		}
 		if (this.source.target().beginMove()) {
@@ -181,6 +188,25 @@
 		}
 	}
 
+	/**
+	 * Chooses the engine that a run is copied to now. Where none has room for the whole
+	 * generation, one that holds its prompt is tried: without a copy the run is lost.
+	 * @return the engine, or {@code null} if none has any room
+	 */
+	private TargetState holderNow() {
+		TargetState runsAt = this.source.target();
+		TargetState holder = holder(runsAt, copied(runsAt));
+		return (holder != null) ? holder : holder(runsAt, copied(runsAt).promptOnly());
+	}
+
+	private void stays(String reason) {
+		if (this.stayedAt != this.source) {
+			this.stayedAt = this.source;
+			LogEvent.RUN_STAYS.log(logger, this.relay.id(), this.source.target().id(), "-", "leaving", reason);
+			this.relay.metrics().handover(reason);
+		}
+	}
+
 	private void copyTo(TargetEntry holder) {
 		RelayAttempt from = this.source;
 		this.copying = true;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/Placement.java
@@ -61,6 +61,14 @@
 					this.hosts);
 		}
 
+		/**
+		 * Returns a copy that needs room for the prompt only.
+		 * @return the changed copy
+		 */
+		Demand promptOnly() {
+			return new Demand(this.promptTokens, this.promptTokens, this.dataCentre, this.farSeconds, this.hosts);
+		}
+
 		/**
 		 * Returns the demand of a copy of the run.
 		 * @param source data centre of the engine that runs it
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayTests.java
@@ -435,6 +435,19 @@
 		assertThat(this.fixture.targets().copies()).isOne();
 	}
 
+	@Test
+	void runIsCopiedWhereItsPromptFitsIfNoEngineHoldsItWhole() {
+		crowdEngines();
+		this.fixture.accept("/notes/1", this.caller);
+		sent(0).stream();
+		sent(0).event(1);
+		long used = (long) (RelayFixture.MEMORY_TOKENS * 0.95) - 3_500;
+		List.of("e1", "e2", "e3").forEach((engine) -> this.fixture.load(engine, 1, used));
+		leave(0);
+		this.fixture.advance(100);
+		assertThat(this.fixture.targets().copies()).isOne();
+	}
+
 	@Test
 	void copyWithoutRoomIsAskedForAgain() {
 		crowdEngines();
