Read numbers of settings in any notation

Change: SettingsReader.decimal reads any finite decimal number, with or without an exponent, within stated limits; integers may be written as 2000.0 or 2e3; times may have fractions of a millisecond. Anything else stays a numbered error that names the flag and the value.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
@@ -16,6 +16,14 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
+	private static final double MIN_BOUND_MILLIS = 100;
+
+	/** One hour. */
+	private static final double MAX_BOUND_MILLIS = 3_600_000;
+
+	/** Max retries per request, and max additional retries per window. */
+	private static final double MAX_RETRIES = 1_000_000_000;
+
 	private RelaySettingsReader() {
 	}
 
@@ -31,11 +39,10 @@
 		RelayCommonSettings common = common(reader);
 		RelayEntrySettings settings = new RelayEntrySettings(common, address(reader, "callers"),
 				address(reader, "ready"), address(reader, "peers"),
-				new RelaySettings(common.dataCentre(), decimal(reader, "repeat-ratio", "0.2"),
-						decimal(reader, "repeat-slack", "0"),
-						(long) (decimal(reader, "repeat-window-seconds", "10") * MILLIS_PER_SECOND)),
-				reader.number("drain-millis", null, "2000", 100, 3_600_000),
-				(long) (decimal(reader, "grace-seconds", "8") * MILLIS_PER_SECOND));
+				new RelaySettings(common.dataCentre(), reader.decimal("repeat-ratio", null, "0.2", 0, MAX_RETRIES),
+						reader.decimal("repeat-slack", null, "0", 0, MAX_RETRIES),
+						secondsAsMillis(reader, "repeat-window-seconds", "10")),
+				millis(reader, "drain-millis", "2000"), secondsAsMillis(reader, "grace-seconds", "8"));
 		reader.throwIfInvalid();
 		return settings;
 	}
@@ -61,13 +68,17 @@
 				reader.ipAddress("ip", null, null), reader.port("metrics-port", null, "0"));
 	}
 
-	private static double decimal(SettingsReader reader, String name, String defaultValue) {
-		String value = reader.text(name, null, defaultValue);
-		if (!value.matches("[0-9]{1,9}(\\.[0-9]{1,9})?")) {
-			reader.addError("--" + name + " must be a decimal number, not '" + value + "'");
-			return 0;
-		}
-		return Double.parseDouble(value);
+	/**
+	 * Reads a duration that may have fractions of a millisecond.
+	 * @return duration in milliseconds, rounded
+	 */
+	private static long millis(SettingsReader reader, String name, String defaultValue) {
+		return Math.round(reader.decimal(name, null, defaultValue, MIN_BOUND_MILLIS, MAX_BOUND_MILLIS));
+	}
+
+	private static long secondsAsMillis(SettingsReader reader, String name, String defaultValue) {
+		return Math.round(MILLIS_PER_SECOND * reader.decimal(name, null, defaultValue,
+				MIN_BOUND_MILLIS / MILLIS_PER_SECOND, MAX_BOUND_MILLIS / MILLIS_PER_SECOND));
 	}
 
 	private static InetSocketAddress address(SettingsReader reader, String name) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/settings/SettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/settings/SettingsReader.java
@@ -1,11 +1,14 @@
 package io.dotterelcrank.daemon.settings;
 
+import java.math.BigDecimal;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
 
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.RequestException;
@@ -22,6 +25,10 @@
 
 	private static final int MAX_PORT = 65_535;
 
+	/** Finite decimal number as the usual languages print it. */
+	private static final Pattern DECIMAL = Pattern
+		.compile("[+-]?([0-9]{1,1100}(\\.[0-9]{0,1100})?|\\.[0-9]{1,1100})([eE][+-]?[0-9]{1,3})?");
+
 	private final Map<String, String> environment;
 
 	private final List<String> errors = new ArrayList<>();
@@ -86,12 +93,45 @@
 		if (value.isEmpty()) {
 			return min;
 		}
-		boolean valid = value.matches("-?[0-9]{1,15}");
-		if (!valid || Long.parseLong(value) < min || Long.parseLong(value) > max) {
+		Optional<BigDecimal> parsed = parseDecimal(value);
+		boolean valid = parsed.isPresent() && isWithin(parsed.get(), min, max)
+				&& parsed.get().stripTrailingZeros().scale() <= 0;
+		if (!valid) {
 			this.errors.add("--" + name + " must be an integer from " + min + " to " + max + ", not '" + value + "'");
 			return min;
 		}
-		return Long.parseLong(value);
+		return parsed.get().longValueExact();
+	}
+
+	/**
+	 * Reads a decimal number with any number of digits, with or without an exponent.
+	 * @param name name of the flag
+	 * @param flag value of the flag, or {@code null} if it was not given
+	 * @param defaultValue default, or {@code null} if the setting is required
+	 * @param min minimum, inclusive
+	 * @param max maximum, inclusive
+	 * @return the value, or the minimum if it is missing or invalid
+	 */
+	public double decimal(String name, String flag, String defaultValue, double min, double max) {
+		String value = text(name, flag, defaultValue);
+		if (value.isEmpty()) {
+			return min;
+		}
+		Optional<BigDecimal> parsed = parseDecimal(value);
+		if (parsed.isEmpty() || !isWithin(parsed.get(), min, max)) {
+			this.errors.add("--" + name + " must be a decimal number from " + BigDecimal.valueOf(min).toPlainString()
+					+ " to " + BigDecimal.valueOf(max).toPlainString() + ", not '" + value + "'");
+			return min;
+		}
+		return parsed.get().doubleValue();
+	}
+
+	private static Optional<BigDecimal> parseDecimal(String value) {
+		return DECIMAL.matcher(value).matches() ? Optional.of(new BigDecimal(value)) : Optional.empty();
+	}
+
+	private static boolean isWithin(BigDecimal value, double min, double max) {
+		return value.compareTo(BigDecimal.valueOf(min)) >= 0 && value.compareTo(BigDecimal.valueOf(max)) <= 0;
 	}
 
 	/**
