Check every send against the present state of its target

Ruled out: filtering in the resumer alone, as admission and copies would keep their own checks.

Change: TargetPool.allowsSend is asked by the one method that sends (RelayedRequest.trySend): the target must be the one in the pool, accept new work, and be within its rate while cold. A refused resume is followed by a KV copy to another engine, a refused placement by another choice. Expected KV backups of this process are counted at their holder.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
@@ -89,7 +89,7 @@
 		LogEvent.ADMISSION_TIMED_OUT.log(logger, this.request.id(), unresponsive.id(), TIMEOUT_MILLIS);
 		unresponsive.backOffSidecar(SIDECAR_BACKOFF_MILLIS);
 		cancel();
-		this.request.sendUnlessDraining(unresponsive);
+		this.request.sendOrPlaceAgain(unresponsive);
 	}
 
 	/**
@@ -101,7 +101,7 @@
 		TrackedTarget engine = this.target;
 		cancel();
 		if (admitted) {
-			this.request.sendUnlessDraining(engine);
+			this.request.sendOrPlaceAgain(engine);
 			return;
 		}
 		this.refusals++;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -7,6 +7,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.version.plan.ServiceSpec;
 
@@ -80,16 +81,24 @@
 	 * @return the engine, or empty if the service supports no KV backups or too little
 	 * memory is free
 	 */
-	Optional<TargetRegistration> chooseBackupHolder(TrackedTarget chosen) {
+	Optional<TrackedTarget> chooseBackupHolder(TrackedTarget chosen) {
 		ServiceSpec service = this.request.service();
 		if (service.engine().filter(ServiceSpec.EngineSpec::supportsKvBackups).isEmpty()) {
 			return Optional.empty();
 		}
 		TrackedTarget holder = chooseHolder(chosen, kvCopyDemand(chosen));
-		boolean memoryAvailable = holder != null && holder.load() != null && holder.load().memoryUsed()
-				+ this.request.demand().expectedTotalTokens() <= MAX_BACKUP_MEMORY_FRACTION
-						* holder.load().memoryTotal();
-		return memoryAvailable ? Optional.of(holder.membership().registration()) : Optional.empty();
+		return (holder != null && leavesMemoryFree(holder)) ? Optional.of(holder) : Optional.empty();
+	}
+
+	/**
+	 * Returns whether an engine that keeps a KV backup has memory left for new requests.
+	 * @param holder engine that is to keep the backup
+	 * @return {@code false} without a load report
+	 */
+	private boolean leavesMemoryFree(TrackedTarget holder) {
+		EngineLoad load = holder.load();
+		return load != null && load.memoryUsed()
+				+ this.request.demand().expectedTotalTokens() <= MAX_BACKUP_MEMORY_FRACTION * load.memoryTotal();
 	}
 
 	/**
@@ -174,17 +183,25 @@
 
 	private boolean tryResume(TargetRequest.KvCopy copy, String cause) {
 		Optional<TrackedTarget> holder = this.request.targetPool().find(copy.holder().id());
-		if (holder.isEmpty() || !this.request.retryBudgetAllows()) {
-			String reason = holder.isEmpty() ? "holder-gone" : "over-budget";
+		String skipReason = null;
+		if (holder.isEmpty()) {
+			skipReason = "holder-gone";
+		}
+		else if (!this.request.retryBudgetAllows()) {
+			skipReason = "over-budget";
+		}
+		else if (!this.request.trySend(holder.get(), Optional.of(copy), cause)) {
+			skipReason = "holder-refuses-work";
+		}
+		if (skipReason != null) {
 			LogEvent.RESUME_SKIPPED.log(logger, this.request.id(), this.source.target().id(), copy.holder().id(), cause,
-					reason);
-			this.request.metrics().recordResume(reason);
+					skipReason);
+			this.request.metrics().recordResume(skipReason);
 			return false;
 		}
 		LogEvent.RESUME_STARTED.log(logger, this.request.id(), this.source.target().id(), copy.holder().id(), cause,
 				this.request.lastEventId());
 		this.request.metrics().recordResume("begun");
-		this.request.send(holder.get(), Optional.of(copy), cause);
 		return true;
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -192,7 +192,7 @@
 		private long estimatedUsedTokens(TrackedTarget target, Demand demand) {
 			EngineLoad load = target.load();
 			if (load == null) {
-				return target.expectedOutstandingTokens() * demand.entryHosts();
+				return target.expectedCommittedTokens() * demand.entryHosts();
 			}
 			return load.memoryUsed() + target.pendingPrefillTokens(demand.entryHosts());
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -27,7 +27,7 @@
 	private final TrackedTarget target;
 
 	/** Empty if no engine keeps a KV backup of the generation. */
-	private final Optional<TargetRegistration> backupHolder;
+	private final Optional<TrackedTarget> backupHolder;
 
 	/** Whether the attempt resumes a generation from a KV copy or backup. */
 	private final boolean resumed;
@@ -55,16 +55,16 @@
 	/** Whether the target may still respond. */
 	private boolean active = true;
 
-	RelayAttempt(RelayedRequest request, TrackedTarget target, Optional<TargetRegistration> backupHolder,
-			boolean resumed) {
+	RelayAttempt(RelayedRequest request, TrackedTarget target, Optional<TrackedTarget> backupHolder, boolean resumed) {
 		this.request = request;
 		this.target = target;
 		this.backupHolder = backupHolder;
 		this.resumed = resumed;
 		this.sentMillis = request.now();
-		this.outstandingRequest = target.recordSend(
-				request.request().traits().map(GenerationTraits::promptTokens).orElse(0L),
-				request.request().traits().map(GenerationTraits::expectedTotalTokens).orElse(0L));
+		long expectedTotalTokens = request.request().traits().map(GenerationTraits::expectedTotalTokens).orElse(0L);
+		this.outstandingRequest = target
+			.recordSend(request.request().traits().map(GenerationTraits::promptTokens).orElse(0L), expectedTotalTokens);
+		backupHolder.ifPresent((holder) -> holder.recordBackup(this, expectedTotalTokens));
 	}
 
 	void setExchange(TargetClient.Exchange started) {
@@ -76,7 +76,7 @@
 	}
 
 	Optional<TargetRegistration> backupHolder() {
-		return this.backupHolder;
+		return this.backupHolder.map((holder) -> holder.membership().registration());
 	}
 
 	/**
@@ -114,6 +114,7 @@
 	private void detach() {
 		this.active = false;
 		this.target.recordEnd(this.outstandingRequest);
+		this.backupHolder.ifPresent((holder) -> holder.recordBackupEnd(this));
 		this.request.removeAttempt(this);
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -14,7 +14,6 @@
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.RendezvousHash;
 import io.dotterelcrank.common.Scheduler;
-import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.GenerationTraits;
@@ -229,7 +228,7 @@
 		TargetPool.Choice choice = this.relayService.targetPool().choose(this.service, demand, this.triedTargetIds);
 		if (choice.target() != null) {
 			if (this.service.engine().isEmpty() || !this.admissionRequester.trySend(choice.target(), demand)) {
-				sendUnlessDraining(choice.target());
+				sendOrPlaceAgain(choice.target());
 			}
 			return true;
 		}
@@ -245,18 +244,17 @@
 	}
 
 	/**
-	 * Sends the request to the chosen target, or places it again if that target has begun
-	 * draining.
+	 * Sends the request to the chosen target, or places it again if that target no longer
+	 * accepts it.
 	 * @param target chosen target; it has admitted the request unless it needs no
 	 * admission or its sidecar did not respond
 	 */
-	void sendUnlessDraining(TrackedTarget target) {
-		if (!target.acceptsNewWork()) {
+	void sendOrPlaceAgain(TrackedTarget target) {
+		if (!trySend(target, Optional.empty(), "placed")) {
 			placeOrEnqueue();
 			return;
 		}
 		this.relayService.metrics().recordWait(now() - this.request.arrivedAtMillis());
-		send(target, Optional.empty(), "placed");
 	}
 
 	/**
@@ -312,9 +310,18 @@
 				this.relayService.entryHosts());
 	}
 
-	void send(TrackedTarget chosen, Optional<TargetRequest.KvCopy> resumeFrom, String cause) {
-		Optional<TargetRegistration> backupHolder = resumable() ? this.resumer.chooseBackupHolder(chosen)
-				: Optional.empty();
+	/**
+	 * Sends the request to a target.
+	 * @param chosen target to send to
+	 * @param resumeFrom copy of the KV cache to resume from; empty for a new execution
+	 * @param cause reason of the send, for logs and metrics
+	 * @return {@code false} if the target does not accept the request any more
+	 */
+	boolean trySend(TrackedTarget chosen, Optional<TargetRequest.KvCopy> resumeFrom, String cause) {
+		if (!this.relayService.targetPool().allowsSend(chosen, this.service, this.relayService.entryHosts())) {
+			return false;
+		}
+		Optional<TrackedTarget> backupHolder = resumable() ? this.resumer.chooseBackupHolder(chosen) : Optional.empty();
 		this.sendCount++;
 		if (this.sendCount > 1) {
 			this.relayService.retryBudget(this.service.name()).recordRetry();
@@ -326,8 +333,7 @@
 		RelayAttempt attempt = new RelayAttempt(this, chosen, backupHolder, resumeFrom.isPresent());
 		this.attempts.add(attempt);
 		LogEvent.REQUEST_SENT.log(logger, this.request.id(), chosen.id(), this.service.name(), this.sendCount, cause,
-				backupHolder.map(TargetRegistration::id).orElse("-"), this.relayService.plan().version(),
-				chosen.load());
+				backupHolder.map(TrackedTarget::id).orElse("-"), this.relayService.plan().version(), chosen.load());
 		this.relayService.metrics().recordSend(cause);
 		long remainingMillis = Math.max(1, this.request.deadlineAtMillis() - now());
 		OptionalLong resumeAfterEventId = resumeFrom.isPresent() ? OptionalLong.of(lastEventId())
@@ -335,11 +341,12 @@
 		attempt.setExchange(this.relayService.targetClient()
 			.send(new TargetRequest(this.request, chosen.membership().registration(),
 					this.workspace.map(Workspace::name), remainingMillis, enginePriority(),
-					this.route.kind() == RequestKind.IDEMPOTENT, resumeFrom, resumeAfterEventId, backupHolder),
-					attempt));
+					this.route.kind() == RequestKind.IDEMPOTENT, resumeFrom, resumeAfterEventId,
+					attempt.backupHolder()), attempt));
 		if (resumeFrom.isEmpty()) {
 			this.resumer.updateSource(attempt);
 		}
+		return true;
 	}
 
 	private OptionalInt enginePriority() {
@@ -399,7 +406,7 @@
 		}
 		TargetPool.Choice choice = this.relayService.targetPool().choose(this.service, demand(), this.triedTargetIds);
 		if (choice.target() != null) {
-			send(choice.target(), Optional.empty(), "hedge");
+			trySend(choice.target(), Optional.empty(), "hedge");
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -107,6 +107,20 @@
 				strategy(service).choose(preferred.isEmpty() ? candidates : preferred, demand).orElse(null));
 	}
 
+	/**
+	 * Returns whether a request may be sent to a target now. Every send depends on this
+	 * check, since the target may have changed after it was chosen.
+	 * @param target target that was chosen, possibly some time ago
+	 * @param service service of the request
+	 * @param entryHosts number of entry hosts, which share the rate limit of cold targets
+	 * @return {@code false} if the target has been replaced or forgotten, is draining or
+	 * out of service, or is cold and has reached its rate limit
+	 */
+	boolean allowsSend(TrackedTarget target, ServiceSpec service, int entryHosts) {
+		return this.targets.get(target.id()) == target && target.acceptsNewWork()
+				&& withinColdRate(target, service, entryHosts);
+	}
+
 	private static boolean withinColdRate(TrackedTarget target, ServiceSpec service, int entryHosts) {
 		return !target.cold() || service.coldRequestsPerSecond() <= 0
 				|| target.coldRateLimiter().allows(service.coldRequestsPerSecond(), entryHosts);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -1,6 +1,8 @@
 package io.dotterelcrank.process.relay;
 
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 
 import io.dotterelcrank.common.Clock;
@@ -37,6 +39,12 @@
 	/** In order of sending. */
 	private final Set<OutstandingRequest> outstandingRequests = new LinkedHashSet<>();
 
+	/**
+	 * Expected size, in tokens, of the KV backups that the engine keeps for attempts of
+	 * this process.
+	 */
+	private final Map<RelayAttempt, Long> backupTokens = new HashMap<>();
+
 	/** Whether the engine is copying the KV cache of a generation of this process. */
 	private boolean kvCopyRunning;
 
@@ -176,6 +184,19 @@
 		this.outstandingRequests.remove(request);
 	}
 
+	/**
+	 * Records that the engine is asked to keep a KV backup.
+	 * @param attempt attempt that runs the generation
+	 * @param expectedTotalTokens expected tokens of prompt and output
+	 */
+	void recordBackup(RelayAttempt attempt, long expectedTotalTokens) {
+		this.backupTokens.put(attempt, expectedTotalTokens);
+	}
+
+	void recordBackupEnd(RelayAttempt attempt) {
+		this.backupTokens.remove(attempt);
+	}
+
 	void recordSuccess(double observedMillis) {
 		this.consecutiveFailedConnections = 0;
 		this.failureRate -= EWMA_WEIGHT * this.failureRate;
@@ -229,11 +250,13 @@
 	}
 
 	/**
-	 * Returns the expected memory of all outstanding requests when they end.
+	 * Returns the expected memory of all outstanding requests when they end, and of the
+	 * KV backups that the engine keeps for this process.
 	 * @return tokens of prompts and outputs
 	 */
-	long expectedOutstandingTokens() {
-		return this.outstandingRequests.stream().mapToLong((request) -> request.expectedTotalTokens).sum();
+	long expectedCommittedTokens() {
+		return this.outstandingRequests.stream().mapToLong((request) -> request.expectedTotalTokens).sum()
+				+ this.backupTokens.values().stream().mapToLong(Long::longValue).sum();
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
@@ -21,8 +21,17 @@
 	/** Listeners of the KV copies, in the order of the requests. */
 	private final List<Consumer<CopyResult>> copyListeners = new ArrayList<>();
 
+	/** Called with each request before it is recorded. */
+	private Consumer<TargetRequest> sendCheck = (request) -> {
+	};
+
+	void checkSends(Consumer<TargetRequest> check) {
+		this.sendCheck = check;
+	}
+
 	@Override
 	public Exchange send(TargetRequest request, Listener listener) {
+		this.sendCheck.accept(request);
 		RecordedExchange exchange = new RecordedExchange(request, listener);
 		this.exchanges.add(exchange);
 		return exchange;
@@ -65,6 +74,9 @@
 
 		private boolean cancelled;
 
+		/** Whether the target's response is complete or has failed. */
+		private boolean ended;
+
 		/** Whether the target may have received bytes of the request. */
 		private boolean writeStarted = true;
 
@@ -77,6 +89,10 @@
 			return this.request;
 		}
 
+		boolean ended() {
+			return this.cancelled || this.ended;
+		}
+
 		boolean cancelled() {
 			return this.cancelled;
 		}
@@ -86,12 +102,14 @@
 		}
 
 		void respond(int status, String body) {
+			this.ended = true;
 			this.listener.head(head(status, Ran.YES, true, false));
 			this.listener.body(body.getBytes(StandardCharsets.UTF_8));
 			this.listener.complete();
 		}
 
 		void refuse(int status) {
+			this.ended = true;
 			this.listener.head(head(status, Ran.NO, false, false));
 		}
 
@@ -110,6 +128,7 @@
 		}
 
 		void complete() {
+			this.ended = true;
 			this.listener.complete();
 		}
 
@@ -118,6 +137,7 @@
 		}
 
 		void fail(Ran ran) {
+			this.ended = true;
 			this.listener.failed(ran, "test");
 		}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -52,10 +52,10 @@
 	private int requestCount;
 
 	RelayFixture() {
-		this(true, true);
+		this(true, true, true);
 	}
 
-	private RelayFixture(boolean withPlan, boolean withTargets) {
+	private RelayFixture(boolean withPlan, boolean withTargets, boolean withLoadReports) {
 		if (withPlan) {
 			this.relayService.updatePlan(plan(1));
 		}
@@ -67,19 +67,28 @@
 		listTarget("e1", "bench", false);
 		listTarget("e2", "bench", false);
 		listTarget("e3", "bench", false);
-		reportLoad("e1", 0, 0);
-		reportLoad("e2", 0, 0);
-		reportLoad("e3", 0, 0);
+		if (withLoadReports) {
+			reportLoad("e1", 0, 0);
+			reportLoad("e2", 0, 0);
+			reportLoad("e3", 0, 0);
+		}
 		listTarget("p1", "desk", false);
 		listTarget("p2", "desk", false);
 	}
 
 	static RelayFixture withoutTargets() {
-		return new RelayFixture(true, false);
+		return new RelayFixture(true, false, false);
 	}
 
 	static RelayFixture withoutPlan() {
-		return new RelayFixture(false, true);
+		return new RelayFixture(false, true, true);
+	}
+
+	/**
+	 * Creates a fixture without sidecars, so that no engine reports its load.
+	 */
+	static RelayFixture withoutSidecars() {
+		return new RelayFixture(true, true, false);
 	}
 
 	static ServingPlan plan(long version) {
@@ -101,13 +110,23 @@
 	}
 
 	void listTarget(String id, String serviceName, boolean leaving) {
+		listTarget(id, serviceName, leaving, 1, false);
+	}
+
+	void listTarget(String id, String serviceName, boolean leaving, long bornMillis, boolean dataCentreOut) {
 		this.targetList.removeIf((target) -> target.registration().id().equals(id));
 		int host = Math.floorMod(id.hashCode(), 250);
-		this.targetList.add(new Target(new TargetRegistration(id, serviceName,
-				new InetSocketAddress("10.0.0." + host, 80), "giza", 24, leaving, 0, 1, 1), 0, true, false));
+		this.targetList
+			.add(new Target(new TargetRegistration(id, serviceName, new InetSocketAddress("10.0.0." + host, 80), "giza",
+					24, leaving, 0, bornMillis, 1), 0, true, dataCentreOut));
 		this.relayService.updateTargets(this.targetList);
 	}
 
+	boolean mayGetRequests(TargetRegistration registration) {
+		return this.targetList.stream()
+			.anyMatch((target) -> target.registration().equals(registration) && target.acceptsNewWork());
+	}
+
 	void removeTarget(String id) {
 		this.targetList.removeIf((target) -> target.registration().id().equals(id));
 		this.relayService.updateTargets(this.targetList);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -183,6 +183,58 @@
 		assertThat(this.caller.endCount()).isOne();
 	}
 
+	@Test
+	void streamIsCopiedElsewhereWhenItsBackupHolderIsOutOfService() {
+		this.fixture.accept("/notes/1", this.caller);
+		String holderId = exchange(0).request().backupHolder().orElseThrow().id();
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		this.fixture.listTarget(holderId, "bench", false, 1, true);
+		drainEngineOf(0);
+		assertThat(sendCount()).isOne();
+		assertThat(this.fixture.targetClient().copyRequest(0).holder().id()).isNotEqualTo(holderId);
+		this.fixture.targetClient().completeCopy(0, TargetClient.CopyOutcome.COPIED, "h1");
+		assertThat(exchange(1).request().target()).isEqualTo(this.fixture.targetClient().copyRequest(0).holder());
+	}
+
+	@Test
+	void streamIsNotResumedAtADrainingBackupHolder() {
+		this.fixture.accept("/notes/1", this.caller);
+		String holderId = exchange(0).request().backupHolder().orElseThrow().id();
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		this.fixture.listTarget(holderId, "bench", true);
+		exchange(0).fail(Ran.UNKNOWN);
+		assertThat(sendCount()).isOne();
+		assertThat(this.caller.aborted()).isTrue();
+	}
+
+	@Test
+	void streamIsNotResumedAtAHolderThatDrainsDuringTheKvCopy() {
+		loadEnginesBeyondBackupLimit();
+		this.fixture.accept("/notes/1", this.caller);
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		drainEngineOf(0);
+		String holderId = this.fixture.targetClient().copyRequest(0).holder().id();
+		this.fixture.listTarget(holderId, "bench", true);
+		this.fixture.targetClient().completeCopy(0, TargetClient.CopyOutcome.COPIED, "h1");
+		assertThat(sendCount()).isOne();
+		this.fixture.advance(GenerationResumer.RETRY_INTERVAL_MILLIS + RelayService.POLL_MILLIS);
+		assertThat(this.fixture.targetClient().copyRequest(1).holder().id()).isNotEqualTo(holderId);
+	}
+
+	@Test
+	void admittedRequestIsNotSentToAnEngineThatRestartedMeanwhile() {
+		this.fixture.admissionClient().link();
+		this.fixture.accept("/notes/1", this.caller);
+		for (String id : new String[] { "e1", "e2", "e3" }) {
+			this.fixture.listTarget(id, "bench", true, 2, false);
+		}
+		this.fixture.advance(AdmissionRequester.TIMEOUT_MILLIS);
+		assertThat(sendCount()).isZero();
+	}
+
 	@Test
 	void resumeIsRetriedWhenTheKvBackupIsNotReady() {
 		this.fixture.accept("/notes/1", this.caller);
