Sample loads without sidecars, lend retry permits, keep backups wherever they fit

And a backup holder was chosen by cost first and given up if it was too full, although another engine had memory.

Hosts lend each other retry permits, one at a time, counted at the lender. The memory limit of backups is part of the choice of their holder.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -249,4 +249,21 @@
 	record AdmissionResponse(long requestNumber, boolean admitted, EngineLoad load) implements Message {
 	}
 
+	/**
+	 * Asks another entry host for a permit of its retry budget.
+	 *
+	 * @param service name of the service whose requests are to be retried
+	 */
+	record RetryLoanRequest(String service) implements Message {
+	}
+
+	/**
+	 * Response to {@link RetryLoanRequest}.
+	 *
+	 * @param service name of the service
+	 * @param granted whether the receiver may retry one request more
+	 */
+	record RetryLoan(String service, boolean granted) implements Message {
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
@@ -47,15 +47,16 @@
 	/**
 	 * Returns whether a message is a control message and not part of a request.
 	 * @param message message of any type
-	 * @return {@code true} for handshakes, heartbeats, load reports, records and
-	 * configurations
+	 * @return {@code true} for handshakes, heartbeats, load reports, records,
+	 * configurations and retry loans
 	 */
 	static boolean isControl(Message message) {
 		return message instanceof Message.Hello || message instanceof Message.Welcome
 				|| message instanceof Message.Heartbeat || message instanceof Message.ConfigurationRequest
 				|| message instanceof Message.ConfigurationResponse || message instanceof Message.RecordsRequest
 				|| message instanceof Message.RecordsResponse || message instanceof Message.EngineLoadReport
-				|| message instanceof Message.EngineLoadAck;
+				|| message instanceof Message.EngineLoadAck || message instanceof Message.RetryLoanRequest
+				|| message instanceof Message.RetryLoan;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -7,7 +7,6 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
-import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.version.plan.ServiceSpec;
 
@@ -39,6 +38,12 @@
 	 */
 	static final long MIN_STREAM_MILLIS = 150;
 
+	/**
+	 * Max time that a generation whose engine has failed waits for a retry permit of
+	 * another host, in milliseconds; a few round trips.
+	 */
+	static final long PERMIT_WAIT_MILLIS = 150;
+
 	/** Max number of tries to resume from the KV backup before a KV copy is made. */
 	static final int MAX_BACKUP_TRIES = 2;
 
@@ -66,11 +71,16 @@
 
 	private boolean kvCopyRunning;
 
-	/** Source for which a skipped KV copy was last logged; {@code null} if none. */
+	/** Source for which a delayed resume was last logged; {@code null} if none. */
 	private RelayAttempt skipReportedFor;
 
 	private long nextTryMillis;
 
+	/**
+	 * Until when the failed generation waits for a retry permit; 0 if it does not wait.
+	 */
+	private long permitDeadlineMillis;
+
 	GenerationResumer(RelayedRequest request) {
 		this.request = request;
 	}
@@ -78,27 +88,17 @@
 	/**
 	 * Chooses the engine that keeps a KV backup of the generation.
 	 * @param chosen engine that will run the generation
-	 * @return the engine, or empty if the service supports no KV backups or too little
-	 * memory is free
+	 * @return the engine, or empty if the service supports no KV backups or no engine is
+	 * known to have enough free memory
 	 */
 	Optional<TrackedTarget> chooseBackupHolder(TrackedTarget chosen) {
 		ServiceSpec service = this.request.service();
 		if (service.engine().filter(ServiceSpec.EngineSpec::supportsKvBackups).isEmpty()) {
 			return Optional.empty();
 		}
-		TrackedTarget holder = chooseHolder(chosen, kvCopyDemand(chosen));
-		return (holder != null && leavesMemoryFree(holder)) ? Optional.of(holder) : Optional.empty();
-	}
-
-	/**
-	 * Returns whether an engine that keeps a KV backup has memory left for new requests.
-	 * @param holder engine that is to keep the backup
-	 * @return {@code false} without a load report
-	 */
-	private boolean leavesMemoryFree(TrackedTarget holder) {
-		EngineLoad load = holder.load();
-		return load != null && load.memoryUsed()
-				+ this.request.demand().expectedTotalTokens() <= MAX_BACKUP_MEMORY_FRACTION * load.memoryTotal();
+		TrackedTarget holder = chooseHolder(chosen,
+				kvCopyDemand(chosen).withMaxMemoryFraction(MAX_BACKUP_MEMORY_FRACTION));
+		return Optional.ofNullable(holder).filter((engine) -> engine.load() != null);
 	}
 
 	/**
@@ -154,11 +154,18 @@
 		if (!resumable || this.kvCopyRunning || this.request.now() < this.nextTryMillis) {
 			return;
 		}
+		if (this.source.backupHolder().isEmpty()) {
+			this.request.loadSampler().refresh(this.source.target());
+		}
 		boolean leaving = this.source.target().leaving() || !this.source.target().membership().listed();
 		boolean stalled = this.request.millisSinceLastEvent() > STALL_TIMEOUT_MILLIS;
 		if (!leaving && !stalled) {
 			return;
 		}
+		if (!this.request.retryBudgetAllows()) {
+			recordSkip(leaving ? "leaving" : "silent", "over-budget");
+			return;
+		}
 		this.nextTryMillis = this.request.now() + RETRY_INTERVAL_MILLIS;
 		this.backupTries++;
 		boolean resumed = this.backupTries <= MAX_BACKUP_TRIES && tryResumeFromBackup(leaving ? "leaving" : "silent");
@@ -206,14 +213,13 @@
 	}
 
 	/**
-	 * Starts a KV copy unless no engine has memory for it, the retry budget is used up,
-	 * or the source is sending another copy; the last case is checked again at the next
-	 * poll.
+	 * Starts a KV copy unless no engine has memory for it or the source is sending
+	 * another copy; the last case is checked again at the next poll.
 	 */
 	private void startKvCopyIfPossible() {
 		TrackedTarget holder = chooseKvCopyHolder();
-		if (holder == null || !this.request.retryBudgetAllows()) {
-			recordSkip((holder != null) ? "over-budget" : "no-holder");
+		if (holder == null) {
+			recordSkip("leaving", "no-holder");
 			return;
 		}
 		if (this.source.target().tryReserveKvCopy()) {
@@ -236,10 +242,10 @@
 		return (holder != null) ? holder : chooseHolder(engine, kvCopyDemand(engine).forPromptOnly());
 	}
 
-	private void recordSkip(String reason) {
+	private void recordSkip(String cause, String reason) {
 		if (this.skipReportedFor != this.source) {
 			this.skipReportedFor = this.source;
-			LogEvent.RESUME_SKIPPED.log(logger, this.request.id(), this.source.target().id(), "-", "leaving", reason);
+			LogEvent.RESUME_SKIPPED.log(logger, this.request.id(), this.source.target().id(), "-", cause, reason);
 			this.request.metrics().recordResume(reason);
 		}
 	}
@@ -287,7 +293,8 @@
 	/**
 	 * Resumes the generation from its KV backup after its attempt has failed, once per
 	 * source.
-	 * @return whether it is resumed, or may still be once a running KV copy ends
+	 * @return whether it is resumed, or may still be once a running KV copy ends or a
+	 * retry permit arrives
 	 */
 	boolean tryResumeAfterFailure() {
 		if (this.kvCopyRunning) {
@@ -295,7 +302,24 @@
 		}
 		boolean firstFailure = !this.backupTriedAfterFailure;
 		this.backupTriedAfterFailure = true;
+		if (firstFailure && this.source.backupHolder().isPresent() && !this.request.retryBudgetAllows()) {
+			this.permitDeadlineMillis = this.request.now() + PERMIT_WAIT_MILLIS;
+			return true;
+		}
 		return firstFailure && tryResumeFromBackup("broken");
 	}
 
+	/**
+	 * Resumes a failed generation that waits for a retry permit, or gives it up.
+	 */
+	void pollRetryPermit() {
+		boolean expired = this.request.now() >= this.permitDeadlineMillis;
+		if (this.permitDeadlineMillis > 0 && (expired || this.request.retryBudgetAllows())) {
+			this.permitDeadlineMillis = 0;
+			if (!tryResumeFromBackup("broken")) {
+				this.request.generationLost("the engine failed and the generation could not be resumed");
+			}
+		}
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -31,9 +32,14 @@
 	 * @param dataCentre preferred data centre
 	 * @param remotePenaltySeconds cost of another data centre, in seconds
 	 * @param entryHosts number of entry hosts, each of which knows only its own requests
+	 * @param maxMemoryFraction fraction of an engine's memory that may be in use, this
+	 * request included; {@link #NO_LIMIT} if the limit of all requests is enough
 	 */
 	record Demand(long promptTokens, long expectedTotalTokens, String dataCentre, double remotePenaltySeconds,
-			int entryHosts) {
+			int entryHosts, double maxMemoryFraction) {
+
+		/** Value of {@link #maxMemoryFraction} without a limit. */
+		static final double NO_LIMIT = Double.POSITIVE_INFINITY;
 
 		/**
 		 * Cost of another data centre for a request, in seconds; a round trip there takes
@@ -50,7 +56,7 @@
 		static Demand of(Optional<GenerationTraits> traits, String dataCentre, int entryHosts) {
 			return new Demand(traits.map(GenerationTraits::promptTokens).orElse(0L),
 					traits.map(GenerationTraits::expectedTotalTokens).orElse(0L), dataCentre,
-					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts);
+					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, NO_LIMIT);
 		}
 
 		/**
@@ -60,7 +66,7 @@
 		 */
 		Demand withReserve(long reserveTokens) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens + reserveTokens, this.dataCentre,
-					this.remotePenaltySeconds, this.entryHosts);
+					this.remotePenaltySeconds, this.entryHosts, this.maxMemoryFraction);
 		}
 
 		/**
@@ -69,7 +75,7 @@
 		 */
 		Demand forPromptOnly() {
 			return new Demand(this.promptTokens, this.promptTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts);
+					this.entryHosts, this.maxMemoryFraction);
 		}
 
 		/**
@@ -79,7 +85,18 @@
 		 */
 		Demand forKvCopy(String sourceDataCentre) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, sourceDataCentre,
-					COPY_REMOTE_PENALTY_SECONDS, this.entryHosts);
+					COPY_REMOTE_PENALTY_SECONDS, this.entryHosts, this.maxMemoryFraction);
+		}
+
+		/**
+		 * Returns this demand for engines with more free memory only.
+		 * @param fraction fraction of the memory that may be in use, this request
+		 * included
+		 * @return the stricter demand
+		 */
+		Demand withMaxMemoryFraction(double fraction) {
+			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
+					this.entryHosts, fraction);
 		}
 
 	}
@@ -89,7 +106,8 @@
 	 * with enough free KV cache memory. Addresses three load patterns: a few long
 	 * generations that fill engines' memory long before their slots; prompts that queue
 	 * for prefill at one engine while others are idle; and a newly started engine, which
-	 * all hosts would choose at once before it reports its load.
+	 * all hosts would choose at once before it reports its load. If most engines report
+	 * no load, those that do are preferred.
 	 */
 	final class ForEngines implements PlacementStrategy {
 
@@ -146,10 +164,18 @@
 
 		@Override
 		public Optional<TrackedTarget> choose(List<TrackedTarget> candidates, Demand demand) {
-			boolean anyReported = candidates.stream().anyMatch((target) -> target.load() != null);
-			return candidates.stream()
-				.filter((target) -> target.load() != null || !anyReported || mayTryUnreported(demand.entryHosts()))
-				.filter((target) -> fits(target, demand))
+			List<TrackedTarget> reported = candidates.stream().filter((target) -> target.load() != null).toList();
+			if (2 * reported.size() >= candidates.size()) {
+				return cheapest(
+						candidates.stream()
+							.filter((target) -> target.load() != null || mayTryUnreported(demand.entryHosts())),
+						demand);
+			}
+			return cheapest(reported.stream(), demand).or(() -> cheapest(candidates.stream(), demand));
+		}
+
+		private Optional<TrackedTarget> cheapest(Stream<TrackedTarget> candidates, Demand demand) {
+			return candidates.filter((target) -> fits(target, demand))
 				.map((target) -> new ScoredTarget(target, costSeconds(target, demand)))
 				.min(Comparator.comparingDouble(ScoredTarget::cost))
 				.map(ScoredTarget::target);
@@ -170,6 +196,9 @@
 				return target.outstandingRequestCount() == 0 || estimatedUsedTokens(target, demand)
 						+ demand.expectedTotalTokens() <= USABLE_MEMORY_FRACTION * this.memoryTokens;
 			}
+			if (load.memoryUsed() + demand.expectedTotalTokens() > demand.maxMemoryFraction() * this.memoryTokens) {
+				return false;
+			}
 			EngineLoad updated = load.withUnreadTokens(target.pendingPrefillTokens(demand.entryHosts()));
 			return fits(updated, demand.expectedTotalTokens(), this.memoryTokens)
 					|| (target.outstandingRequestCount() == 0 && load.running() == 0);
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayClients.java
@@ -0,0 +1,51 @@
+package io.dotterelcrank.process.relay;
+
+/**
+ * Clients of the other processes that a {@link RelayService} depends on. Immutable.
+ *
+ * @param targets sends requests to targets
+ * @param admission sends admission requests to sidecars
+ * @param engineLoads reads the load of engines without sidecars
+ * @param retryLoans asks other entry hosts for retry permits
+ */
+public record RelayClients(TargetClient targets, AdmissionClient admission, EngineLoadReader engineLoads,
+		RetryLoanClient retryLoans) {
+
+	/**
+	 * Creates clients that reach targets only.
+	 * @param targets sends requests to targets
+	 * @return clients with all others disabled
+	 */
+	public static RelayClients of(TargetClient targets) {
+		return new RelayClients(targets, AdmissionClient.Disabled.INSTANCE, EngineLoadReader.Disabled.INSTANCE,
+				RetryLoanClient.Disabled.INSTANCE);
+	}
+
+	/**
+	 * Returns a copy with another client of sidecars.
+	 * @param client sends admission requests
+	 * @return the changed copy
+	 */
+	public RelayClients withAdmission(AdmissionClient client) {
+		return new RelayClients(this.targets, client, this.engineLoads, this.retryLoans);
+	}
+
+	/**
+	 * Returns a copy with another reader of engine loads.
+	 * @param reader reads the load of engines
+	 * @return the changed copy
+	 */
+	public RelayClients withEngineLoads(EngineLoadReader reader) {
+		return new RelayClients(this.targets, this.admission, reader, this.retryLoans);
+	}
+
+	/**
+	 * Returns a copy with another client of the other entry hosts.
+	 * @param client asks for retry permits
+	 * @return the changed copy
+	 */
+	public RelayClients withRetryLoans(RetryLoanClient client) {
+		return new RelayClients(this.targets, this.admission, this.engineLoads, client);
+	}
+
+}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -64,9 +64,9 @@
 
 	private final Scheduler trafficThread;
 
-	private final TargetClient targetClient;
+	private final RelayClients clients;
 
-	private final AdmissionClient admissionClient;
+	private final LoadSampler loadSampler;
 
 	private final RelaySettings settings;
 
@@ -106,17 +106,16 @@
 	/** When new requests start to be refused; 0 if not draining. */
 	private long acceptsUntilMillis;
 
-	private RelayService(Clock clock, Scheduler trafficThread, TargetClient targetClient,
-			AdmissionClient admissionClient, RelaySettings settings, UniformRandomProvider random,
-			MetricRegistry metrics) {
+	private RelayService(Clock clock, Scheduler trafficThread, RelayClients clients, RelaySettings settings,
+			UniformRandomProvider random, MetricRegistry metrics) {
 		this.clock = clock;
 		this.trafficThread = trafficThread;
-		this.targetClient = targetClient;
-		this.admissionClient = admissionClient;
+		this.clients = clients;
 		this.settings = settings;
 		this.random = random;
 		this.metrics = new RelayMetrics(metrics);
 		this.targetPool = new TargetPool(clock, random);
+		this.loadSampler = new LoadSampler(clock, trafficThread, clients.engineLoads(), this.targetPool, random);
 		this.startedMillis = clock.millis();
 	}
 
@@ -124,17 +123,15 @@
 	 * Creates a service without a plan or targets.
 	 * @param clock clock of the process
 	 * @param trafficThread event loop thread that makes all calls to the service
-	 * @param targetClient sends requests to targets
-	 * @param admissionClient sends admission requests to sidecars
+	 * @param clients clients of targets, sidecars, engines and other entry hosts
 	 * @param settings limits of the deployment
 	 * @param random source of jitter
 	 * @param metrics registry of the process
 	 * @return a new service, not started
 	 */
-	public static RelayService of(Clock clock, Scheduler trafficThread, TargetClient targetClient,
-			AdmissionClient admissionClient, RelaySettings settings, UniformRandomProvider random,
-			MetricRegistry metrics) {
-		return new RelayService(clock, trafficThread, targetClient, admissionClient, settings, random, metrics);
+	public static RelayService of(Clock clock, Scheduler trafficThread, RelayClients clients, RelaySettings settings,
+			UniformRandomProvider random, MetricRegistry metrics) {
+		return new RelayService(clock, trafficThread, clients, settings, random, metrics);
 	}
 
 	/**
@@ -212,7 +209,7 @@
 	}
 
 	AdmissionClient admissionClient() {
-		return this.admissionClient;
+		return this.clients.admission();
 	}
 
 	/**
@@ -303,6 +300,32 @@
 		return this.retryBudgets.computeIfAbsent(service, (name) -> WindowedRetryBudget.of(this.clock, this.settings));
 	}
 
+	boolean retryBudgetAllows(String service) {
+		boolean allowed = retryBudget(service).allowsRetry(this.entryHosts);
+		if (!allowed) {
+			this.clients.retryLoans().requestLoan(service);
+		}
+		return allowed;
+	}
+
+	/**
+	 * Lends a retry permit to another entry host.
+	 * @param service name of the service whose requests are to be retried
+	 * @return {@code false} if this host has too few itself
+	 */
+	public boolean tryLendRetry(String service) {
+		return retryBudget(service).tryLend(this.entryHosts);
+	}
+
+	/**
+	 * Adds a retry permit that another entry host has lent.
+	 * @param service name of the service whose requests may be retried
+	 */
+	public void addRetryLoan(String service) {
+		retryBudget(service).addBorrowed();
+		poll();
+	}
+
 	/**
 	 * Returns whether the first plan may still arrive soon.
 	 * @return {@code true} without a plan within {@link #STARTUP_WAIT_MILLIS}
@@ -323,6 +346,10 @@
 		return this.plan;
 	}
 
+	LoadSampler loadSampler() {
+		return this.loadSampler;
+	}
+
 	TargetPool targetPool() {
 		return this.targetPool;
 	}
@@ -336,7 +363,7 @@
 	}
 
 	TargetClient targetClient() {
-		return this.targetClient;
+		return this.clients.targets();
 	}
 
 	RelaySettings settings() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -113,6 +113,11 @@
 	/** Whether a target of an ended attempt may have run the request. */
 	private boolean mayHaveRun;
 
+	/** Whether the loads of some engines were read for this request, or need not be. */
+	private boolean loadsSampled;
+
+	private boolean awaitsLoads;
+
 	private boolean responseStarted;
 
 	private boolean done;
@@ -224,6 +229,9 @@
 		if (this.route == null) {
 			return tryStartAfterPlanWait();
 		}
+		if (startsOrAwaitsLoadSample()) {
+			return false;
+		}
 		PlacementStrategy.Demand demand = missesLatencyGoal() ? demand().withReserve(LATE_RESERVE_TOKENS) : demand();
 		TargetPool.Choice choice = this.relayService.targetPool().choose(this.service, demand, this.triedTargetIds);
 		if (choice.target() != null) {
@@ -243,6 +251,18 @@
 		return false;
 	}
 
+	private boolean startsOrAwaitsLoadSample() {
+		if (!this.loadsSampled && this.service.engine().isPresent()) {
+			this.loadsSampled = true;
+			int size = resumable() ? LoadSampler.RESUMABLE_SAMPLE_SIZE : LoadSampler.SAMPLE_SIZE;
+			this.awaitsLoads = this.relayService.loadSampler().trySample(this.service, size, () -> {
+				this.awaitsLoads = false;
+				this.relayService.placeWaiting();
+			});
+		}
+		return this.awaitsLoads;
+	}
+
 	/**
 	 * Sends the request to the chosen target, or places it again if that target no longer
 	 * accepts it.
@@ -388,7 +408,14 @@
 	 * slow idempotent request.
 	 */
 	void poll() {
-		if (this.done || this.attempts.size() != 1) {
+		if (this.done) {
+			return;
+		}
+		if (this.attempts.isEmpty()) {
+			this.resumer.pollRetryPermit();
+			return;
+		}
+		if (this.attempts.size() > 1) {
 			return;
 		}
 		if (resumable()) {
@@ -411,7 +438,7 @@
 	}
 
 	boolean retryBudgetAllows() {
-		return this.relayService.retryBudget(this.service.name()).allowsRetry(this.relayService.entryHosts());
+		return this.relayService.retryBudgetAllows(this.service.name());
 	}
 
 	private void deadlineExceeded() {
@@ -650,6 +677,10 @@
 		return this.relayService.targetPool();
 	}
 
+	LoadSampler loadSampler() {
+		return this.relayService.loadSampler();
+	}
+
 	TargetClient targetClient() {
 		return this.relayService.targetClient();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -88,11 +88,7 @@
 	 * @return the chosen target, if any
 	 */
 	Choice choose(ServiceSpec service, PlacementStrategy.Demand demand, Set<String> excludedIds) {
-		List<TrackedTarget> accepting = this.targets.values()
-			.stream()
-			.filter((target) -> target.membership().registration().service().equals(service.name())
-					&& target.acceptsNewWork())
-			.toList();
+		List<TrackedTarget> accepting = accepting(service);
 		List<TrackedTarget> listed = accepting.stream().filter((target) -> target.membership().listed()).toList();
 		List<TrackedTarget> usable = listed.isEmpty() ? accepting : listed;
 		if (usable.isEmpty()) {
@@ -107,6 +103,19 @@
 				strategy(service).choose(preferred.isEmpty() ? candidates : preferred, demand).orElse(null));
 	}
 
+	/**
+	 * Returns the targets of a service that accept new work.
+	 * @param service the service
+	 * @return its targets, in no order
+	 */
+	List<TrackedTarget> accepting(ServiceSpec service) {
+		return this.targets.values()
+			.stream()
+			.filter((target) -> target.membership().registration().service().equals(service.name())
+					&& target.acceptsNewWork())
+			.toList();
+	}
+
 	/**
 	 * Returns whether a request may be sent to a target now. Every send depends on this
 	 * check, since the target may have changed after it was chosen.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -103,6 +103,24 @@
 		return fresh ? this.load : null;
 	}
 
+	/**
+	 * Returns the age of the last load report.
+	 * @return time since it was received, in milliseconds; {@link Long#MAX_VALUE} if
+	 * there is none
+	 */
+	long loadAgeMillis() {
+		return (this.load != null) ? this.clock.millis() - this.loadReceivedMillis : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Returns whether the last load report came from a sidecar.
+	 * @return {@code false} if it was read directly or is stale
+	 */
+	boolean reportedBySidecar() {
+		EngineLoad fresh = load();
+		return fresh != null && !fresh.service().isEmpty();
+	}
+
 	/**
 	 * Returns whether the target is draining.
 	 * @return {@code true} according to its registration or its last load report
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/WindowedRetryBudget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/WindowedRetryBudget.java
@@ -1,12 +1,18 @@
 package io.dotterelcrank.process.relay;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 import io.dotterelcrank.common.Clock;
 
 /**
  * Limits retries and hedged requests in a sliding window to this host's fraction of a
- * budget that all hosts share. Addresses the load pattern of targets that fail under load
- * and would then get every request twice. Invariant: over any window, retries are at most
- * the ratio of this host's requests plus its fraction of the slack. Not thread-safe.
+ * budget that all hosts share. Addresses two load patterns: targets that fail under load
+ * and would then get every request twice; and several engines that leave at once, so that
+ * the hosts with most of their generations need more than their fraction, which other
+ * hosts lend them. Invariant: over any window, retries and permits lent are at most the
+ * ratio of this host's requests plus its fraction of the slack plus the permits borrowed.
+ * Not thread-safe.
  */
 final class WindowedRetryBudget {
 
@@ -22,6 +28,9 @@
 	 */
 	private static final double USABLE_FRACTION = 0.8;
 
+	/** Max used fraction of this host's budget at which it lends; the rest is its own. */
+	private static final double MAX_LENT_FRACTION = 0.5;
+
 	private final Clock clock;
 
 	/** Retries allowed per request. */
@@ -38,6 +47,9 @@
 	/** Retries by bucket. */
 	private final int[] retries = new int[BUCKETS];
 
+	/** Expiry times of the permits borrowed from other hosts, oldest first. */
+	private final Deque<Long> borrowedUntilMillis = new ArrayDeque<>();
+
 	/** Number of the newest bucket, counted from time 0. */
 	private long newestBucket;
 
@@ -67,10 +79,38 @@
 	}
 
 	/**
-	 * Records a retry or hedged request, whether within the budget or not.
+	 * Records a retry or hedged request, whether within the budget or not. Uses a
+	 * borrowed permit if there is one.
 	 */
 	void recordRetry() {
-		this.retries[advanceToCurrentBucket()]++;
+		int bucket = advanceToCurrentBucket();
+		if (this.borrowedUntilMillis.poll() == null) {
+			this.retries[bucket]++;
+		}
+	}
+
+	/**
+	 * Lends a permit to another host. It counts as used here, so that the sum over all
+	 * hosts stays the same.
+	 * @param entryHosts number of hosts that share the budget
+	 * @return {@code false} if this host has used half of its fraction
+	 */
+	boolean tryLend(int entryHosts) {
+		int bucket = advanceToCurrentBucket();
+		boolean spare = sum(this.retries) + 1 <= MAX_LENT_FRACTION * allowedRetries(entryHosts);
+		if (spare) {
+			this.retries[bucket]++;
+		}
+		return spare;
+	}
+
+	/**
+	 * Adds a permit that another host has lent. It expires with the lender's bucket, as
+	 * it is counted there for one window only.
+	 */
+	void addBorrowed() {
+		advanceToCurrentBucket();
+		this.borrowedUntilMillis.add(this.clock.millis() + this.bucketMillis);
 	}
 
 	/**
@@ -80,15 +120,19 @@
 	 */
 	boolean allowsRetry(int entryHosts) {
 		advanceToCurrentBucket();
-		double allowed = USABLE_FRACTION * (this.ratio * sum(this.requests) + this.slack / Math.max(1, entryHosts));
-		return sum(this.retries) + 1 <= allowed;
+		return !this.borrowedUntilMillis.isEmpty() || sum(this.retries) + 1 <= allowedRetries(entryHosts);
+	}
+
+	private double allowedRetries(int entryHosts) {
+		return USABLE_FRACTION * (this.ratio * sum(this.requests) + this.slack / Math.max(1, entryHosts));
 	}
 
 	/**
-	 * Clears the buckets that have left the window.
+	 * Clears the buckets that have left the window, and expired permits.
 	 * @return index of the current bucket
 	 */
 	private int advanceToCurrentBucket() {
+		this.borrowedUntilMillis.removeIf((untilMillis) -> untilMillis <= this.clock.millis());
 		long bucket = this.clock.millis() / this.bucketMillis;
 		long firstStale = Math.max(this.newestBucket + 1, bucket - BUCKETS + 1);
 		for (long stale = firstStale; stale <= bucket; stale++) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
@@ -52,7 +52,8 @@
 						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, true, 1_500), true),
 				new Message.EngineLoadAck("10.0.0.1:80"), new Message.AdmissionRequest(9, "r", 3_000, 3_800, 1_500),
 				new Message.AdmissionResponse(9, false,
-						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, false, -1)));
+						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, false, -1)),
+				new Message.RetryLoanRequest("s"), new Message.RetryLoan("s", true));
 	}
 
 	@ParameterizedTest
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -40,7 +40,7 @@
 
 	private static PlacementStrategy.Demand demand() {
 		return new PlacementStrategy.Demand(3_000, 3_500, "giza",
-				PlacementStrategy.Demand.REQUEST_REMOTE_PENALTY_SECONDS, 4);
+				PlacementStrategy.Demand.REQUEST_REMOTE_PENALTY_SECONDS, 4, PlacementStrategy.Demand.NO_LIMIT);
 	}
 
 	@Test
@@ -57,6 +57,15 @@
 		assertThat(chosenId(demand().forKvCopy("giza"), local, remote)).isEqualTo("local");
 	}
 
+	@Test
+	void fullerLocalEngineDoesNotHideARemoteOneThatCanKeepABackup() {
+		TrackedTarget local = engine("local", "giza", 0, 9_000);
+		TrackedTarget remote = engine("remote", "helwan", 0, 3_000);
+		PlacementStrategy.Demand backup = demand().forKvCopy("giza").withMaxMemoryFraction(0.4);
+		assertThat(chosenId(backup, local, remote)).isEqualTo("remote");
+		assertThat(chosenId(backup, local)).isEqualTo("none");
+	}
+
 	@Test
 	void engineWithoutFreeMemoryIsNotChosen() {
 		assertThat(chosenId(demand(), engine("full", "giza", 0, 24_000))).isEqualTo("none");
@@ -66,7 +75,8 @@
 	void engineWithoutLoadReportIsUsedByOneHostOnAverage() {
 		TrackedTarget reported = engine("reported", "giza", 3_000, 15_000);
 		TrackedTarget unreported = new TrackedTarget(this.clock, reported.membership());
-		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(3_000, 3_500, "giza", 0, 20);
+		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(3_000, 3_500, "giza", 0, 20,
+				PlacementStrategy.Demand.NO_LIMIT);
 		int chosenCount = 0;
 		for (int request = 0; request < 1_000; request++) {
 			chosenCount += (this.strategy.choose(List.of(reported, unreported), demand).orElseThrow() == unreported) ? 1
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -44,9 +44,18 @@
 
 	private final List<Target> targetList = new ArrayList<>();
 
-	private final RelayService relayService = RelayService.of(this.clock, this.scheduler, this.targetClient,
-			this.admissionClient, new RelaySettings("giza", 0.2, 54, 10_000),
-			RandomSource.XO_RO_SHI_RO_128_PP.create(5), new MetricRegistry());
+	private final RecordingLoadReader loadReader = new RecordingLoadReader();
+
+	/** Services for which a retry permit was requested, in order. */
+	private final List<String> retryLoanRequests = new ArrayList<>();
+
+	private final RelayService relayService = RelayService.of(this.clock, this.scheduler,
+			RelayClients.of(this.targetClient)
+				.withAdmission(this.admissionClient)
+				.withEngineLoads(this.loadReader)
+				.withRetryLoans(this.retryLoanRequests::add),
+			new RelaySettings("giza", 0.2, 54, 10_000), RandomSource.XO_RO_SHI_RO_128_PP.create(5),
+			new MetricRegistry());
 
 	/** Number of requests accepted so far. */
 	private int requestCount;
@@ -169,6 +178,14 @@
 		return this.targetClient;
 	}
 
+	RecordingLoadReader loadReader() {
+		return this.loadReader;
+	}
+
+	List<String> retryLoanRequests() {
+		return this.retryLoanRequests;
+	}
+
 	RecordingAdmissionClient admissionClient() {
 		return this.admissionClient;
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -235,6 +235,54 @@
 		assertThat(sendCount()).isZero();
 	}
 
+	private void useUpRetryBudget() {
+		while (this.fixture.relayService().retryBudgetAllows("bench")) {
+			this.fixture.relayService().retryBudget("bench").recordRetry();
+		}
+	}
+
+	@Test
+	void resumeBeyondTheRetryBudgetWaitsForAPermitOfAnotherHost() {
+		this.fixture.accept("/notes/1", this.caller);
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		useUpRetryBudget();
+		drainEngineOf(0);
+		assertThat(sendCount()).isOne();
+		assertThat(this.fixture.retryLoanRequests()).contains("bench");
+		this.fixture.advance(GenerationResumer.RETRY_INTERVAL_MILLIS);
+		this.fixture.relayService().addRetryLoan("bench");
+		assertThat(sendCount()).isEqualTo(2);
+		assertThat(exchange(1).request().resumeFrom()).isPresent();
+	}
+
+	@Test
+	void failedStreamBeyondTheRetryBudgetIsResumedWithABorrowedPermit() {
+		this.fixture.accept("/notes/1", this.caller);
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		useUpRetryBudget();
+		exchange(0).fail(Ran.UNKNOWN);
+		assertThat(this.caller.aborted()).isFalse();
+		this.fixture.relayService().addRetryLoan("bench");
+		exchange(1).startStream();
+		exchange(1).sendEvent(2);
+		exchange(1).complete();
+		assertThat(this.caller.eventIds()).isEqualTo("1 2");
+	}
+
+	@Test
+	void failedStreamIsGivenUpWhenNoPermitArrives() {
+		this.fixture.accept("/notes/1", this.caller);
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		useUpRetryBudget();
+		exchange(0).fail(Ran.UNKNOWN);
+		this.fixture.advance(GenerationResumer.PERMIT_WAIT_MILLIS + RelayService.POLL_MILLIS);
+		assertThat(this.caller.aborted()).isTrue();
+		assertThat(sendCount()).isOne();
+	}
+
 	@Test
 	void resumeIsRetriedWhenTheKvBackupIsNotReady() {
 		this.fixture.accept("/notes/1", this.caller);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetPoolProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetPoolProperties.java
@@ -46,6 +46,8 @@
 
 		private int answeredAdmissions;
 
+		private int answeredReads;
+
 		private long bornMillis = 1;
 
 		Run(int seed) {
@@ -62,13 +64,14 @@
 
 		void play() {
 			for (int step = 0; step < STEPS; step++) {
-				switch (this.random.nextInt(8)) {
+				switch (this.random.nextInt(9)) {
 					case 0 -> this.fixture.accept("/notes/" + step, new RecordingCallerChannel());
 					case 1 -> this.fixture.accept((this.random.nextBoolean() ? "/lookup/" : "/order/") + step,
 							new RecordingCallerChannel());
 					case 2 -> changeTarget();
 					case 3 -> completeCopy();
 					case 4 -> answerAdmission();
+					case 5 -> answerLoadRead();
 					default -> advanceExchange();
 				}
 				this.fixture.advance(this.random.nextInt(MAX_STEP_MILLIS));
@@ -106,6 +109,14 @@
 			}
 		}
 
+		private void answerLoadRead() {
+			if (this.answeredReads < this.fixture.loadReader().readCount()) {
+				this.fixture.loadReader()
+					.respond(this.answeredReads, this.random.nextInt(9), this.random.nextInt(30_000));
+				this.answeredReads++;
+			}
+		}
+
 		private void advanceExchange() {
 			int count = this.fixture.targetClient().sendCount();
 			if (count == 0) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WindowedRetryBudgetProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WindowedRetryBudgetProperties.java
@@ -60,6 +60,54 @@
 		return sends.stream().filter((send) -> send[1] == retryFlag).mapToLong((send) -> send[0]).sorted().toArray();
 	}
 
+	/**
+	 * Model check with loans: hosts with few retries lend permits to hosts with many, and
+	 * any host may freeze with a borrowed permit.
+	 */
+	@Property(tries = 10_000, seed = "12")
+	void retriesOfAllHostsStayWithinTheBudgetWithLoans(@ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
+		Random random = new Random(seed);
+		List<Clock.Manual> clocks = new ArrayList<>();
+		List<WindowedRetryBudget> budgets = new ArrayList<>();
+		for (int i = 0; i < HOSTS; i++) {
+			clocks.add(Clock.manual(random.nextInt(5_000)));
+			budgets.add(WindowedRetryBudget.of(clocks.get(i),
+					new RelaySettings("giza", RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS)));
+		}
+		int busyHost = random.nextInt(HOSTS);
+		List<long[]> sends = new ArrayList<>();
+		long nowMillis = 0;
+		for (int step = 0; step < 60; step++) {
+			long elapsedMillis = random.nextInt(900);
+			nowMillis += elapsedMillis;
+			for (int host = 0; host < HOSTS; host++) {
+				boolean frozen = random.nextInt(6) == 0;
+				clocks.get(host).advance(frozen ? 0 : elapsedMillis);
+				int wanted = (host == busyHost) ? 12 : random.nextInt(3);
+				for (int i = 0; !frozen && i < wanted; i++) {
+					sendOrBorrow(budgets, host, random, sends, nowMillis);
+				}
+			}
+		}
+		checkWindows(sendTimes(sends, 0), sendTimes(sends, 1));
+	}
+
+	private static void sendOrBorrow(List<WindowedRetryBudget> budgets, int host, Random random, List<long[]> sends,
+			long nowMillis) {
+		WindowedRetryBudget budget = budgets.get(host);
+		if (random.nextInt(3) == 0) {
+			budget.recordRequest();
+			sends.add(new long[] { nowMillis, 0 });
+		}
+		else if (budget.allowsRetry(HOSTS)) {
+			budget.recordRetry();
+			sends.add(new long[] { nowMillis, 1 });
+		}
+		else if (budgets.get(random.nextInt(HOSTS)).tryLend(HOSTS)) {
+			budget.addBorrowed();
+		}
+	}
+
 	private static void simulateRequests(WindowedRetryBudget budget, Random random, List<long[]> sends, long nowMillis,
 			boolean frozen) {
 		if (frozen) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -5,8 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.slf4j.Logger;
@@ -21,6 +23,8 @@
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.process.membership.TargetRegistry;
 import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.process.relay.EngineReport;
+import io.dotterelcrank.process.relay.RelayClients;
 import io.dotterelcrank.process.relay.RelayService;
 import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.process.replica.PeerTableSync;
@@ -108,9 +112,14 @@
 		this.settings = settings;
 		this.platform = platform;
 		this.runtime = new RelayRuntime(settings.common(), platform);
+		RelayClients clients = RelayClients.of(HttpTargetClient.of(this.runtime.httpClient(), platform.messageMapper()))
+			.withAdmission(this::requestAdmission)
+			.withEngineLoads(this::readEngineLoad)
+			.withRetryLoans(new PeerRetryLoanClient(this.runtime.transport(), this.runtime.controlScheduler(),
+					this.runtime.clock(), this.runtime::peers, this::addRetryLoan,
+					RandomSource.XO_RO_SHI_RO_128_PP.create()));
 		this.service = RelayService.of(this.runtime.clock(), new EventLoopScheduler(this.runtime.trafficLoop()),
-				HttpTargetClient.of(this.runtime.httpClient(), platform.messageMapper()), this::requestAdmission,
-				settings.relay(), RandomSource.XO_RO_SHI_RO_128_PP.create(), this.runtime.metrics());
+				clients, settings.relay(), RandomSource.XO_RO_SHI_RO_128_PP.create(), this.runtime.metrics());
 		this.registry = TargetRegistry.of(this.runtime.clock());
 		this.peerSync = PeerTableSync.of(this.runtime.transport(), this.runtime.controlScheduler(), this.runtime::peers,
 				RandomSource.XO_RO_SHI_RO_128_PP.create());
@@ -226,6 +235,20 @@
 		return true;
 	}
 
+	private void readEngineLoad(TargetRegistration engine, Consumer<Optional<EngineReport>> listener) {
+		this.platform.fetchEngineReport(this.runtime.httpClient(), engine.address())
+			.whenComplete((report, failure) -> this.runtime.trafficLoop().execute(() -> {
+				if (failure != null) {
+					LogEvent.ENGINE_LOAD_UNREADABLE.log(logger, engine.address(), failure.getMessage());
+				}
+				listener.accept(Optional.ofNullable(report));
+			}));
+	}
+
+	private void addRetryLoan(String serviceName) {
+		this.runtime.trafficLoop().execute(() -> this.service.addRetryLoan(serviceName));
+	}
+
 	/**
 	 * Passes the state kept on the control thread to the traffic thread.
 	 */
@@ -276,8 +299,8 @@
 	}
 
 	/**
-	 * Handles records requests of peers, and load reports and admission responses of
-	 * sidecars.
+	 * Handles requests of peers for records and retry permits, and load reports and
+	 * admission responses of sidecars.
 	 */
 	private final class PeerListener implements Link.Listener {
 
@@ -301,6 +324,11 @@
 					link.send(new Message.EngineLoadAck(load.address()));
 				}
 			}
+			else if (message instanceof Message.RetryLoanRequest request) {
+				RelayEntryDaemon.this.runtime.trafficLoop()
+					.execute(() -> link.send(new Message.RetryLoan(request.service(),
+							RelayEntryDaemon.this.service.tryLendRetry(request.service()))));
+			}
 			else if (message instanceof Message.AdmissionResponse response) {
 				RelayEntryDaemon.this.runtime.trafficLoop()
 					.execute(() -> RelayEntryDaemon.this.service.handleAdmissionResponse(response));
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
@@ -68,10 +68,6 @@
 				reader.ipAddress("ip", null, null), reader.port("metrics-port", null, "0"));
 	}
 
-	/**
-	 * Reads a duration that may have fractions of a millisecond.
-	 * @return duration in milliseconds, rounded
-	 */
 	private static long millis(SettingsReader reader, String name, String defaultValue) {
 		return Math.round(reader.decimal(name, null, defaultValue, MIN_BOUND_MILLIS, MAX_BOUND_MILLIS));
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -23,7 +23,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
-import io.dotterelcrank.process.relay.AdmissionClient;
+import io.dotterelcrank.process.relay.RelayClients;
 import io.dotterelcrank.process.relay.RelayService;
 import io.dotterelcrank.process.relay.RelaySettings;
 import io.dotterelcrank.version.plan.CallerLimits;
@@ -61,9 +61,9 @@
 		EventLoop loop = this.group.next();
 		Clock clock = Clock.system();
 		RelayService service = RelayService.of(clock, new EventLoopScheduler(loop),
-				HttpTargetClient.of(PooledHttpClient.create(loop), new TestMessageMapper()),
-				AdmissionClient.Disabled.INSTANCE, new RelaySettings("dc", 0.2, 50, 10_000),
-				RandomSource.XO_RO_SHI_RO_128_PP.create(1), new MetricRegistry());
+				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(loop), new TestMessageMapper())),
+				new RelaySettings("dc", 0.2, 50, 10_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+				new MetricRegistry());
 		loop.submit(() -> {
 			service.updatePlan(ServingPlan.of(1,
 					List.of(route("/order/", RequestKind.NON_IDEMPOTENT), route("/lookup/", RequestKind.IDEMPOTENT),
