Share reads of the store among the entry hosts of a data centre

With DrainMs of 4 s the targets' table was read every 1.8 s, about as long as the notice of an engine that is reclaimed.

Weighed: a reader per data centre that pushes (chosen); all hosts by longer polls (leaving engines are noticed later still); gossip by offset (as many messages, and no bound on the number of hops).

Change: TableSharing. The hosts of a data centre, of several if each has few, are ranked; one that reads pushes records, acknowledged by offset, to those that rank after it, and one that gets current records from a host that ranks before it does not read. Silence for 0.3 of the bound makes a host read by itself, so no host is elected and two readers do no harm. Reads of the members table pause for 1.5 s while it changes. Members register their data centre.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -249,6 +249,30 @@
 	record AdmissionResponse(long requestNumber, boolean admitted, EngineLoad load) implements Message {
 	}
 
+	/**
+	 * Records of a keyed table that the sender has read for the receiver, or only the
+	 * news that it still reads them.
+	 *
+	 * @param sender name of the sending host
+	 * @param table name of the table
+	 * @param fromOffset offset from which on the records are complete
+	 * @param nextOffset offset that the sender reads next
+	 * @param ageMillis how long ago the records were current, in milliseconds
+	 * @param records records of the table, in the order of their offsets
+	 */
+	record RecordsPush(String sender, String table, long fromOffset, long nextOffset, long ageMillis,
+			List<KeyedRecord> records) implements Message {
+	}
+
+	/**
+	 * Acknowledges a {@link RecordsPush}.
+	 *
+	 * @param table name of the table
+	 * @param nextOffset offset up to which the receiver has the records
+	 */
+	record RecordsPushAck(String table, long nextOffset) implements Message {
+	}
+
 	/**
 	 * Asks another entry host for a permit of its retry budget.
 	 *
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
@@ -27,7 +27,8 @@
 			Message.Failed.class, Message.Heartbeat.class, Message.ConfigurationRequest.class,
 			Message.ConfigurationResponse.class, Message.RecordsRequest.class, Message.RecordsResponse.class,
 			Message.EngineLoadReport.class, Message.EngineLoadAck.class, Message.AdmissionRequest.class,
-			Message.AdmissionResponse.class, Message.RetryLoanRequest.class, Message.RetryLoan.class);
+			Message.AdmissionResponse.class, Message.RetryLoanRequest.class, Message.RetryLoan.class,
+			Message.RecordsPush.class, Message.RecordsPushAck.class);
 
 	/** Maps records to arrays. */
 	private final ObjectMapper mapper;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
@@ -56,7 +56,8 @@
 				|| message instanceof Message.ConfigurationResponse || message instanceof Message.RecordsRequest
 				|| message instanceof Message.RecordsResponse || message instanceof Message.EngineLoadReport
 				|| message instanceof Message.EngineLoadAck || message instanceof Message.RetryLoanRequest
-				|| message instanceof Message.RetryLoan;
+				|| message instanceof Message.RetryLoan || message instanceof Message.RecordsPush
+				|| message instanceof Message.RecordsPushAck;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/membership/Member.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/membership/Member.java
@@ -7,6 +7,36 @@
  *
  * @param name name of the host
  * @param address address on which the process accepts links
+ * @param dataCentre data centre of the host; empty if not known
  */
-public record Member(String name, InetSocketAddress address) {
+public record Member(String name, InetSocketAddress address, String dataCentre) {
+
+	/**
+	 * Parses the value of a record of the members table.
+	 * @param name key of the record
+	 * @param text address as {@code ip:port}, and the data centre after a space if it is
+	 * known
+	 * @return the member
+	 * @throws IllegalArgumentException if the text is malformed
+	 */
+	public static Member parse(String name, String text) {
+		int space = text.indexOf(' ');
+		String address = (space < 0) ? text : text.substring(0, space);
+		int colon = address.lastIndexOf(':');
+		if (colon < 1) {
+			throw new IllegalArgumentException("not an address: '" + address + "'");
+		}
+		return new Member(name,
+				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+				(space < 0) ? "" : text.substring(space + 1));
+	}
+
+	/**
+	 * Returns the value of the member's record.
+	 * @return text that {@link #parse} reads
+	 */
+	public String format() {
+		return this.address.getAddress().getHostAddress() + ':' + this.address.getPort() + ' ' + this.dataCentre;
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
@@ -96,7 +96,8 @@
 	private void requestStaleTables() {
 		List<TableFeed> stale = this.feeds.values()
 			.stream()
-			.filter((feed) -> !feed.reachable() || feed.ageMillis() > STALE_MILLIS + feed.intervalMillis())
+			.filter((feed) -> !feed.following()
+					&& (!feed.reachable() || feed.ageMillis() > STALE_MILLIS + feed.intervalMillis()))
 			.toList();
 		if (stale.isEmpty()) {
 			return;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
@@ -13,7 +13,8 @@
 /**
  * Keeps a {@link KeyedTable} current: lists the table once, then reads the records
  * appended since, and lists it again when records have expired. While the store is
- * unreachable, records of peers are applied. All methods run on the control thread.
+ * unreachable, records of peers are applied; while a peer reads the table for this host,
+ * it is not read at all. All methods run on the control thread.
  */
 public final class TableFeed {
 
@@ -36,8 +37,11 @@
 	 */
 	private final long waitMillis;
 
-	/** Delay between two reads, in milliseconds; 0 when long polling. */
-	private final long pollIntervalMillis;
+	/**
+	 * Delay between two reads, in milliseconds; when long polling, only after a read that
+	 * returned records.
+	 */
+	private final long pauseMillis;
 
 	private final Consumer<List<KeyedRecord>> listener;
 
@@ -52,14 +56,21 @@
 	/** Whether a listing has succeeded, and reads can continue from the table's end. */
 	private boolean listed;
 
+	/** Until when a peer reads the table for this host. */
+	private long followUntilMillis;
+
+	/** Called after each successful read. */
+	private Runnable readListener = () -> {
+	};
+
 	private TableFeed(String table, KeyedTableStore store, Clock clock, Scheduler control, long waitMillis,
-			long pollIntervalMillis, Consumer<List<KeyedRecord>> listener) {
+			long pauseMillis, Consumer<List<KeyedRecord>> listener) {
 		this.table = table;
 		this.store = store;
 		this.clock = clock;
 		this.control = control;
 		this.waitMillis = waitMillis;
-		this.pollIntervalMillis = pollIntervalMillis;
+		this.pauseMillis = pauseMillis;
 		this.listener = listener;
 	}
 
@@ -71,12 +82,14 @@
 	 * @param clock clock of the process
 	 * @param control scheduler of the control thread
 	 * @param waitMillis maximum time that a read waits, in milliseconds
+	 * @param pauseMillis delay after a read that returned records, in milliseconds;
+	 * records that follow within it cost one read together
 	 * @param listener receives the records that changed the table
 	 * @return a feed that is not started
 	 */
 	public static TableFeed longPolling(String table, KeyedTableStore store, Clock clock, Scheduler control,
-			long waitMillis, Consumer<List<KeyedRecord>> listener) {
-		return new TableFeed(table, store, clock, control, waitMillis, 0, listener);
+			long waitMillis, long pauseMillis, Consumer<List<KeyedRecord>> listener) {
+		return new TableFeed(table, store, clock, control, waitMillis, pauseMillis, listener);
 	}
 
 	/**
@@ -85,13 +98,13 @@
 	 * @param store the store
 	 * @param clock clock of the process
 	 * @param control scheduler of the control thread
-	 * @param pollIntervalMillis delay between two reads, in milliseconds
+	 * @param intervalMillis delay between two reads, in milliseconds
 	 * @param listener receives the records that changed the table
 	 * @return a feed that is not started
 	 */
 	public static TableFeed polling(String table, KeyedTableStore store, Clock clock, Scheduler control,
-			long pollIntervalMillis, Consumer<List<KeyedRecord>> listener) {
-		return new TableFeed(table, store, clock, control, 0, pollIntervalMillis, listener);
+			long intervalMillis, Consumer<List<KeyedRecord>> listener) {
+		return new TableFeed(table, store, clock, control, 0, intervalMillis, listener);
 	}
 
 	/**
@@ -112,7 +125,7 @@
 	private void handleBatch(KeyedTableStore.Batch batch, Throwable failure, boolean isListing) {
 		if (failure != null) {
 			recordFailure(failure.getMessage());
-			this.control.schedule(RETRY_MILLIS, this::start);
+			this.control.schedule(RETRY_MILLIS, this::readUnlessFollowing);
 			return;
 		}
 		if (!this.reachable) {
@@ -130,14 +143,58 @@
 				: this.records.apply(batch.records(), batch.nextOffset());
 		this.listed = true;
 		notifyListener(changes);
-		if (this.pollIntervalMillis > 0) {
-			this.control.schedule(this.pollIntervalMillis, this::start);
+		this.readListener.run();
+		long delayMillis = (this.waitMillis == 0 || !batch.records().isEmpty()) ? this.pauseMillis : 0;
+		if (delayMillis > 0) {
+			this.control.schedule(delayMillis, this::readUnlessFollowing);
+		}
+		else {
+			readUnlessFollowing();
+		}
+	}
+
+	private void readUnlessFollowing() {
+		if (following()) {
+			this.control.schedule(this.followUntilMillis - this.clock.millis(), this::readUnlessFollowing);
 		}
 		else {
 			start();
 		}
 	}
 
+	/**
+	 * Suspends reading, since a peer reads the table for this host.
+	 * @param millis time until reading goes on unless this method is called again, in
+	 * milliseconds
+	 */
+	void follow(long millis) {
+		this.followUntilMillis = this.clock.millis() + millis;
+	}
+
+	/**
+	 * Returns whether a peer reads the table for this host.
+	 * @return {@code true} until the time of the last {@link #follow} has passed
+	 */
+	boolean following() {
+		return this.followUntilMillis > this.clock.millis();
+	}
+
+	/**
+	 * Returns whether the table has been listed.
+	 * @return {@code true} after the first listing, unless it must be listed again
+	 */
+	boolean listed() {
+		return this.listed;
+	}
+
+	/**
+	 * Sets the listener of successful reads.
+	 * @param listener called on the control thread, after the records were applied
+	 */
+	void onRead(Runnable listener) {
+		this.readListener = listener;
+	}
+
 	private void recordFailure(String reason) {
 		if (this.reachable) {
 			this.reachable = false;
@@ -192,7 +249,7 @@
 	 * @return maximum wait of a read or delay between reads, in milliseconds
 	 */
 	public long intervalMillis() {
-		return Math.max(this.waitMillis, this.pollIntervalMillis);
+		return Math.max(this.waitMillis, this.pauseMillis);
 	}
 
 	/**
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -0,0 +1,323 @@
+package io.dotterelcrank.process.replica;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.RendezvousHash;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.Link;
+import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.process.membership.Member;
+
+/**
+ * Shares the reading of keyed tables among the entry hosts of a group, so that calls to
+ * the store grow with data centres and not with hosts. A group has the hosts of one data
+ * centre, or of several if each has only a few. The hosts of a group are ranked; a host
+ * that reads a table pushes its records to all hosts that rank after it, and a host that
+ * gets current records from one that ranks before it does not read. Invariants: the host
+ * that ranks first always reads; a host that gets no push for
+ * {@link SharedTable#followMillis()} reads by itself; several readers at once do no harm,
+ * as offsets only advance. Confined to the control thread.
+ */
+public final class TableSharing {
+
+	/** Min number of hosts in a group, if there are as many. */
+	static final int MIN_GROUP_SIZE = 4;
+
+	/** Pushes sent within the time for which a host follows. */
+	static final int PUSHES_PER_FOLLOW = 3;
+
+	/**
+	 * Part of the follow time by which each rank follows longer, so that one host at a
+	 * time takes over.
+	 */
+	static final double STAGGER_FRACTION = 0.15;
+
+	/** Rank beyond which hosts no longer follow longer. */
+	static final int MAX_STAGGERED_RANK = 2;
+
+	/** Pushes without an acknowledgement after which a link is replaced. */
+	static final int MAX_UNACKNOWLEDGED_PUSHES = 4;
+
+	/** Time until a closed link is opened again, in milliseconds. */
+	static final long RECONNECT_MILLIS = 1_000;
+
+	/** Time between two checks for pushes that are due, in milliseconds. */
+	static final long TICK_MILLIS = 50;
+
+	private final Transport transport;
+
+	private final Scheduler control;
+
+	private final Clock clock;
+
+	private final Member self;
+
+	/** Supplies all entry hosts. */
+	private final Supplier<Collection<Member>> members;
+
+	/** Tables by name. */
+	private final Map<String, SharedTable> tables = new LinkedHashMap<>();
+
+	/** Links to hosts that rank after this one, by address. */
+	private final Map<InetSocketAddress, FollowerLink> followers = new HashMap<>();
+
+	/** When the last link to an address was closed. */
+	private final Map<InetSocketAddress, Long> closedMillis = new HashMap<>();
+
+	private TableSharing(Transport transport, Scheduler control, Clock clock, Member self,
+			Supplier<Collection<Member>> members) {
+		this.transport = transport;
+		this.control = control;
+		this.clock = clock;
+		this.self = self;
+		this.members = members;
+	}
+
+	/**
+	 * Creates an instance without tables.
+	 * @param transport opens links
+	 * @param control the control thread
+	 * @param clock clock of the process
+	 * @param self this host
+	 * @param members supplies all entry hosts
+	 * @return an instance that is not started
+	 */
+	public static TableSharing of(Transport transport, Scheduler control, Clock clock, Member self,
+			Supplier<Collection<Member>> members) {
+		return new TableSharing(transport, control, clock, self, members);
+	}
+
+	/**
+	 * Adds a table.
+	 * @param feed feed of the table
+	 * @param followMillis time without a push after which this host reads by itself, in
+	 * milliseconds
+	 */
+	public void add(TableFeed feed, long followMillis) {
+		SharedTable table = new SharedTable(feed, followMillis);
+		this.tables.put(feed.table(), table);
+		feed.onRead(() -> push(table));
+	}
+
+	/**
+	 * Starts to push records periodically.
+	 */
+	public void start() {
+		this.control.scheduleWithFixedDelay(TICK_MILLIS, this::pushDueTables);
+	}
+
+	private void pushDueTables() {
+		long nowMillis = this.clock.millis();
+		for (SharedTable table : this.tables.values()) {
+			if (nowMillis - table.pushedMillis >= table.followMillis / PUSHES_PER_FOLLOW) {
+				push(table);
+			}
+		}
+	}
+
+	private void push(SharedTable table) {
+		table.pushedMillis = this.clock.millis();
+		if (!table.feed.listed() || table.feed.following() || table.feed.ageMillis() > table.maxAgeMillis()) {
+			return;
+		}
+		for (Member member : group()) {
+			if (precedes(this.self.name(), member.name())) {
+				follower(member.address()).push(table);
+			}
+		}
+	}
+
+	/**
+	 * Returns the hosts that share reads with this one. Hosts whose lists of members
+	 * differ for a while may form different groups; some tables are then read twice.
+	 * @return the group, or nothing if this host is not yet listed
+	 */
+	private List<Member> group() {
+		Map<String, List<Member>> byDataCentre = new TreeMap<>();
+		this.members.get()
+			.forEach((member) -> byDataCentre.computeIfAbsent(member.dataCentre(), (name) -> new ArrayList<>())
+				.add(member));
+		List<List<Member>> groups = new ArrayList<>();
+		List<Member> open = new ArrayList<>();
+		for (List<Member> hosts : byDataCentre.values()) {
+			open.addAll(hosts);
+			if (open.size() >= MIN_GROUP_SIZE) {
+				groups.add(open);
+				open = new ArrayList<>();
+			}
+		}
+		if (groups.isEmpty()) {
+			groups.add(open);
+		}
+		else {
+			groups.get(groups.size() - 1).addAll(open);
+		}
+		return groups.stream()
+			.filter((group) -> group.stream().anyMatch((member) -> member.name().equals(this.self.name())))
+			.findFirst()
+			.orElse(List.of());
+	}
+
+	private static boolean precedes(String name, String other) {
+		int order = Long.compare(RendezvousHash.hash(name), RendezvousHash.hash(other));
+		return (order != 0) ? order < 0 : name.compareTo(other) < 0;
+	}
+
+	private FollowerLink follower(InetSocketAddress address) {
+		return this.followers.computeIfAbsent(address, FollowerLink::new);
+	}
+
+	/**
+	 * Handles records that another host has read.
+	 * @param link link to the sender
+	 * @param push the records
+	 */
+	public void handlePush(Link link, Message.RecordsPush push) {
+		this.control.execute(() -> {
+			SharedTable table = this.tables.get(push.table());
+			if (table == null) {
+				return;
+			}
+			if (push.fromOffset() <= table.feed.records().nextOffset()) {
+				table.feed.applyPeerRecords(push.records(), push.nextOffset(), push.ageMillis());
+				if (precedes(push.sender(), this.self.name()) && push.ageMillis() <= table.maxAgeMillis()
+						&& push.nextOffset() >= table.feed.records().nextOffset()) {
+					table.feed.follow((long) (table.followMillis * (1 + STAGGER_FRACTION * rank())));
+				}
+			}
+			link.send(new Message.RecordsPushAck(push.table(), table.feed.records().nextOffset()));
+		});
+	}
+
+	/**
+	 * Returns the rank of this host among the followers of its group.
+	 * @return number from 0 to {@link #MAX_STAGGERED_RANK}
+	 */
+	private int rank() {
+		long before = group().stream().filter((member) -> precedes(member.name(), this.self.name())).count();
+		return (int) Math.min(MAX_STAGGERED_RANK, Math.max(0, before - 1));
+	}
+
+	/**
+	 * Returns how this host gets each table.
+	 * @return "store" or "peer" by name of the table, for dumps
+	 */
+	public Map<String, String> sources() {
+		Map<String, String> sources = new LinkedHashMap<>();
+		this.tables.forEach((name, table) -> sources.put(name, table.feed.following() ? "peer" : "store"));
+		return sources;
+	}
+
+	/**
+	 * A table with its times. Confined to the control thread.
+	 */
+	private static final class SharedTable {
+
+		private final TableFeed feed;
+
+		private final long followMillis;
+
+		private long pushedMillis;
+
+		SharedTable(TableFeed feed, long followMillis) {
+			this.feed = feed;
+			this.followMillis = followMillis;
+		}
+
+		/**
+		 * Returns the age up to which the records of a reader count as current.
+		 * @return age in milliseconds
+		 */
+		long maxAgeMillis() {
+			return this.feed.intervalMillis() + this.followMillis / PUSHES_PER_FOLLOW;
+		}
+
+	}
+
+	/**
+	 * Link to a host that ranks after this one. Confined to the control thread.
+	 */
+	private final class FollowerLink implements Link.Listener {
+
+		private final InetSocketAddress address;
+
+		/** {@code null} until it may be opened again. */
+		private Link link;
+
+		/** Offset up to which the follower has the records, by table. */
+		private final Map<String, Long> acknowledgedOffsets = new HashMap<>();
+
+		private int unacknowledgedPushes;
+
+		FollowerLink(InetSocketAddress address) {
+			this.address = address;
+		}
+
+		void push(SharedTable table) {
+			if (this.link == null) {
+				long closed = TableSharing.this.closedMillis.getOrDefault(this.address, 0L);
+				if (closed > 0 && TableSharing.this.clock.millis() - closed < RECONNECT_MILLIS) {
+					return;
+				}
+				this.link = TableSharing.this.transport.open(this.address, this);
+			}
+			if (this.unacknowledgedPushes >= MAX_UNACKNOWLEDGED_PUSHES) {
+				this.link.close();
+				return;
+			}
+			this.unacknowledgedPushes++;
+			KeyedTable records = table.feed.records();
+			long fromOffset = this.acknowledgedOffsets.getOrDefault(table.feed.table(), records.nextOffset());
+			List<KeyedRecord> missing = (fromOffset < records.nextOffset()) ? records.since(fromOffset) : List.of();
+			this.link.send(new Message.RecordsPush(TableSharing.this.self.name(), table.feed.table(), fromOffset,
+					records.nextOffset(), table.feed.ageMillis(), missing));
+		}
+
+		@Override
+		public void opened(Link openedLink) {
+			// The link queues messages sent before it is open.
+		}
+
+		@Override
+		public void received(Link sender, long version, Message message) {
+			if (message instanceof Message.RecordsPushAck ack) {
+				TableSharing.this.control.execute(() -> handleAck(ack));
+			}
+		}
+
+		private void handleAck(Message.RecordsPushAck ack) {
+			this.unacknowledgedPushes = 0;
+			this.acknowledgedOffsets.put(ack.table(), ack.nextOffset());
+			SharedTable table = TableSharing.this.tables.get(ack.table());
+			if (table != null && ack.nextOffset() < table.feed.records().nextOffset() && !table.feed.following()) {
+				push(table);
+			}
+		}
+
+		@Override
+		public void writable(Link writableLink) {
+			// At most MAX_UNACKNOWLEDGED_PUSHES are under way, so backpressure is
+			// ignored.
+		}
+
+		@Override
+		public void closed(Link closedLink) {
+			TableSharing.this.control.execute(() -> {
+				TableSharing.this.closedMillis.put(this.address, TableSharing.this.clock.millis());
+				TableSharing.this.followers.remove(this.address, this);
+			});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
@@ -0,0 +1,344 @@
+package io.dotterelcrank.process.replica;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.Link;
+import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.process.membership.Member;
+import io.dotterelcrank.process.platform.PlatformException;
+
+/**
+ * Entry hosts that share the reads of one table, on a manual clock, with a store and a
+ * network whose faults the test sets. Confined to the test's thread.
+ */
+final class SimulatedHosts {
+
+	static final long LATENCY_MILLIS = 2;
+
+	private static final long STORE_TIMEOUT_MILLIS = 900;
+
+	private final Clock.Manual clock = Clock.manual(100_000);
+
+	private final Scheduler.Manual scheduler = Scheduler.manual(this.clock);
+
+	/** Records by offset. */
+	private final List<KeyedRecord> log = new ArrayList<>();
+
+	/** First offset that the store still has. */
+	private long firstOffset;
+
+	private final List<Member> members = new ArrayList<>();
+
+	private final Map<String, Host> hosts = new HashMap<>();
+
+	/** Names of two hosts, in both orders, whose messages are lost. */
+	private final Set<String> cutPairs = new HashSet<>();
+
+	private final long boundMillis;
+
+	SimulatedHosts(int hostCount, int dataCentres, long boundMillis) {
+		this.boundMillis = boundMillis;
+		for (int i = 0; i < hostCount; i++) {
+			this.members
+				.add(new Member("h" + i, new InetSocketAddress("10.0.0." + (i + 1), 80), "dc" + (i % dataCentres)));
+		}
+		this.members.forEach((member) -> this.hosts.put(member.name(), new Host(member)));
+	}
+
+	void start() {
+		this.members.forEach((member) -> this.hosts.get(member.name()).start());
+	}
+
+	Host host(int index) {
+		return this.hosts.get("h" + index);
+	}
+
+	int size() {
+		return this.members.size();
+	}
+
+	void advance(long millis) {
+		this.scheduler.advance(millis);
+	}
+
+	long append(String key) {
+		long offset = this.log.size();
+		this.log.add(new KeyedRecord(key, offset, new byte[] { 1 }));
+		return offset;
+	}
+
+	/**
+	 * Deletes all records but the newest of each key.
+	 */
+	void compact() {
+		this.firstOffset = this.log.size();
+	}
+
+	void setCut(int left, int right, boolean cut) {
+		for (String pair : List.of("h" + left + "-h" + right, "h" + right + "-h" + left)) {
+			if (cut) {
+				this.cutPairs.add(pair);
+			}
+			else {
+				this.cutPairs.remove(pair);
+			}
+		}
+	}
+
+	long storeCalls() {
+		return this.hosts.values().stream().mapToLong((host) -> host.storeCalls).sum();
+	}
+
+	/**
+	 * One host. While it is paused, nothing that it does or gets happens; it resumes with
+	 * all of it.
+	 */
+	final class Host implements Transport, KeyedTableStore {
+
+		private final Member member;
+
+		private final List<Runnable> deferred = new ArrayList<>();
+
+		private boolean paused;
+
+		private boolean storeReachable = true;
+
+		private long storeCalls;
+
+		private final Scheduler control = new HostScheduler();
+
+		private TableSharing sharing;
+
+		private TableFeed feed;
+
+		Host(Member member) {
+			this.member = member;
+		}
+
+		private void start() {
+			long intervalMillis = (long) (0.3 * SimulatedHosts.this.boundMillis);
+			this.feed = TableFeed.polling("op", this, SimulatedHosts.this.clock, this.control, intervalMillis,
+					(changes) -> {
+					});
+			this.sharing = TableSharing.of(this, this.control, SimulatedHosts.this.clock, this.member,
+					() -> SimulatedHosts.this.members);
+			this.sharing.add(this.feed, (long) (0.3 * SimulatedHosts.this.boundMillis));
+			this.feed.start();
+			this.sharing.start();
+		}
+
+		void setPaused(boolean nowPaused) {
+			this.paused = nowPaused;
+			if (!nowPaused) {
+				List<Runnable> due = List.copyOf(this.deferred);
+				this.deferred.clear();
+				due.forEach(this::run);
+			}
+		}
+
+		void setStoreReachable(boolean reachable) {
+			this.storeReachable = reachable;
+		}
+
+		boolean reads() {
+			return !this.feed.following();
+		}
+
+		long nextOffset() {
+			return this.feed.records().nextOffset();
+		}
+
+		private void run(Runnable task) {
+			if (this.paused) {
+				this.deferred.add(task);
+			}
+			else {
+				task.run();
+			}
+		}
+
+		@Override
+		public CompletableFuture<Batch> list(String table) {
+			Map<String, KeyedRecord> newest = new HashMap<>();
+			SimulatedHosts.this.log.forEach((record) -> newest.put(record.key(), record));
+			return respond(() -> new Batch(List.copyOf(newest.values()), SimulatedHosts.this.log.size(), false));
+		}
+
+		@Override
+		public CompletableFuture<Batch> read(String table, long fromOffset, long waitMillis) {
+			return respond(() -> {
+				if (fromOffset < SimulatedHosts.this.firstOffset) {
+					return new Batch(List.of(), fromOffset, true);
+				}
+				List<KeyedRecord> records = SimulatedHosts.this.log;
+				return new Batch(List.copyOf(records.subList((int) fromOffset, records.size())), records.size(), false);
+			});
+		}
+
+		private CompletableFuture<Batch> respond(Supplier<Batch> batch) {
+			this.storeCalls++;
+			CompletableFuture<Batch> response = new CompletableFuture<>();
+			boolean reachable = this.storeReachable;
+			SimulatedHosts.this.scheduler.schedule(reachable ? LATENCY_MILLIS : STORE_TIMEOUT_MILLIS, () -> {
+				Batch answer = reachable ? batch.get() : null;
+				SimulatedHosts.this.scheduler.schedule(LATENCY_MILLIS, () -> run(() -> {
+					if (answer != null) {
+						response.complete(answer);
+					}
+					else {
+						response.completeExceptionally(new PlatformException("unreachable"));
+					}
+				}));
+			});
+			return response;
+		}
+
+		@Override
+		public CompletableFuture<Void> put(String table, String key, byte[] value) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+		@Override
+		public InetSocketAddress listen(InetSocketAddress address, Link.Listener listener) {
+			return address;
+		}
+
+		@Override
+		public Link open(InetSocketAddress address, Link.Listener listener) {
+			Host peer = SimulatedHosts.this.members.stream()
+				.filter((candidate) -> candidate.address().equals(address))
+				.map((candidate) -> SimulatedHosts.this.hosts.get(candidate.name()))
+				.findFirst()
+				.orElseThrow();
+			return new SimulatedLink(this, peer, listener);
+		}
+
+		@Override
+		public Traffic traffic() {
+			return new Traffic(0, 0, 0, 0);
+		}
+
+		@Override
+		public void close() {
+			// Nothing to release.
+		}
+
+		/**
+		 * Runs the host's tasks unless it is paused.
+		 */
+		private final class HostScheduler implements Scheduler {
+
+			@Override
+			public void execute(Runnable task) {
+				SimulatedHosts.this.scheduler.execute(() -> Host.this.run(task));
+			}
+
+			@Override
+			public ScheduledTask schedule(long delayMillis, Runnable task) {
+				return SimulatedHosts.this.scheduler.schedule(delayMillis, () -> Host.this.run(task));
+			}
+
+			@Override
+			public void close() {
+				// The simulation ends.
+			}
+
+		}
+
+	}
+
+	/**
+	 * Link from a reader to a follower. Messages are lost without notice while the pair
+	 * is cut, and for good once one was lost.
+	 */
+	private final class SimulatedLink implements Link {
+
+		private final Host opener;
+
+		private final Host peer;
+
+		private final Link.Listener listener;
+
+		private boolean silent;
+
+		private boolean closed;
+
+		SimulatedLink(Host opener, Host peer, Link.Listener listener) {
+			this.opener = opener;
+			this.peer = peer;
+			this.listener = listener;
+		}
+
+		private void deliver(Host receiver, Runnable delivery) {
+			String pair = this.opener.member.name() + '-' + this.peer.member.name();
+			this.silent |= SimulatedHosts.this.cutPairs.contains(pair);
+			if (!this.silent && !this.closed) {
+				SimulatedHosts.this.scheduler.schedule(LATENCY_MILLIS, () -> receiver.run(delivery));
+			}
+		}
+
+		@Override
+		public void send(Message message) {
+			deliver(this.peer, () -> this.peer.sharing.handlePush(new ReplyLink(), (Message.RecordsPush) message));
+		}
+
+		@Override
+		public boolean writable() {
+			return true;
+		}
+
+		@Override
+		public void close() {
+			if (!this.closed) {
+				this.closed = true;
+				this.listener.closed(this);
+			}
+		}
+
+		@Override
+		public String peerAddress() {
+			return this.peer.member.name();
+		}
+
+		/**
+		 * The follower's end of the link.
+		 */
+		private final class ReplyLink implements Link {
+
+			@Override
+			public void send(Message message) {
+				deliver(SimulatedLink.this.opener,
+						() -> SimulatedLink.this.listener.received(SimulatedLink.this, 0, message));
+			}
+
+			@Override
+			public boolean writable() {
+				return true;
+			}
+
+			@Override
+			public void close() {
+				SimulatedLink.this.close();
+			}
+
+			@Override
+			public String peerAddress() {
+				return SimulatedLink.this.opener.member.name();
+			}
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingProperties.java
@@ -0,0 +1,125 @@
+package io.dotterelcrank.process.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Model check of {@link TableSharing}: hosts pause, lose their path to the store or to
+ * each other, and the log is compacted, at random moments. A host that runs and reaches
+ * the store has each record within the bound, whatever happens to its readers, and its
+ * offset never falls.
+ */
+class TableSharingProperties {
+
+	private static final long BOUND_MILLIS = 2_000;
+
+	private static final int HOSTS = 5;
+
+	private static final int STEPS = 60;
+
+	private static final long STEP_MILLIS = 150;
+
+	@Property(tries = 10_000, seed = "51")
+	void recordsAreInForceWithinTheBound(@ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
+		new Run(seed).play();
+	}
+
+	private static final class Run {
+
+		private final Random random;
+
+		private final SimulatedHosts hosts = new SimulatedHosts(HOSTS, 1, BOUND_MILLIS);
+
+		private final boolean[] disturbed = new boolean[HOSTS];
+
+		/** Since when each host runs and reaches the store. */
+		private final long[] calmSinceMillis = new long[HOSTS];
+
+		private final long[] offsets = new long[HOSTS];
+
+		/** Offset and time of each record appended. */
+		private final List<long[]> appended = new ArrayList<>();
+
+		private long nowMillis;
+
+		Run(int seed) {
+			this.random = new Random(seed);
+		}
+
+		void play() {
+			this.hosts.start();
+			advance(500);
+			for (int step = 0; step < STEPS; step++) {
+				int host = this.random.nextInt(HOSTS);
+				switch (this.random.nextInt(7)) {
+					case 0 -> this.appended
+						.add(new long[] { this.hosts.append("k" + this.random.nextInt(3)), this.nowMillis });
+					case 1 -> disturb(host);
+					case 2 -> calm(host);
+					case 3 -> this.hosts.setCut(host, this.random.nextInt(HOSTS), true);
+					case 4 -> this.hosts.setCut(host, this.random.nextInt(HOSTS), false);
+					case 5 -> {
+						if (this.random.nextInt(4) == 0) {
+							this.hosts.compact();
+						}
+					}
+					default -> {
+						// Time passes.
+					}
+				}
+				advance(this.random.nextInt((int) STEP_MILLIS));
+				check();
+			}
+		}
+
+		private void advance(long millis) {
+			this.hosts.advance(millis);
+			this.nowMillis += millis;
+		}
+
+		private void disturb(int host) {
+			this.disturbed[host] = true;
+			if (this.random.nextBoolean()) {
+				this.hosts.host(host).setPaused(true);
+			}
+			else {
+				this.hosts.host(host).setStoreReachable(false);
+			}
+		}
+
+		private void calm(int host) {
+			if (this.disturbed[host]) {
+				this.disturbed[host] = false;
+				this.calmSinceMillis[host] = this.nowMillis;
+			}
+			this.hosts.host(host).setPaused(false);
+			this.hosts.host(host).setStoreReachable(true);
+		}
+
+		private void check() {
+			for (int host = 0; host < HOSTS; host++) {
+				long nextOffset = this.hosts.host(host).nextOffset();
+				assertThat(nextOffset).isGreaterThanOrEqualTo(this.offsets[host]);
+				this.offsets[host] = nextOffset;
+				if (this.disturbed[host]) {
+					continue;
+				}
+				for (long[] record : this.appended) {
+					long sinceMillis = Math.max(record[1], this.calmSinceMillis[host]);
+					if (this.nowMillis - sinceMillis >= BOUND_MILLIS) {
+						assertThat(nextOffset).as("host %d, record at %d", host, record[1]).isGreaterThan(record[0]);
+					}
+				}
+			}
+		}
+
+	}
+
+}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -19,6 +19,7 @@
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.daemon.wiring.Daemon;
+import io.dotterelcrank.process.membership.Member;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.process.membership.TargetRegistry;
@@ -29,6 +30,7 @@
 import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.process.replica.PeerTableSync;
 import io.dotterelcrank.process.replica.TableFeed;
+import io.dotterelcrank.process.replica.TableSharing;
 import io.dotterelcrank.version.plan.CallerLimits;
 import io.dotterelcrank.version.plan.ServingPlan;
 
@@ -39,16 +41,23 @@
 public final class RelayEntryDaemon implements Daemon {
 
 	/**
-	 * Maximum time that the store holds a read of the operators' table, in milliseconds;
-	 * a stalled connection must be detected within 3 s.
+	 * Maximum time that the store holds a read of the operators' table, as a fraction of
+	 * the time within which a configuration must be in force; a stalled connection is
+	 * detected after it.
 	 */
-	static final long OPERATORS_LONG_POLL_MILLIS = 1_600;
+	static final double OPERATORS_LONG_POLL_FRACTION = 0.8;
 
 	/**
 	 * Interval between reads of the targets' table, as a fraction of the drain time (see
 	 * {@link RelayEntrySettings}).
 	 */
-	static final double TARGETS_POLL_FRACTION = 0.45;
+	static final double TARGETS_POLL_FRACTION = 0.3;
+
+	/**
+	 * Time without a push after which a host reads a table by itself, as a fraction of
+	 * the time within which its changes must be in force.
+	 */
+	static final double FOLLOW_FRACTION = 0.3;
 
 	/**
 	 * Interval at which plan age, targets and the number of entry hosts are passed to the
@@ -96,6 +105,11 @@
 	/** Exchanges table records with peers; confined to the control thread. */
 	private final PeerTableSync peerSync;
 
+	/** Shares reads of the store with peers; confined to the control thread. */
+	private final TableSharing sharing;
+
+	private final Member self;
+
 	/** Limits of the plan in force. */
 	private volatile CallerLimits limits = CallerLimits.INITIAL;
 
@@ -120,6 +134,9 @@
 					RandomSource.XO_RO_SHI_RO_128_PP.create()));
 		this.service = RelayService.of(this.runtime.clock(), new EventLoopScheduler(this.runtime.trafficLoop()),
 				clients, settings.relay(), RandomSource.XO_RO_SHI_RO_128_PP.create(), this.runtime.metrics());
+		this.self = new Member(settings.common().name(), settings.peerAddress(), settings.common().dataCentre());
+		this.sharing = TableSharing.of(this.runtime.transport(), this.runtime.controlScheduler(), this.runtime.clock(),
+				this.self, this.runtime::members);
 		this.registry = TargetRegistry.of(this.runtime.clock());
 		this.peerSync = PeerTableSync.of(this.runtime.transport(), this.runtime.controlScheduler(), this.runtime::peers,
 				RandomSource.XO_RO_SHI_RO_128_PP.create());
@@ -151,8 +168,8 @@
 
 	private void startFeeds() {
 		this.operatorsFeed = TableFeed.longPolling(this.platform.operatorsTable(), this.runtime.store(),
-				this.runtime.clock(), this.runtime.controlScheduler(), OPERATORS_LONG_POLL_MILLIS,
-				this::handleOperatorRecords);
+				this.runtime.clock(), this.runtime.controlScheduler(),
+				(long) (this.settings.configMillis() * OPERATORS_LONG_POLL_FRACTION), 0, this::handleOperatorRecords);
 		this.targetsFeed = TableFeed.polling(this.platform.targetsTable(), this.runtime.store(), this.runtime.clock(),
 				this.runtime.controlScheduler(), (long) (this.settings.drainMillis() * TARGETS_POLL_FRACTION),
 				this::handleTargetRecords);
@@ -160,10 +177,13 @@
 		this.peerSync.add(this.targetsFeed);
 		this.peerSync.add(this.runtime.readMembers(() -> {
 		}));
+		this.sharing.add(this.operatorsFeed, (long) (this.settings.configMillis() * FOLLOW_FRACTION));
+		this.sharing.add(this.targetsFeed, (long) (this.settings.drainMillis() * FOLLOW_FRACTION));
 		this.operatorsFeed.start();
 		this.targetsFeed.start();
 		this.peerSync.start();
-		this.runtime.register(this.settings.peerAddress());
+		this.sharing.start();
+		this.runtime.register(this.self);
 		this.runtime.controlScheduler().scheduleWithFixedDelay(SERVICE_UPDATE_MILLIS, this::updateService);
 	}
 
@@ -299,8 +319,8 @@
 	}
 
 	/**
-	 * Handles requests of peers for records and retry permits, and load reports and
-	 * admission responses of sidecars.
+	 * Handles records that peers push, their requests for records and retry permits, and
+	 * load reports and admission responses of sidecars.
 	 */
 	private final class PeerListener implements Link.Listener {
 
@@ -314,6 +334,9 @@
 			if (message instanceof Message.RecordsRequest request) {
 				RelayEntryDaemon.this.peerSync.handleRequest(link, request);
 			}
+			else if (message instanceof Message.RecordsPush push) {
+				RelayEntryDaemon.this.sharing.handlePush(link, push);
+			}
 			else if (message instanceof Message.EngineLoadReport report) {
 				EngineLoad load = report.load();
 				RelayEntryDaemon.this.sidecarLinks.put(load.address(), link);
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntrySettings.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntrySettings.java
@@ -15,10 +15,12 @@
  * @param relay data centre and retry budget
  * @param drainMillis drain time: maximum time from a target's announcement that it leaves
  * until it gets no new requests, in milliseconds
+ * @param configMillis time from the acceptance of a configuration until it must be in
+ * force, in milliseconds
  * @param graceMillis grace period: time between the signal to stop and the end of the
  * process, in milliseconds
  */
 public record RelayEntrySettings(RelayCommonSettings common, InetSocketAddress callerAddress,
 		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, RelaySettings relay, long drainMillis,
-		long graceMillis) {
+		long configMillis, long graceMillis) {
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayRuntime.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayRuntime.java
@@ -45,6 +45,12 @@
 	 */
 	private static final long MEMBERS_LONG_POLL_MILLIS = 20_000;
 
+	/**
+	 * Time between two reads of the members table while it changes, in milliseconds; all
+	 * entry hosts register within a second when a fleet starts.
+	 */
+	private static final long MEMBERS_PAUSE_MILLIS = 1_500;
+
 	private static final double NANOS_PER_MILLI = 1_000_000;
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayRuntime.class);
@@ -109,7 +115,7 @@
 	 */
 	TableFeed readMembers(Runnable onChange) {
 		TableFeed feed = TableFeed.longPolling(MEMBERS_TABLE, this.store, clock(), this.controlScheduler,
-				MEMBERS_LONG_POLL_MILLIS, (records) -> {
+				MEMBERS_LONG_POLL_MILLIS, MEMBERS_PAUSE_MILLIS, (records) -> {
 					records.forEach(this::updateMember);
 					onChange.run();
 				});
@@ -122,11 +128,9 @@
 			this.members.remove(record.key());
 			return;
 		}
-		String text = new String(record.value(), StandardCharsets.UTF_8);
-		int colon = text.lastIndexOf(':');
 		try {
-			this.members.put(record.key(), new Member(record.key(),
-					new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)))));
+			this.members.put(record.key(),
+					Member.parse(record.key(), new String(record.value(), StandardCharsets.UTF_8)));
 		}
 		catch (RuntimeException ex) {
 			LogEvent.RECORD_MALFORMED.log(logger, MEMBERS_TABLE, record.key(), record.offset(), ex.getMessage());
@@ -135,16 +139,15 @@
 
 	/**
 	 * Registers this process in the members table. Retries until the store confirms.
-	 * @param address address at which peers and sidecars connect
+	 * @param self this process, with the address at which peers and sidecars connect
 	 */
-	void register(InetSocketAddress address) {
-		String text = address.getAddress().getHostAddress() + ':' + address.getPort();
-		CompletableFuture<Void> stored = this.store.put(MEMBERS_TABLE, this.settings.name(),
-				text.getBytes(StandardCharsets.UTF_8));
+	void register(Member self) {
+		CompletableFuture<Void> stored = this.store.put(MEMBERS_TABLE, self.name(),
+				self.format().getBytes(StandardCharsets.UTF_8));
 		stored.whenComplete((ignored, failure) -> {
 			if (failure != null) {
 				LogEvent.STORE_UNREACHABLE.log(logger, MEMBERS_TABLE, failure.getMessage());
-				this.controlScheduler.schedule(1_000, () -> register(address));
+				this.controlScheduler.schedule(1_000, () -> register(self));
 			}
 		});
 	}
