--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -169,7 +169,16 @@
 	ADMISSION_REFUSED(836, Level.INFO, "request={} target={} admission refused refusals={} load={}"),
 
 	/** A sidecar did not respond to an admission request in time. */
-	ADMISSION_TIMED_OUT(837, Level.INFO, "request={} target={} admission request timed out millis={}");
+	ADMISSION_TIMED_OUT(837, Level.INFO, "request={} target={} admission request timed out millis={}"),
+
+	/** Another entry host has lent a permit of its retry budget. */
+	RETRY_BORROWED(838, Level.INFO, "retry permit borrowed service={}"),
+
+	/** A peer reads a table for this host. */
+	TABLE_FOLLOWED(839, Level.INFO, "table={} read by peer={}"),
+
+	/** No peer reads a table for this host any more. */
+	TABLE_READ_AGAIN(840, Level.INFO, "table={} read by this host age={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
@@ -16,9 +16,12 @@
  * @param memoryTotal KV cache memory of the engine, in tokens
  * @param leaving whether the engine is draining and accepts no new requests
  * @param leavesMillis time until the engine stops, in milliseconds; negative if not known
+ * @param growthTokens tokens that the running requests are expected to produce until they
+ * end; negative if not known
  */
 public record EngineLoad(String id, String service, String dataCentre, String address, long bornMillis, int running,
-		int waiting, long unreadTokens, long memoryUsed, long memoryTotal, boolean leaving, long leavesMillis) {
+		int waiting, long unreadTokens, long memoryUsed, long memoryTotal, boolean leaving, long leavesMillis,
+		long growthTokens) {
 
 	/**
 	 * Returns a copy with the engine's identity.
@@ -29,7 +32,8 @@
 	 */
 	public EngineLoad withIdentity(String engineId, String serviceName, String dataCentreName) {
 		return new EngineLoad(engineId, serviceName, dataCentreName, this.address, this.bornMillis, this.running,
-				this.waiting, this.unreadTokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis);
+				this.waiting, this.unreadTokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis,
+				this.growthTokens);
 	}
 
 	/**
@@ -39,7 +43,19 @@
 	 */
 	public EngineLoad withUnreadTokens(long tokens) {
 		return new EngineLoad(this.id, this.service, this.dataCentre, this.address, this.bornMillis, this.running,
-				this.waiting, tokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis);
+				this.waiting, tokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis,
+				this.growthTokens);
+	}
+
+	/**
+	 * Returns a copy with another expected growth.
+	 * @param tokens tokens that the running requests are expected to produce
+	 * @return the changed copy
+	 */
+	public EngineLoad withGrowthTokens(long tokens) {
+		return new EngineLoad(this.id, this.service, this.dataCentre, this.address, this.bornMillis, this.running,
+				this.waiting, this.unreadTokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis,
+				tokens);
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -234,9 +234,11 @@
 	 * @param expectedTotalTokens expected length of prompt and output, in tokens
 	 * @param knownPendingPrefillTokens prefill backlog of the engine as known to the
 	 * sender, in prompt tokens
+	 * @param maxPendingPrefillTokens prefill backlog beyond which the request would miss
+	 * its latency goal, in prompt tokens
 	 */
 	record AdmissionRequest(long requestNumber, String id, long promptTokens, long expectedTotalTokens,
-			long knownPendingPrefillTokens) implements Message {
+			long knownPendingPrefillTokens, long maxPendingPrefillTokens) implements Message {
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/LengthEstimator.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/admission/LengthEstimator.java
@@ -183,6 +183,24 @@
 			return (probabilityNow > 0) ? probabilityLongerThan(produced + moreTokens) / probabilityNow : 0;
 		}
 
+		/**
+		 * Returns the mean number of tokens that a running generation still produces.
+		 * @param produced tokens produced so far
+		 * @return mean length of the longer generations, less the tokens produced
+		 */
+		public double meanRemaining(long produced) {
+			double weight = 0;
+			double sum = 0;
+			for (int i = 0; i < BUCKETS; i++) {
+				double probability = this.survival[i] - this.survival[i + 1];
+				if (bucketLength(i) > produced) {
+					weight += probability;
+					sum += probability * (bucketLength(i) - produced);
+				}
+			}
+			return (weight > 0) ? sum / weight : 0;
+		}
+
 		/**
 		 * Returns the mean length.
 		 * @return mean number of output tokens
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/membership/TargetRegistry.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/membership/TargetRegistry.java
@@ -19,16 +19,16 @@
  * platform's list: it loses all registrations in an outage, after which every target is
  * unlisted for a moment, and it delivers stale registrations. Invariant: registrations of
  * one target only advance, and a target that has been unlisted for
- * {@link #UNLISTED_RETENTION_MILLIS} is removed. Not thread-safe.
+ * {@link #UNLISTED_RETENTION_FRACTION} of the drain time is removed. Not thread-safe.
  */
 public final class TargetRegistry {
 
 	/**
-	 * How long an unlisted target stays usable as a last resort, in milliseconds.
-	 * Registrations lost in an outage return within 2 s of its end, and new work must
-	 * stop 2 s after a planned removal.
+	 * How long an unlisted target stays usable as a last resort, as a fraction of the
+	 * time within which new work must stop after a planned removal. Registrations lost in
+	 * an outage return soon after its end.
 	 */
-	static final long UNLISTED_RETENTION_MILLIS = 1_200;
+	static final double UNLISTED_RETENTION_FRACTION = 0.6;
 
 	/**
 	 * How long a sidecar's report of its target is valid, in milliseconds. Sidecars
@@ -43,6 +43,8 @@
 
 	private final Clock clock;
 
+	private final long unlistedRetentionMillis;
+
 	/** Targets that are listed or were until recently, by id. */
 	private final Map<String, TrackedRegistration> targets = new HashMap<>();
 
@@ -63,17 +65,20 @@
 
 	private Set<String> dataCentresOut = Set.of();
 
-	private TargetRegistry(Clock clock) {
+	private TargetRegistry(Clock clock, long drainMillis) {
 		this.clock = clock;
+		this.unlistedRetentionMillis = (long) (drainMillis * UNLISTED_RETENTION_FRACTION);
 	}
 
 	/**
 	 * Creates a registry.
 	 * @param clock clock of the process
+	 * @param drainMillis time from a target's removal until it gets no new requests, in
+	 * milliseconds
 	 * @return an empty registry
 	 */
-	public static TargetRegistry of(Clock clock) {
-		return new TargetRegistry(clock);
+	public static TargetRegistry of(Clock clock, long drainMillis) {
+		return new TargetRegistry(clock, drainMillis);
 	}
 
 	/**
@@ -152,7 +157,7 @@
 		long nowMillis = this.clock.millis();
 		this.targets.values()
 			.removeIf((tracked) -> tracked.retainedSinceMillis > 0
-					&& nowMillis - tracked.retainedSinceMillis > UNLISTED_RETENTION_MILLIS);
+					&& nowMillis - tracked.retainedSinceMillis > this.unlistedRetentionMillis);
 		this.sidecarReports.values()
 			.removeIf((tracked) -> nowMillis - tracked.retainedSinceMillis > SIDECAR_REPORT_RETENTION_MILLIS
 					|| this.targets.containsKey(tracked.registration.id())
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
@@ -10,6 +10,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.process.admission.LengthEstimator;
 
 /**
  * Decides at a sidecar which requests its engine admits. Addresses the load pattern of
@@ -20,11 +21,19 @@
 public final class AdmissionLedger {
 
 	/**
-	 * Max prompt tokens waiting for prefill, beyond those known to the requesting host,
-	 * at which a request is still admitted; half a prompt, which is prefilled in about
-	 * 0.15 s.
+	 * Part of a typical prompt that may wait for prefill beyond what the requesting host
+	 * knew, while a request is still admitted.
 	 */
-	static final long PREFILL_QUEUE_TOLERANCE_TOKENS = 1_000;
+	static final double PREFILL_QUEUE_TOLERANCE = 1.0 / 3;
+
+	/** Assumed part of a prompt of unknown length that is not yet prefilled. */
+	static final double UNKNOWN_PENDING_FRACTION = 0.5;
+
+	/** Tokens of a typical prompt before the first admission request. */
+	static final long INITIAL_PROMPT_TOKENS = 3_000;
+
+	/** Weight of a new request in the moving average of prompt lengths. */
+	private static final double EWMA_WEIGHT = 0.05;
 
 	/**
 	 * Time for which an admitted request may be missing from the engine's report, in
@@ -40,6 +49,17 @@
 	/** Tokens already prefilled of requests without an event yet, by id. */
 	private Map<String, Long> prefilledTokens = Map.of();
 
+	/** Sizes of the admitted requests that are pending or run, by id. */
+	private final Map<String, Size> sizes = new HashMap<>();
+
+	/** Tokens in memory of each running request, by id. */
+	private Map<String, Long> runningTokens = Map.of();
+
+	/** Output lengths of requests that ended here. */
+	private final LengthEstimator lengths = LengthEstimator.create();
+
+	private double typicalPromptTokens = INITIAL_PROMPT_TOKENS;
+
 	/** {@code null} before the first report. */
 	private EngineLoad lastReport;
 
@@ -65,8 +85,11 @@
 	public void updateLoad(EngineLoad load, List<EngineReport.ActiveRequest> activeRequests) {
 		if (this.lastReport != null && this.lastReport.bornMillis() != load.bornMillis()) {
 			this.admitted.clear();
+			this.sizes.clear();
+			this.runningTokens = Map.of();
 		}
 		this.lastReport = load;
+		updateRunning(activeRequests);
 		Map<String, Long> prefilledById = new HashMap<>();
 		Set<String> started = new HashSet<>();
 		for (EngineReport.ActiveRequest request : activeRequests) {
@@ -82,6 +105,43 @@
 		expireUnreported(load.waiting());
 	}
 
+	private void updateRunning(List<EngineReport.ActiveRequest> activeRequests) {
+		Map<String, Long> running = new HashMap<>();
+		activeRequests.forEach((request) -> running.put(request.id(), request.tokens()));
+		this.runningTokens.forEach((id, tokens) -> {
+			Size ended = running.containsKey(id) ? null : this.sizes.remove(id);
+			if (ended != null) {
+				this.lengths.recordLength("", (int) Math.max(1, tokens - ended.promptTokens()));
+			}
+		});
+		this.runningTokens = running;
+	}
+
+	/**
+	 * Estimates the tokens that the running requests still produce: the expected size
+	 * less the present one, or what longer outputs had left on average once it is
+	 * exceeded.
+	 * @return number of tokens
+	 */
+	private long growthTokens() {
+		LengthEstimator.Distribution distribution = this.lengths.distribution("");
+		int unlisted = Math.max(0, this.lastReport.running() - this.runningTokens.size());
+		double growth = unlisted * distribution.mean() / 2;
+		for (Map.Entry<String, Long> run : this.runningTokens.entrySet()) {
+			Size size = this.sizes.get(run.getKey());
+			if (size == null) {
+				growth += distribution.mean() / 2;
+			}
+			else if (run.getValue() < size.expectedTotalTokens()) {
+				growth += size.expectedTotalTokens() - Math.max(run.getValue(), size.promptTokens());
+			}
+			else {
+				growth += distribution.meanRemaining(run.getValue() - size.promptTokens());
+			}
+		}
+		return Math.round(growth);
+	}
+
 	/**
 	 * Removes admitted requests that never arrived: those not reported by the engine
 	 * within {@link #MAX_UNREPORTED_MILLIS}, oldest first. As many as wait at the engine
@@ -96,16 +156,29 @@
 					&& entry.getValue().admittedMillis() < admittedBefore)
 			.map(Map.Entry::getKey)
 			.toList();
-		unreported.stream().limit(Math.max(0, unreported.size() - waiting)).forEach(this.admitted::remove);
+		unreported.stream().limit(Math.max(0, unreported.size() - waiting)).forEach((id) -> {
+			this.admitted.remove(id);
+			this.sizes.remove(id);
+		});
 	}
 
 	/**
-	 * Returns the last reported load, with an estimate of the prompt tokens not yet
-	 * prefilled: those of admitted requests, and an assumed number for each other one.
+	 * Returns the last reported load, with estimates of the prompt tokens not yet
+	 * prefilled (those of admitted requests, and an assumed number for each other one)
+	 * and of the tokens still to be produced.
 	 * @return the load, or {@code null} before the first report
 	 */
 	public EngineLoad load() {
-		return (this.lastReport != null) ? this.lastReport.withUnreadTokens(pendingPrefillTokens()) : null;
+		return (this.lastReport != null)
+				? this.lastReport.withUnreadTokens(pendingPrefillTokens()).withGrowthTokens(growthTokens()) : null;
+	}
+
+	/**
+	 * Returns the length of a typical prompt.
+	 * @return moving average over the admission requests, in tokens
+	 */
+	public long typicalPromptTokens() {
+		return Math.round(this.typicalPromptTokens);
 	}
 
 	private long pendingPrefillTokens() {
@@ -118,11 +191,15 @@
 		}
 		for (Map.Entry<String, Long> entry : this.prefilledTokens.entrySet()) {
 			if (!this.admitted.containsKey(entry.getKey())) {
-				tokens += Math.max(0, PlacementStrategy.ForEngines.ASSUMED_PENDING_PREFILL_TOKENS - entry.getValue());
+				tokens += Math.max(0, unknownPendingTokens() - entry.getValue());
 			}
 		}
 		int unknownWaiting = Math.max(0, this.lastReport.waiting() - unreported);
-		return tokens + unknownWaiting * PlacementStrategy.ForEngines.ASSUMED_PENDING_PREFILL_TOKENS;
+		return tokens + unknownWaiting * unknownPendingTokens();
+	}
+
+	private long unknownPendingTokens() {
+		return Math.round(UNKNOWN_PENDING_FRACTION * this.typicalPromptTokens);
 	}
 
 	/**
@@ -132,21 +209,33 @@
 	 * @return {@code true} if the request is admitted and counted
 	 */
 	public boolean tryAdmit(Message.AdmissionRequest request) {
+		this.typicalPromptTokens += EWMA_WEIGHT * (request.promptTokens() - this.typicalPromptTokens);
 		EngineLoad load = load();
 		if (load == null || load.leaving()) {
 			return false;
 		}
 		boolean queueTooLong = load.unreadTokens() > request.knownPendingPrefillTokens()
-				+ PREFILL_QUEUE_TOLERANCE_TOKENS;
+				+ PREFILL_QUEUE_TOLERANCE * this.typicalPromptTokens;
 		boolean idle = load.running() == 0 && load.waiting() == 0 && this.admitted.isEmpty();
-		boolean fits = PlacementStrategy.ForEngines.fits(load, request.expectedTotalTokens(), load.memoryTotal());
+		boolean fits = PlacementStrategy.ForEngines.fits(load, request.expectedTotalTokens(), load.memoryTotal(),
+				request.maxPendingPrefillTokens());
 		if (queueTooLong || (!fits && !idle)) {
 			return false;
 		}
 		this.admitted.put(request.id(), new AdmittedRequest(request.promptTokens(), this.clock.millis()));
+		this.sizes.put(request.id(), new Size(request.promptTokens(), request.expectedTotalTokens()));
 		return true;
 	}
 
+	/**
+	 * Size of a request. Immutable.
+	 *
+	 * @param promptTokens tokens of its prompt
+	 * @param expectedTotalTokens expected tokens of prompt and output
+	 */
+	private record Size(long promptTokens, long expectedTotalTokens) {
+	}
+
 	/**
 	 * An admitted request. Immutable.
 	 *
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
@@ -71,9 +71,12 @@
 		long knownPendingPrefillTokens = (this.refusals < MAX_REFUSALS)
 				? engine.pendingPrefillTokens(demand.entryHosts()) : load.memoryTotal();
 		this.requestNumber = this.relayService.registerAdmissionRequest(this);
+		long maxPendingPrefillTokens = PlacementStrategy.ForEngines.maxPendingPrefillTokens(
+				this.relayService.targetPool().statistics(this.request.service()), demand.latencyGoalMillis());
 		boolean sent = this.relayService.admissionClient()
-			.trySend(load.address(), new Message.AdmissionRequest(this.requestNumber, this.request.id(),
-					demand.promptTokens(), demand.expectedTotalTokens(), knownPendingPrefillTokens));
+			.trySend(load.address(),
+					new Message.AdmissionRequest(this.requestNumber, this.request.id(), demand.promptTokens(),
+							demand.expectedTotalTokens(), knownPendingPrefillTokens, maxPendingPrefillTokens));
 		if (!sent) {
 			this.relayService.unregisterAdmissionRequest(this.requestNumber);
 			return false;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -27,10 +27,16 @@
 	static final long RETRY_INTERVAL_MILLIS = 200;
 
 	/**
-	 * Time without an event after which a stream is resumed from its KV backup, in
-	 * milliseconds; callers give up after 2 s.
+	 * Number of gap goals without an event after which a stream is resumed from its KV
+	 * backup; callers give up after eight.
 	 */
-	static final long STALL_TIMEOUT_MILLIS = 1_200;
+	static final long STALL_GAPS = 7;
+
+	/**
+	 * Time without an event after which a stream is resumed if its route sets no gap
+	 * goal, in milliseconds; callers wait for 2 s at least.
+	 */
+	static final long DEFAULT_STALL_TIMEOUT_MILLIS = 1_200;
 
 	/**
 	 * Min age of a stream that is resumed elsewhere, in milliseconds; before that, its
@@ -107,7 +113,11 @@
 	 * @return demand that prefers the engine's data centre
 	 */
 	private PlacementStrategy.Demand kvCopyDemand(TrackedTarget engine) {
-		return this.request.demand().forKvCopy(engine.membership().registration().dataCentre());
+		double copySecondsPerToken = this.request.service()
+			.engine()
+			.map(ServiceSpec.EngineSpec::copySecondsPerToken)
+			.orElse(0.0);
+		return this.request.demand().forKvCopy(engine.membership().registration().dataCentre(), copySecondsPerToken);
 	}
 
 	/**
@@ -139,7 +149,7 @@
 	 */
 	double workSavedPerCopiedToken() {
 		return this.request.request().traits().map((traits) -> {
-			double copiedTokens = traits.promptTokens() + this.request.lastEventId();
+			double copiedTokens = traits.promptTokens() + this.request.lastEventId() * this.request.tokensPerEvent();
 			return (traits.promptTokens() + OUTPUT_TOKEN_WEIGHT * traits.maxTokens()) / Math.max(1, copiedTokens);
 		}).orElse(0.0);
 	}
@@ -158,7 +168,7 @@
 			this.request.loadSampler().refresh(this.source.target());
 		}
 		boolean leaving = this.source.target().leaving() || !this.source.target().membership().listed();
-		boolean stalled = this.request.millisSinceLastEvent() > STALL_TIMEOUT_MILLIS;
+		boolean stalled = this.request.millisSinceLastEvent() > stallTimeoutMillis();
 		if (!leaving && !stalled) {
 			return;
 		}
@@ -178,6 +188,11 @@
 		}
 	}
 
+	private long stallTimeoutMillis() {
+		long gapGoalMillis = this.request.route().gapGoalMillis();
+		return (gapGoalMillis > 0) ? STALL_GAPS * gapGoalMillis : DEFAULT_STALL_TIMEOUT_MILLIS;
+	}
+
 	private boolean tryResumeFromBackup(String cause) {
 		Optional<TrackedTarget> holder = this.source.backupHolder()
 			.flatMap((registration) -> this.request.targetPool().find(registration.id()));
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/LoadSampler.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/LoadSampler.java
@@ -36,6 +36,9 @@
 	/** Max time that a generation waits for the reports, in milliseconds. */
 	static final long TIMEOUT_MILLIS = 40;
 
+	/** Growth of an engine whose requests were not admitted by this process. */
+	private static final long UNKNOWN_GROWTH = -1;
+
 	private final Clock clock;
 
 	private final Scheduler trafficThread;
@@ -107,7 +110,7 @@
 			report.ifPresent((received) -> {
 				AdmissionLedger ledger = AdmissionLedger.of(this.clock);
 				ledger.updateLoad(received.load(), received.activeRequests());
-				this.targetPool.updateLoad(ledger.load());
+				this.targetPool.updateLoad(ledger.load().withGrowthTokens(UNKNOWN_GROWTH));
 			});
 			for (Sample sample : List.copyOf(this.samples)) {
 				sample.missing.remove(engine);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -32,11 +32,12 @@
 	 * @param dataCentre preferred data centre
 	 * @param remotePenaltySeconds cost of another data centre, in seconds
 	 * @param entryHosts number of entry hosts, each of which knows only its own requests
+	 * @param latencyGoalMillis time within which the first event is due, in milliseconds
 	 * @param maxMemoryFraction fraction of an engine's memory that may be in use, this
 	 * request included; {@link #NO_LIMIT} if the limit of all requests is enough
 	 */
 	record Demand(long promptTokens, long expectedTotalTokens, String dataCentre, double remotePenaltySeconds,
-			int entryHosts, double maxMemoryFraction) {
+			int entryHosts, long latencyGoalMillis, double maxMemoryFraction) {
 
 		/** Value of {@link #maxMemoryFraction} without a limit. */
 		static final double NO_LIMIT = Double.POSITIVE_INFINITY;
@@ -47,16 +48,10 @@
 		 */
 		static final double REQUEST_REMOTE_PENALTY_SECONDS = 0.02;
 
-		/**
-		 * Cost of another data centre for a KV copy, in seconds; copying there takes
-		 * twice as long, 0.2 s more for 3,500 tokens.
-		 */
-		static final double COPY_REMOTE_PENALTY_SECONDS = 0.2;
-
-		static Demand of(Optional<GenerationTraits> traits, String dataCentre, int entryHosts) {
+		static Demand of(Optional<GenerationTraits> traits, String dataCentre, int entryHosts, long latencyGoalMillis) {
 			return new Demand(traits.map(GenerationTraits::promptTokens).orElse(0L),
 					traits.map(GenerationTraits::expectedTotalTokens).orElse(0L), dataCentre,
-					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, NO_LIMIT);
+					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, latencyGoalMillis, NO_LIMIT);
 		}
 
 		/**
@@ -66,7 +61,7 @@
 		 */
 		Demand withReserve(long reserveTokens) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens + reserveTokens, this.dataCentre,
-					this.remotePenaltySeconds, this.entryHosts, this.maxMemoryFraction);
+					this.remotePenaltySeconds, this.entryHosts, this.latencyGoalMillis, this.maxMemoryFraction);
 		}
 
 		/**
@@ -75,17 +70,20 @@
 		 */
 		Demand forPromptOnly() {
 			return new Demand(this.promptTokens, this.promptTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.maxMemoryFraction);
+					this.entryHosts, this.latencyGoalMillis, this.maxMemoryFraction);
 		}
 
 		/**
 		 * Returns the demand of a KV backup or KV copy of the generation.
 		 * @param sourceDataCentre data centre of the engine that runs the generation
+		 * @param copySecondsPerToken time to copy a token within that data centre, in
+		 * seconds; it is the additional time to another one
 		 * @return demand that prefers that data centre
 		 */
-		Demand forKvCopy(String sourceDataCentre) {
+		Demand forKvCopy(String sourceDataCentre, double copySecondsPerToken) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, sourceDataCentre,
-					COPY_REMOTE_PENALTY_SECONDS, this.entryHosts, this.maxMemoryFraction);
+					REQUEST_REMOTE_PENALTY_SECONDS + copySecondsPerToken * this.expectedTotalTokens, this.entryHosts,
+					this.latencyGoalMillis, this.maxMemoryFraction);
 		}
 
 		/**
@@ -96,7 +94,7 @@
 		 */
 		Demand withMaxMemoryFraction(double fraction) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, fraction);
+					this.entryHosts, this.latencyGoalMillis, fraction);
 		}
 
 	}
@@ -117,28 +115,13 @@
 		 */
 		static final double USABLE_MEMORY_FRACTION = 0.95;
 
-		/** Tokens that a running request is expected to produce from now on. */
-		static final long EXPECTED_GROWTH_TOKENS = 250;
-
-		/**
-		 * Prompt tokens that an engine prefills per second while it runs other requests;
-		 * half of the platform's 14 per millisecond, since prefill chunks alternate with
-		 * decode steps.
-		 */
-		static final double PREFILL_TOKENS_PER_SECOND = 7_000;
-
 		/**
-		 * Max prompt tokens not yet prefilled at which an engine still gets requests;
-		 * beyond it they wait at the entry host, where they can still go elsewhere.
-		 * Prefill of this many takes about a second.
+		 * Fraction of the latency goal that prefill of the prompts ahead may take; beyond
+		 * it requests wait at the entry host, where they can still go elsewhere.
 		 */
-		static final long MAX_PENDING_PREFILL_TOKENS = 8_000;
+		static final double MAX_QUEUE_GOAL_FRACTION = 0.6;
 
-		/**
-		 * Assumed prompt tokens not yet prefilled of a request that was sent without
-		 * admission, so that its prompt length is unknown.
-		 */
-		static final long ASSUMED_PENDING_PREFILL_TOKENS = 1_500;
+		private static final double MILLIS_PER_SECOND = 1_000;
 
 		/** Cost of an engine whose memory is full, in seconds. */
 		private static final double FULL_MEMORY_PENALTY_SECONDS = 0.5;
@@ -155,13 +138,27 @@
 		/** KV cache memory of each engine of the service. */
 		private final long memoryTokens;
 
+		private final GenerationStatistics statistics;
+
 		private final UniformRandomProvider random;
 
-		ForEngines(long memoryTokens, UniformRandomProvider random) {
+		ForEngines(long memoryTokens, GenerationStatistics statistics, UniformRandomProvider random) {
 			this.memoryTokens = memoryTokens;
+			this.statistics = statistics;
 			this.random = random;
 		}
 
+		/**
+		 * Returns the prefill backlog beyond which a request would miss its latency goal.
+		 * @param statistics statistics of the service
+		 * @param latencyGoalMillis latency goal of the request, in milliseconds
+		 * @return number of prompt tokens
+		 */
+		static long maxPendingPrefillTokens(GenerationStatistics statistics, long latencyGoalMillis) {
+			return Math.round(statistics.prefillTokensPerSecond() * MAX_QUEUE_GOAL_FRACTION * latencyGoalMillis
+					/ MILLIS_PER_SECOND);
+		}
+
 		@Override
 		public Optional<TrackedTarget> choose(List<TrackedTarget> candidates, Demand demand) {
 			List<TrackedTarget> reported = candidates.stream().filter((target) -> target.load() != null).toList();
@@ -199,22 +196,28 @@
 			if (load.memoryUsed() + demand.expectedTotalTokens() > demand.maxMemoryFraction() * this.memoryTokens) {
 				return false;
 			}
-			EngineLoad updated = load.withUnreadTokens(target.pendingPrefillTokens(demand.entryHosts()));
-			return fits(updated, demand.expectedTotalTokens(), this.memoryTokens)
+			long growthTokens = (load.growthTokens() >= 0) ? load.growthTokens()
+					: load.running() * this.statistics.typicalRemainingTokens();
+			EngineLoad updated = load.withUnreadTokens(target.pendingPrefillTokens(demand.entryHosts()))
+				.withGrowthTokens(growthTokens);
+			return fits(updated, demand.expectedTotalTokens(), this.memoryTokens,
+					maxPendingPrefillTokens(this.statistics, demand.latencyGoalMillis()))
 					|| (target.outstandingRequestCount() == 0 && load.running() == 0);
 		}
 
 		/**
 		 * Returns whether a request is expected to fit into an engine's memory until it
 		 * ends, and the engine's prefill queue is short enough.
-		 * @param load load of the engine
+		 * @param load load of the engine, with its expected growth
 		 * @param expectedTotalTokens expected tokens of prompt and output
 		 * @param memoryTokens total memory of the engine, in tokens
+		 * @param maxPendingPrefillTokens max prompt tokens not yet prefilled
 		 * @return {@code true} if the engine has the capacity
 		 */
-		static boolean fits(EngineLoad load, long expectedTotalTokens, long memoryTokens) {
-			long committed = load.memoryUsed() + load.unreadTokens() + load.running() * EXPECTED_GROWTH_TOKENS;
-			return load.unreadTokens() <= MAX_PENDING_PREFILL_TOKENS
+		static boolean fits(EngineLoad load, long expectedTotalTokens, long memoryTokens,
+				long maxPendingPrefillTokens) {
+			long committed = load.memoryUsed() + load.unreadTokens() + load.growthTokens();
+			return load.unreadTokens() <= maxPendingPrefillTokens
 					&& committed + expectedTotalTokens <= USABLE_MEMORY_FRACTION * memoryTokens;
 		}
 
@@ -229,7 +232,8 @@
 		private double costSeconds(TrackedTarget target, Demand demand) {
 			EngineLoad load = target.load();
 			int running = (load != null) ? load.running() : target.outstandingRequestCount() * demand.entryHosts();
-			double seconds = target.pendingPrefillTokens(demand.entryHosts()) / PREFILL_TOKENS_PER_SECOND;
+			double seconds = target.pendingPrefillTokens(demand.entryHosts())
+					/ this.statistics.prefillTokensPerSecond();
 			seconds += FULL_MEMORY_PENALTY_SECONDS * estimatedUsedTokens(target, demand) / this.memoryTokens;
 			seconds += RUNNING_REQUEST_PENALTY_SECONDS * running;
 			seconds += FAILURE_PENALTY_SECONDS * target.failureRate();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -35,6 +35,9 @@
 	/** Counted at the target until the attempt ends. */
 	private final TrackedTarget.OutstandingRequest outstandingRequest;
 
+	/** Prompt tokens to be prefilled before the first event, those queued included. */
+	private final long prefillTokens;
+
 	/** By the clock of the process. */
 	private final long sentMillis;
 
@@ -62,8 +65,9 @@
 		this.resumed = resumed;
 		this.sentMillis = request.now();
 		long expectedTotalTokens = request.request().traits().map(GenerationTraits::expectedTotalTokens).orElse(0L);
-		this.outstandingRequest = target
-			.recordSend(request.request().traits().map(GenerationTraits::promptTokens).orElse(0L), expectedTotalTokens);
+		long promptTokens = request.request().traits().map(GenerationTraits::promptTokens).orElse(0L);
+		this.prefillTokens = target.pendingPrefillTokens(1) + promptTokens;
+		this.outstandingRequest = target.recordSend(promptTokens, expectedTotalTokens);
 		backupHolder.ifPresent((holder) -> holder.recordBackup(this, expectedTotalTokens));
 	}
 
@@ -91,6 +95,10 @@
 		return this.active;
 	}
 
+	long prefillTokens() {
+		return this.prefillTokens;
+	}
+
 	long sentMillis() {
 		return this.sentMillis;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -34,10 +34,11 @@
 	static final long POLL_MILLIS = 50;
 
 	/**
-	 * Max age of a plan whose missing routes and keys are reported as unknown, in
-	 * milliseconds; changes are in force within 2 s, so an older plan may lack some.
+	 * Max age of a plan whose missing routes and keys are reported as unknown, as a
+	 * multiple of the time within which a change must be in force. An older plan may lack
+	 * some.
 	 */
-	static final long MAX_FRESH_PLAN_AGE_MILLIS = 3_500;
+	static final double MAX_FRESH_PLAN_AGE_FACTOR = 1.75;
 
 	/**
 	 * Time from the start of the process within which requests wait for the first plan
@@ -293,7 +294,8 @@
 	}
 
 	boolean planIsFresh() {
-		return this.clock.millis() - this.planConfirmedMillis <= MAX_FRESH_PLAN_AGE_MILLIS;
+		return this.clock.millis() - this.planConfirmedMillis <= this.settings.configMillis()
+				* MAX_FRESH_PLAN_AGE_FACTOR;
 	}
 
 	WindowedRetryBudget retryBudget(String service) {
@@ -322,6 +324,7 @@
 	 * @param service name of the service whose requests may be retried
 	 */
 	public void addRetryLoan(String service) {
+		LogEvent.RETRY_BORROWED.log(logger, service);
 		retryBudget(service).addBorrowed();
 		poll();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -52,23 +52,20 @@
 	 */
 	static final double LATE_AFTER_GOAL_FRACTION = 0.7;
 
-	/**
-	 * KV cache memory that a late generation leaves free for those that can still meet
-	 * their latency goal, in tokens; one generation of typical size.
-	 */
-	static final long LATE_RESERVE_TOKENS = 4_000;
-
 	/** Fraction of the latency goal after which an idempotent request is hedged. */
 	static final double HEDGE_AFTER_GOAL_FRACTION = 0.5;
 
 	/**
-	 * Min output limit of a generation that is resumed elsewhere, in tokens; a shorter
-	 * one ends before it could be resumed.
+	 * Min expected duration of the longest output of a generation that is resumed
+	 * elsewhere, in milliseconds; a shorter one ends before it could be resumed.
 	 */
-	static final long MIN_RESUMABLE_OUTPUT_TOKENS = 64;
+	static final long MIN_RESUMABLE_MILLIS = 500;
 
-	/** Time from the start of draining until new streams are refused. */
-	static final long DRAIN_STREAM_ACCEPT_MILLIS = 2_500;
+	/**
+	 * Fraction of the grace period after which new streams are refused; the rest lets
+	 * streams end that a balancer still sends meanwhile.
+	 */
+	static final double DRAIN_STREAM_ACCEPT_FRACTION = 0.3125;
 
 	/** Min retry delay suggested to refused callers, in milliseconds. */
 	static final long MIN_RETRY_AFTER_MILLIS = 200;
@@ -193,7 +190,8 @@
 	}
 
 	private void startPlacement() {
-		boolean refusesStream = streaming() && this.relayService.drainingMillis() > DRAIN_STREAM_ACCEPT_MILLIS;
+		boolean refusesStream = streaming() && this.relayService
+			.drainingMillis() > this.relayService.settings().graceMillis() * DRAIN_STREAM_ACCEPT_FRACTION;
 		if (refusesStream || this.relayService.refusesRequests()) {
 			endWithError(Failure.notRun(ResultCode.ENTRY_LEAVING, "the entry host is shutting down"));
 			return;
@@ -205,6 +203,8 @@
 		}
 		this.deadlineTimer = this.relayService.trafficThread().schedule(remainingMillis, this::deadlineExceeded);
 		this.relayService.retryBudget(this.service.name()).recordRequest();
+		this.request.traits()
+			.ifPresent((traits) -> statistics().recordArrival(traits.promptTokens(), traits.expectedTotalTokens()));
 		placeOrEnqueue();
 	}
 
@@ -232,7 +232,8 @@
 		if (startsOrAwaitsLoadSample()) {
 			return false;
 		}
-		PlacementStrategy.Demand demand = missesLatencyGoal() ? demand().withReserve(LATE_RESERVE_TOKENS) : demand();
+		PlacementStrategy.Demand demand = missesLatencyGoal() ? demand().withReserve(statistics().typicalTotalTokens())
+				: demand();
 		TargetPool.Choice choice = this.relayService.targetPool().choose(this.service, demand, this.triedTargetIds);
 		if (choice.target() != null) {
 			if (this.service.engine().isEmpty() || !this.admissionRequester.trySend(choice.target(), demand)) {
@@ -327,7 +328,15 @@
 
 	PlacementStrategy.Demand demand() {
 		return PlacementStrategy.Demand.of(this.request.traits(), this.relayService.settings().dataCentre(),
-				this.relayService.entryHosts());
+				this.relayService.entryHosts(), this.route.latencyGoalMillis());
+	}
+
+	int tokensPerEvent() {
+		return this.service.engine().map(ServiceSpec.EngineSpec::tokensPerEvent).orElse(1);
+	}
+
+	private GenerationStatistics statistics() {
+		return this.relayService.targetPool().statistics(this.service);
 	}
 
 	/**
@@ -377,7 +386,7 @@
 	private boolean resumable() {
 		return streaming() && this.request.traits()
 			.map(GenerationTraits::maxTokens)
-			.filter((maxTokens) -> maxTokens >= MIN_RESUMABLE_OUTPUT_TOKENS)
+			.filter((maxTokens) -> statistics().eventMillis() * maxTokens / tokensPerEvent() >= MIN_RESUMABLE_MILLIS)
 			.isPresent();
 	}
 
@@ -596,6 +605,7 @@
 		long nowMillis = now();
 		if (this.firstEventMillis < 0) {
 			this.firstEventMillis = nowMillis - this.request.arrivedAtMillis();
+			statistics().recordFirstEvent(attempt.prefillTokens(), nowMillis - attempt.sentMillis());
 		}
 		else {
 			this.maxEventGapMillis = Math.max(this.maxEventGapMillis, nowMillis - this.lastEventAtMillis);
@@ -609,6 +619,8 @@
 	}
 
 	void streamCompleted() {
+		long streamMillis = this.lastEventAtMillis - this.request.arrivedAtMillis() - this.firstEventMillis;
+		statistics().recordStream(this.lastEventId.orElse(0), streamMillis);
 		end("served", "stream complete");
 		this.caller.end();
 	}
@@ -661,6 +673,10 @@
 		return this.request.id();
 	}
 
+	Route route() {
+		return this.route;
+	}
+
 	CallerRequest request() {
 		return this.request;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -24,6 +24,9 @@
 
 	private final UniformRandomProvider random;
 
+	/** Statistics of the generations by service. */
+	private final Map<String, GenerationStatistics> statistics = new HashMap<>();
+
 	/** Targets by id. */
 	private final Map<String, TrackedTarget> targets = new HashMap<>();
 
@@ -137,10 +140,20 @@
 
 	private PlacementStrategy strategy(ServiceSpec service) {
 		return service.engine()
-			.<PlacementStrategy>map((engine) -> new PlacementStrategy.ForEngines(engine.memoryTokens(), this.random))
+			.<PlacementStrategy>map((engine) -> new PlacementStrategy.ForEngines(engine.memoryTokens(),
+					statistics(service), this.random))
 			.orElseGet(() -> new PlacementStrategy.ForPlainTargets(this.random));
 	}
 
+	/**
+	 * Returns the statistics of a service's generations.
+	 * @param service the service
+	 * @return statistics, updated as generations are served
+	 */
+	GenerationStatistics statistics(ServiceSpec service) {
+		return this.statistics.computeIfAbsent(service.name(), (name) -> new GenerationStatistics());
+	}
+
 	/**
 	 * Returns all targets.
 	 * @return live view of the targets, in no order
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -18,7 +18,7 @@
 
 	/**
 	 * Max age of a load report that is used, in milliseconds; sidecars report at least
-	 * once a second.
+	 * once a second, and two reports may be lost.
 	 */
 	static final long MAX_LOAD_AGE_MILLIS = 2_500;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
@@ -156,18 +156,25 @@
 	private void readUnlessFollowing() {
 		if (following()) {
 			this.control.schedule(this.followUntilMillis - this.clock.millis(), this::readUnlessFollowing);
+			return;
 		}
-		else {
-			start();
+		if (this.followUntilMillis > 0) {
+			LogEvent.TABLE_READ_AGAIN.log(logger, this.table, ageMillis());
+			this.followUntilMillis = 0;
 		}
+		start();
 	}
 
 	/**
 	 * Suspends reading, since a peer reads the table for this host.
+	 * @param peer name of the peer
 	 * @param millis time until reading goes on unless this method is called again, in
 	 * milliseconds
 	 */
-	void follow(long millis) {
+	void follow(String peer, long millis) {
+		if (!following()) {
+			LogEvent.TABLE_FOLLOWED.log(logger, this.table, peer);
+		}
 		this.followUntilMillis = this.clock.millis() + millis;
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -192,7 +192,7 @@
 				table.feed.applyPeerRecords(push.records(), push.nextOffset(), push.ageMillis());
 				if (precedes(push.sender(), this.self.name()) && push.ageMillis() <= table.maxAgeMillis()
 						&& push.nextOffset() >= table.feed.records().nextOffset()) {
-					table.feed.follow((long) (table.followMillis * (1 + STAGGER_FRACTION * rank())));
+					table.feed.follow(push.sender(), (long) (table.followMillis * (1 + STAGGER_FRACTION * rank())));
 				}
 			}
 			link.send(new Message.RecordsPushAck(push.table(), table.feed.records().nextOffset()));
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/Route.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/Route.java
@@ -15,9 +15,12 @@
  * @param services services and their weights; at least one
  * @param maxAttempts maximum number of targets that may execute one attempt of a caller
  * @param apiKeyOptional whether requests without an API key are accepted
+ * @param gapGoalMillis longest time between two events of a stream that the route aims
+ * at, in milliseconds; 0 if none is set
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, long timeoutMillis,
-		long latencyGoalMillis, int priority, List<WeightedService> services, int maxAttempts, boolean apiKeyOptional) {
+		long latencyGoalMillis, int priority, List<WeightedService> services, int maxAttempts, boolean apiKeyOptional,
+		long gapGoalMillis) {
 
 	/**
 	 * Selects a service in proportion to the weights.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/ServiceSpec.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/ServiceSpec.java
@@ -24,8 +24,12 @@
 	 * demand
 	 * @param supportsKvBackups whether engines keep a copy of a running request at
 	 * another engine
+	 * @param copySecondsPerToken time to copy a token of the KV cache to another engine
+	 * of the data centre, in seconds; twice as long to another data centre
+	 * @param tokensPerEvent output tokens in an event of a stream
 	 */
-	public record EngineSpec(int slots, long memoryTokens, boolean supportsKvCopies, boolean supportsKvBackups) {
+	public record EngineSpec(int slots, long memoryTokens, boolean supportsKvCopies, boolean supportsKvBackups,
+			double copySecondsPerToken, int tokensPerEvent) {
 	}
 
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/membership/TargetRegistryTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/membership/TargetRegistryTests.java
@@ -16,7 +16,7 @@
 
 	private final Clock.Manual clock = Clock.manual(1_000);
 
-	private final TargetRegistry registry = TargetRegistry.of(this.clock);
+	private final TargetRegistry registry = TargetRegistry.of(this.clock, 2_000);
 
 	private static TargetRegistration registration(String id, boolean leaving, long bornMillis, long sequence) {
 		return new TargetRegistration(id, "desk", new InetSocketAddress("10.0.0.1", 80), "giza", 6, leaving, 0,
@@ -49,7 +49,7 @@
 		this.registry.update(registration("a", false, 10, 1));
 		this.registry.markUnlisted("a");
 		assertThat(this.registry.targets(true).get(0).listed()).isFalse();
-		this.clock.advance(TargetRegistry.UNLISTED_RETENTION_MILLIS + 1);
+		this.clock.advance(1_200 + 1);
 		assertThat(this.registry.targets(true)).isEmpty();
 	}
 
@@ -83,7 +83,7 @@
 	void sidecarReportDoesNotRestoreUnlistedTarget() {
 		this.registry.update(registration("a", false, 10, 1));
 		this.registry.markUnlisted("a");
-		this.clock.advance(TargetRegistry.UNLISTED_RETENTION_MILLIS + 1);
+		this.clock.advance(1_200 + 1);
 		this.registry.targets(true);
 		this.registry.updateFromSidecar(registration("a", false, 10, 0));
 		assertThat(this.registry.targets(false)).isEmpty();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionLedgerProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionLedgerProperties.java
@@ -52,8 +52,7 @@
 				.filter(AdmittedRequest::prefillPending)
 				.mapToLong((request) -> PROMPT_TOKENS - request.prefilledTokens)
 				.sum();
-			assertThat(pendingTokens)
-				.isLessThanOrEqualTo(PlacementStrategy.ForEngines.MAX_PENDING_PREFILL_TOKENS + PROMPT_TOKENS);
+			assertThat(pendingTokens).isLessThanOrEqualTo(8_000 + PROMPT_TOKENS);
 			clock.advance(STEP_MILLIS);
 			prefill(admitted);
 			if (random.nextInt(5) > 0) {
@@ -72,8 +71,8 @@
 			int requestNumber) {
 		long knownTokens = random.nextInt(4) * PROMPT_TOKENS;
 		String id = "r" + requestNumber;
-		if (ledger.tryAdmit(
-				new Message.AdmissionRequest(requestNumber, id, PROMPT_TOKENS, PROMPT_TOKENS + 500, knownTokens))) {
+		if (ledger.tryAdmit(new Message.AdmissionRequest(requestNumber, id, PROMPT_TOKENS, PROMPT_TOKENS + 500,
+				knownTokens, 8_000))) {
 			boolean lost = random.nextInt(8) == 0;
 			admitted.add(new AdmittedRequest(id, lost ? NEVER_ARRIVES : random.nextInt(MAX_STEPS_IN_TRANSIT)));
 		}
@@ -101,7 +100,7 @@
 			.forEach((request) -> activeRequests.add(new EngineReport.ActiveRequest(request.id, PROMPT_TOKENS, 1)));
 		int waiting = (int) Math.max(0, arrived(admitted).count() - CONCURRENT_PREFILLS);
 		ledger.updateLoad(new EngineLoad("e", "s", "dc", "10.0.0.1:80", 1, activeRequests.size(), waiting, 0, 0,
-				MEMORY_TOKENS, false, -1), activeRequests);
+				MEMORY_TOKENS, false, -1, 0), activeRequests);
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionLedgerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionLedgerTests.java
@@ -24,11 +24,12 @@
 
 	private static EngineLoad load(int running, int waiting, long memoryUsed, boolean leaving) {
 		return new EngineLoad("e", "s", "dc", "10.0.0.1:80", 1, running, waiting, 0, memoryUsed, MEMORY_TOKENS, leaving,
-				-1);
+				-1, 0);
 	}
 
 	private boolean tryAdmit(String id, long knownPendingPrefillTokens) {
-		return this.ledger.tryAdmit(new Message.AdmissionRequest(1, id, 3_000, 3_800, knownPendingPrefillTokens));
+		return this.ledger
+			.tryAdmit(new Message.AdmissionRequest(1, id, 3_000, 3_800, knownPendingPrefillTokens, 8_000));
 	}
 
 	@Test
@@ -59,8 +60,8 @@
 	@Test
 	void idleEngineAdmitsOneRequestOfAnySize() {
 		this.ledger.updateLoad(load(0, 0, 0, false), List.of());
-		assertThat(this.ledger.tryAdmit(new Message.AdmissionRequest(1, "large", 20_000, 40_000, 0))).isTrue();
-		assertThat(this.ledger.tryAdmit(new Message.AdmissionRequest(2, "next", 20_000, 40_000, MEMORY_TOKENS)))
+		assertThat(this.ledger.tryAdmit(new Message.AdmissionRequest(1, "large", 20_000, 40_000, 0, 8_000))).isTrue();
+		assertThat(this.ledger.tryAdmit(new Message.AdmissionRequest(2, "next", 20_000, 40_000, MEMORY_TOKENS, 8_000)))
 			.isFalse();
 	}
 
@@ -103,16 +104,48 @@
 	@Test
 	void requestsWithoutAdmissionCountWithTheAssumedPromptLength() {
 		this.ledger.updateLoad(load(1, 1, 0, false), List.of(new EngineReport.ActiveRequest("x", 500, 0)));
-		assertThat(this.ledger.load().unreadTokens())
-			.isEqualTo(2 * PlacementStrategy.ForEngines.ASSUMED_PENDING_PREFILL_TOKENS - 500);
+		assertThat(this.ledger.load().unreadTokens()).isEqualTo(2 * 1_500 - 500);
+	}
+
+	@Test
+	void outputsOfRunningRequestsCountUntilTheirExpectedEnd() {
+		this.ledger.updateLoad(load(0, 0, 0, false), List.of());
+		assertThat(this.ledger.tryAdmit(new Message.AdmissionRequest(1, "note", 3_000, 13_000, 0, 8_000))).isTrue();
+		this.ledger.updateLoad(load(1, 0, 4_000, false), List.of(new EngineReport.ActiveRequest("note", 4_000, 250)));
+		assertThat(this.ledger.load().growthTokens()).isEqualTo(9_000);
+		assertThat(tryAdmit("fits", 0)).isTrue();
+		this.ledger.updateLoad(load(2, 0, 10_000, false), List.of(new EngineReport.ActiveRequest("note", 6_000, 750),
+				new EngineReport.ActiveRequest("fits", 3_000, 0)));
+		assertThat(this.ledger.load().growthTokens()).isEqualTo(7_000 + 800);
+		assertThat(this.ledger.tryAdmit(new Message.AdmissionRequest(2, "large", 3_000, 9_000, MEMORY_TOKENS, 8_000)))
+			.isFalse();
+	}
+
+	@Test
+	void requestLongerThanExpectedStillGrows() {
+		this.ledger.updateLoad(load(0, 0, 0, false), List.of());
+		tryAdmit("a", 0);
+		this.ledger.updateLoad(load(1, 0, 4_500, false), List.of(new EngineReport.ActiveRequest("a", 4_500, 370)));
+		assertThat(this.ledger.load().growthTokens()).isPositive();
+	}
+
+	@Test
+	void toleranceFollowsTheLengthOfPrompts() {
+		this.ledger.updateLoad(load(0, 0, 0, false), List.of());
+		for (int i = 0; i < 200; i++) {
+			this.ledger.tryAdmit(new Message.AdmissionRequest(i, "r", 300, 400, MEMORY_TOKENS, 8_000));
+		}
+		assertThat(this.ledger.typicalPromptTokens()).isBetween(295L, 305L);
+		assertThat(this.ledger.load().unreadTokens()).isEqualTo(300);
+		assertThat(this.ledger.tryAdmit(new Message.AdmissionRequest(300, "s", 300, 400, 0, 8_000))).isFalse();
 	}
 
 	@Test
 	void engineRestartClearsAdmittedRequests() {
 		this.ledger.updateLoad(load(1, 0, 0, false), List.of());
 		tryAdmit("a", 0);
-		this.ledger.updateLoad(new EngineLoad("e", "s", "dc", "10.0.0.1:80", 2, 0, 0, 0, 0, MEMORY_TOKENS, false, -1),
-				List.of());
+		this.ledger.updateLoad(
+				new EngineLoad("e", "s", "dc", "10.0.0.1:80", 2, 0, 0, 0, 0, MEMORY_TOKENS, false, -1, 0), List.of());
 		assertThat(this.ledger.load().unreadTokens()).isZero();
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionRequesterTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionRequesterTests.java
@@ -31,7 +31,7 @@
 
 	private void respond(int index, boolean admitted, String engine, long pendingPrefillTokens) {
 		EngineLoad load = new EngineLoad(engine, "bench", "giza", this.fixture.engineAddress(engine), 1, 1, 0,
-				pendingPrefillTokens, 0, RelayFixture.MEMORY_TOKENS, false, -1);
+				pendingPrefillTokens, 0, RelayFixture.MEMORY_TOKENS, false, -1, 0);
 		this.fixture.relayService()
 			.handleAdmissionResponse(new Message.AdmissionResponse(
 					this.fixture.admissionClient().request(index).requestNumber(), admitted, load));
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -22,7 +22,9 @@
 
 	private final Clock.Manual clock = Clock.manual(10_000);
 
-	private final PlacementStrategy strategy = new PlacementStrategy.ForEngines(MEMORY_TOKENS,
+	private final GenerationStatistics statistics = new GenerationStatistics();
+
+	private final PlacementStrategy strategy = new PlacementStrategy.ForEngines(MEMORY_TOKENS, this.statistics,
 			RandomSource.XO_RO_SHI_RO_128_PP.create(3));
 
 	private TrackedTarget engine(String id, String dataCentre, long pendingPrefillTokens, long memoryUsed) {
@@ -30,7 +32,7 @@
 		TrackedTarget target = new TrackedTarget(this.clock, new Target(
 				new TargetRegistration(id, "bench", address, dataCentre, 24, false, 0, 1, 1), 0, true, false));
 		target.updateLoad(new EngineLoad(id, "bench", dataCentre, "10.0.0.1:80", 1, 2, 0, pendingPrefillTokens,
-				memoryUsed, MEMORY_TOKENS, false, -1));
+				memoryUsed, MEMORY_TOKENS, false, -1, 0));
 		return target;
 	}
 
@@ -40,7 +42,7 @@
 
 	private static PlacementStrategy.Demand demand() {
 		return new PlacementStrategy.Demand(3_000, 3_500, "giza",
-				PlacementStrategy.Demand.REQUEST_REMOTE_PENALTY_SECONDS, 4, PlacementStrategy.Demand.NO_LIMIT);
+				PlacementStrategy.Demand.REQUEST_REMOTE_PENALTY_SECONDS, 4, 1_800, PlacementStrategy.Demand.NO_LIMIT);
 	}
 
 	@Test
@@ -54,14 +56,14 @@
 		TrackedTarget local = engine("local", "giza", 1_000, 6_000);
 		TrackedTarget remote = engine("remote", "helwan", 0, 6_000);
 		assertThat(chosenId(demand(), local, remote)).isEqualTo("remote");
-		assertThat(chosenId(demand().forKvCopy("giza"), local, remote)).isEqualTo("local");
+		assertThat(chosenId(demand().forKvCopy("giza", 0.2 / 3_500), local, remote)).isEqualTo("local");
 	}
 
 	@Test
 	void fullerLocalEngineDoesNotHideARemoteOneThatCanKeepABackup() {
 		TrackedTarget local = engine("local", "giza", 0, 9_000);
 		TrackedTarget remote = engine("remote", "helwan", 0, 3_000);
-		PlacementStrategy.Demand backup = demand().forKvCopy("giza").withMaxMemoryFraction(0.4);
+		PlacementStrategy.Demand backup = demand().forKvCopy("giza", 0.2 / 3_500).withMaxMemoryFraction(0.4);
 		assertThat(chosenId(backup, local, remote)).isEqualTo("remote");
 		assertThat(chosenId(backup, local)).isEqualTo("none");
 	}
@@ -75,7 +77,7 @@
 	void engineWithoutLoadReportIsUsedByOneHostOnAverage() {
 		TrackedTarget reported = engine("reported", "giza", 3_000, 15_000);
 		TrackedTarget unreported = new TrackedTarget(this.clock, reported.membership());
-		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(3_000, 3_500, "giza", 0, 20,
+		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(3_000, 3_500, "giza", 0, 20, 1_800,
 				PlacementStrategy.Demand.NO_LIMIT);
 		int chosenCount = 0;
 		for (int request = 0; request < 1_000; request++) {
@@ -93,8 +95,8 @@
 
 	@Test
 	void engineWithALongPrefillQueueIsNotChosenDespiteFreeMemory() {
-		assertThat(chosenId(demand(),
-				engine("e", "giza", PlacementStrategy.ForEngines.MAX_PENDING_PREFILL_TOKENS + 1, 3_000)))
+		assertThat(chosenId(demand(), engine("e", "giza",
+				PlacementStrategy.ForEngines.maxPendingPrefillTokens(this.statistics, 1_800) + 1, 3_000)))
 			.isEqualTo("none");
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingLoadReader.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingLoadReader.java
@@ -44,7 +44,7 @@
 		TargetRegistration engine = this.engines.get(index);
 		String address = engine.address().getAddress().getHostAddress() + ':' + engine.address().getPort();
 		EngineLoad load = new EngineLoad("", "", "", address, engine.bornMillis(), running, 0, 0, memoryUsed,
-				RelayFixture.MEMORY_TOKENS, leaving, -1);
+				RelayFixture.MEMORY_TOKENS, leaving, -1, 0);
 		this.listeners.get(index).accept(Optional.of(new EngineReport(load, List.of())));
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -54,7 +54,7 @@
 				.withAdmission(this.admissionClient)
 				.withEngineLoads(this.loadReader)
 				.withRetryLoans(this.retryLoanRequests::add),
-			new RelaySettings("giza", 0.2, 54, 10_000), RandomSource.XO_RO_SHI_RO_128_PP.create(5),
+			new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(5),
 			new MetricRegistry());
 
 	/** Number of requests accepted so far. */
@@ -102,7 +102,7 @@
 
 	static ServingPlan plan(long version) {
 		ServiceSpec bench = new ServiceSpec("bench", 242, 36,
-				Optional.of(new ServiceSpec.EngineSpec(24, MEMORY_TOKENS, true, true)));
+				Optional.of(new ServiceSpec.EngineSpec(24, MEMORY_TOKENS, true, true, 0, 4)));
 		ServiceSpec desk = new ServiceSpec("desk", 100, 0, Optional.empty());
 		return ServingPlan.of(version,
 				List.of(route("/notes/", RequestKind.STREAMING, 39_000, 1_800, "bench", 1),
@@ -115,7 +115,7 @@
 	private static Route route(String prefix, RequestKind kind, long timeoutMillis, long latencyGoalMillis,
 			String service, int maxAttempts) {
 		return new Route(prefix, "a.example", prefix, kind, timeoutMillis, latencyGoalMillis, 1,
-				List.of(new Route.WeightedService(service, 1)), maxAttempts, false);
+				List.of(new Route.WeightedService(service, 1)), maxAttempts, false, 180);
 	}
 
 	void listTarget(String id, String serviceName, boolean leaving) {
@@ -149,7 +149,7 @@
 			.orElseThrow();
 		this.relayService.updateLoad(
 				new EngineLoad(id, "bench", "giza", registration.address().getAddress().getHostAddress() + ":80", 1,
-						running, 0, 0, memoryUsed, MEMORY_TOKENS, false, -1));
+						running, 0, 0, memoryUsed, MEMORY_TOKENS, false, -1, 0));
 	}
 
 	String engineAddress(String id) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -54,7 +54,7 @@
 
 	@Test
 	void unknownRouteInStalePlanIsNotReady() {
-		this.fixture.relayService().updatePlanAge(RelayService.MAX_FRESH_PLAN_AGE_MILLIS + 1);
+		this.fixture.relayService().updatePlanAge(3_500 + 1);
 		this.fixture.accept("/nothing/", this.caller);
 		assertThat(this.caller.failure().code()).isEqualTo(ResultCode.NOT_READY);
 		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
@@ -338,7 +338,7 @@
 		this.fixture.accept("/notes/1", this.caller);
 		exchange(0).startStream();
 		exchange(0).sendEvent(1);
-		this.fixture.advance(GenerationResumer.STALL_TIMEOUT_MILLIS + RelayService.POLL_MILLIS);
+		this.fixture.advance(GenerationResumer.STALL_GAPS * 180 + RelayService.POLL_MILLIS);
 		assertThat(exchange(1).request().lastEventId()).hasValue(1);
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetPoolProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetPoolProperties.java
@@ -102,7 +102,7 @@
 				Message.AdmissionRequest request = this.fixture.admissionClient().request(this.answeredAdmissions);
 				this.answeredAdmissions++;
 				EngineLoad load = new EngineLoad("", "bench", "giza", "10.0.0.250:1", 1, 0, 0, 0, 0,
-						RelayFixture.MEMORY_TOKENS, false, -1);
+						RelayFixture.MEMORY_TOKENS, false, -1, 0);
 				this.fixture.relayService()
 					.handleAdmissionResponse(
 							new Message.AdmissionResponse(request.requestNumber(), this.random.nextInt(3) > 0, load));
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TrackedTargetTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TrackedTargetTests.java
@@ -54,7 +54,7 @@
 
 	@Test
 	void staleLoadReportIsIgnored() {
-		this.target.updateLoad(new EngineLoad("e", "s", "dc", "10.0.0.1:80", 1, 3, 0, 0, 5, 10, true, 500));
+		this.target.updateLoad(new EngineLoad("e", "s", "dc", "10.0.0.1:80", 1, 3, 0, 0, 5, 10, true, 500, 0));
 		assertThat(this.target.leaving()).isTrue();
 		this.clock.advance(TrackedTarget.MAX_LOAD_AGE_MILLIS + 1);
 		assertThat(this.target.load()).isNull();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WindowedRetryBudgetProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WindowedRetryBudgetProperties.java
@@ -34,7 +34,7 @@
 		for (int i = 0; i < HOSTS; i++) {
 			clocks.add(Clock.manual(random.nextInt(5_000)));
 			budgets.add(WindowedRetryBudget.of(clocks.get(i),
-					new RelaySettings("giza", RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS)));
+					new RelaySettings("giza", RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS, 2_000, 8_000)));
 		}
 		List<long[]> sends = new ArrayList<>();
 		long nowMillis = 0;
@@ -72,7 +72,7 @@
 		for (int i = 0; i < HOSTS; i++) {
 			clocks.add(Clock.manual(random.nextInt(5_000)));
 			budgets.add(WindowedRetryBudget.of(clocks.get(i),
-					new RelaySettings("giza", RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS)));
+					new RelaySettings("giza", RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS, 2_000, 8_000)));
 		}
 		int busyHost = random.nextInt(HOSTS);
 		List<long[]> sends = new ArrayList<>();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WindowedRetryBudgetTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WindowedRetryBudgetTests.java
@@ -22,7 +22,7 @@
 	private final WindowedRetryBudget idle = budget();
 
 	private WindowedRetryBudget budget() {
-		return WindowedRetryBudget.of(this.clock, new RelaySettings("giza", 0.2, 100, WINDOW_MILLIS));
+		return WindowedRetryBudget.of(this.clock, new RelaySettings("giza", 0.2, 100, WINDOW_MILLIS, 2_000, 8_000));
 	}
 
 	private void useUp(WindowedRetryBudget budget) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -110,6 +111,9 @@
 
 	private final Member self;
 
+	/** Source and age of each table, for dumps; an immutable snapshot. */
+	private volatile Map<String, Object> tableState = Map.of();
+
 	/** Limits of the plan in force. */
 	private volatile CallerLimits limits = CallerLimits.INITIAL;
 
@@ -137,7 +141,7 @@
 		this.self = new Member(settings.common().name(), settings.peerAddress(), settings.common().dataCentre());
 		this.sharing = TableSharing.of(this.runtime.transport(), this.runtime.controlScheduler(), this.runtime.clock(),
 				this.self, this.runtime::members);
-		this.registry = TargetRegistry.of(this.runtime.clock());
+		this.registry = TargetRegistry.of(this.runtime.clock(), settings.drainMillis());
 		this.peerSync = PeerTableSync.of(this.runtime.transport(), this.runtime.controlScheduler(), this.runtime::peers,
 				RandomSource.XO_RO_SHI_RO_128_PP.create());
 	}
@@ -159,17 +163,29 @@
 		this.callerServer = CallerServer.start(this.runtime.trafficLoop(), this.settings.callerAddress(), this.service,
 				this.platform.messageMapper(), () -> this.limits, this.runtime.clock());
 		this.runtime.transport().listen(this.settings.peerAddress(), new PeerListener());
-		this.runtime.serveMetrics(this.service::dump);
+		this.runtime.serveMetrics(this::dump);
 		this.runtime.controlScheduler().execute(this::startFeeds);
 		this.runtime.trafficLoop().execute(this.service::start);
 		LogEvent.PROCESS_STARTED.log(logger, "entry", this.settings.common().name(),
 				this.settings.common().dataCentre());
 	}
 
+	/**
+	 * Returns the state of the daemon.
+	 * @return values by name; those of the tables are the last ones passed to the traffic
+	 * thread
+	 */
+	private Map<String, Object> dump() {
+		Map<String, Object> dump = new LinkedHashMap<>(this.service.dump());
+		dump.putAll(this.tableState);
+		return dump;
+	}
+
 	private void startFeeds() {
 		this.operatorsFeed = TableFeed.longPolling(this.platform.operatorsTable(), this.runtime.store(),
 				this.runtime.clock(), this.runtime.controlScheduler(),
-				(long) (this.settings.configMillis() * OPERATORS_LONG_POLL_FRACTION), 0, this::handleOperatorRecords);
+				(long) (this.settings.relay().configMillis() * OPERATORS_LONG_POLL_FRACTION), 0,
+				this::handleOperatorRecords);
 		this.targetsFeed = TableFeed.polling(this.platform.targetsTable(), this.runtime.store(), this.runtime.clock(),
 				this.runtime.controlScheduler(), (long) (this.settings.drainMillis() * TARGETS_POLL_FRACTION),
 				this::handleTargetRecords);
@@ -177,7 +193,7 @@
 		this.peerSync.add(this.targetsFeed);
 		this.peerSync.add(this.runtime.readMembers(() -> {
 		}));
-		this.sharing.add(this.operatorsFeed, (long) (this.settings.configMillis() * FOLLOW_FRACTION));
+		this.sharing.add(this.operatorsFeed, (long) (this.settings.relay().configMillis() * FOLLOW_FRACTION));
 		this.sharing.add(this.targetsFeed, (long) (this.settings.drainMillis() * FOLLOW_FRACTION));
 		this.operatorsFeed.start();
 		this.targetsFeed.start();
@@ -276,6 +292,9 @@
 		List<Target> targets = this.registry.targets(this.targetsFeed.ageMillis() < this.settings.drainMillis());
 		long planAgeMillis = this.operatorsFeed.ageMillis();
 		int entryHosts = Math.max(1, this.runtime.members().size());
+		this.tableState = Map.of("tableSources", this.sharing.sources(), "tableAgesMillis",
+				Map.of(this.platform.operatorsTable(), planAgeMillis, this.platform.targetsTable(),
+						this.targetsFeed.ageMillis()));
 		this.runtime.trafficLoop().execute(() -> {
 			this.service.updateEntryHosts(entryHosts);
 			this.service.updatePlanAge(planAgeMillis);
@@ -287,7 +306,7 @@
 	public void stop() {
 		this.runtime.trafficLoop().execute(() -> {
 			LogEvent.PROCESS_STOPPING.log(logger, this.settings.common().name(), this.service.activeRequests());
-			this.service.startDraining((long) (this.settings.graceMillis() * ACCEPT_FRACTION));
+			this.service.startDraining((long) (this.settings.relay().graceMillis() * ACCEPT_FRACTION));
 			this.callerServer.closeAfterResponses();
 		});
 		long startedMillis = this.runtime.clock().millis();
@@ -298,7 +317,7 @@
 			if (elapsedMillis > IDLE_CLOSE_DELAY_MILLIS) {
 				this.runtime.trafficLoop().execute(this.callerServer::closeIdle);
 			}
-			complete = elapsedMillis > this.settings.graceMillis() * FORCED_STOP_FRACTION
+			complete = elapsedMillis > this.settings.relay().graceMillis() * FORCED_STOP_FRACTION
 					|| (elapsedMillis > IDLE_CLOSE_DELAY_MILLIS && this.service.activeRequests() == 0);
 		}
 		LogEvent.PROCESS_STOPPED.log(logger, this.settings.common().name(), this.service.activeRequests());
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntrySettings.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntrySettings.java
@@ -12,15 +12,10 @@
  * @param readinessAddress address to bind for the load balancer's readiness check
  * @param peerAddress address to bind for peers and sidecars; registered in the members
  * table
- * @param relay data centre and retry budget
+ * @param relay data centre, retry budget and time limits
  * @param drainMillis drain time: maximum time from a target's announcement that it leaves
  * until it gets no new requests, in milliseconds
- * @param configMillis time from the acceptance of a configuration until it must be in
- * force, in milliseconds
- * @param graceMillis grace period: time between the signal to stop and the end of the
- * process, in milliseconds
  */
 public record RelayEntrySettings(RelayCommonSettings common, InetSocketAddress callerAddress,
-		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, RelaySettings relay, long drainMillis,
-		long configMillis, long graceMillis) {
+		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, RelaySettings relay, long drainMillis) {
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
@@ -41,9 +41,9 @@
 				address(reader, "ready"), address(reader, "peers"),
 				new RelaySettings(common.dataCentre(), reader.decimal("repeat-ratio", null, "0.2", 0, MAX_RETRIES),
 						reader.decimal("repeat-slack", null, "0", 0, MAX_RETRIES),
-						secondsAsMillis(reader, "repeat-window-seconds", "10")),
-				millis(reader, "drain-millis", "2000"), millis(reader, "config-millis", "2000"),
-				secondsAsMillis(reader, "grace-seconds", "8"));
+						secondsAsMillis(reader, "repeat-window-seconds", "10"), millis(reader, "config-millis", "2000"),
+						secondsAsMillis(reader, "grace-seconds", "8")),
+				millis(reader, "drain-millis", "2000"));
 		reader.throwIfInvalid();
 		return settings;
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -61,10 +61,10 @@
 	static final double MEMORY_CHANGE_FRACTION = 0.03;
 
 	/**
-	 * Change in prompt tokens not yet prefilled that is reported before the maximum
-	 * interval; a third of a prompt.
+	 * Change in prompt tokens not yet prefilled, as a fraction of a typical prompt, that
+	 * is reported before the maximum interval.
 	 */
-	static final long PREFILL_CHANGE_TOKENS = 1_000;
+	static final double PREFILL_CHANGE_FRACTION = 1.0 / 3;
 
 	private static final Logger logger = LoggerFactory.getLogger(RelaySidecarDaemon.class);
 
@@ -219,7 +219,8 @@
 		}
 		boolean changed = Math.abs(load.memoryUsed() - this.lastReportedLoad.memoryUsed()) > load.memoryTotal()
 				* MEMORY_CHANGE_FRACTION || load.waiting() != this.lastReportedLoad.waiting()
-				|| Math.abs(load.unreadTokens() - this.lastReportedLoad.unreadTokens()) > PREFILL_CHANGE_TOKENS;
+				|| Math.abs(load.unreadTokens() - this.lastReportedLoad.unreadTokens()) > this.ledger
+					.typicalPromptTokens() * PREFILL_CHANGE_FRACTION;
 		return changed && elapsedMillis >= MIN_REPORT_INTERVAL_MILLIS;
 	}
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -52,7 +52,7 @@
 
 	private static Route route(String prefix, RequestKind kind) {
 		return new Route(prefix, "a", prefix, kind, 4_000, 3_000, 0, List.of(new Route.WeightedService("s", 1)), 1,
-				true);
+				true, 180);
 	}
 
 	@BeforeEach
@@ -62,7 +62,7 @@
 		Clock clock = Clock.system();
 		RelayService service = RelayService.of(clock, new EventLoopScheduler(loop),
 				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(loop), new TestMessageMapper())),
-				new RelaySettings("dc", 0.2, 50, 10_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+				new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
 				new MetricRegistry());
 		loop.submit(() -> {
 			service.updatePlan(ServingPlan.of(1,
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
@@ -67,7 +67,7 @@
 
 	@Test
 	void loadReportIsAcknowledgedOnRequest() throws Exception {
-		EngineLoad load = new EngineLoad("i", "s", "dc", "10.0.0.1:80", 1, 0, 0, 0, 0, 10, false, -1);
+		EngineLoad load = new EngineLoad("i", "s", "dc", "10.0.0.1:80", 1, 0, 0, 0, 0, 10, false, -1, 0);
 		this.link.send(new Message.EngineLoadReport(load, false));
 		this.link.send(new Message.EngineLoadReport(load, true));
 		assertThat(this.received.poll(WAIT_SECONDS, TimeUnit.SECONDS))
