--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -178,7 +178,11 @@
 	TABLE_FOLLOWED(839, Level.INFO, "table={} read by peer={}"),
 
 	/** No peer reads a table for this host any more. */
-	TABLE_READ_AGAIN(840, Level.INFO, "table={} read by this host age={}");
+	TABLE_READ_AGAIN(840, Level.INFO, "table={} read by this host age={}"),
+
+	/** A generation is refused, as it would start too late. */
+	REQUEST_REFUSED(841, Level.INFO,
+			"request={} refused service={} waited={} start={} lateStart={} useful={} returnAfter={} returned={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -236,9 +236,10 @@
 	 * sender, in prompt tokens
 	 * @param maxPendingPrefillTokens prefill backlog beyond which the request would miss
 	 * its latency goal, in prompt tokens
+	 * @param reserveTokens memory that has to stay free for other requests, in tokens
 	 */
 	record AdmissionRequest(long requestNumber, String id, long promptTokens, long expectedTotalTokens,
-			long knownPendingPrefillTokens, long maxPendingPrefillTokens) implements Message {
+			long knownPendingPrefillTokens, long maxPendingPrefillTokens, long reserveTokens) implements Message {
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
@@ -217,8 +217,8 @@
 		boolean queueTooLong = load.unreadTokens() > request.knownPendingPrefillTokens()
 				+ PREFILL_QUEUE_TOLERANCE * this.typicalPromptTokens;
 		boolean idle = load.running() == 0 && load.waiting() == 0 && this.admitted.isEmpty();
-		boolean fits = PlacementStrategy.ForEngines.fits(load, request.expectedTotalTokens(), load.memoryTotal(),
-				request.maxPendingPrefillTokens());
+		boolean fits = PlacementStrategy.ForEngines.fits(load, request.expectedTotalTokens() + request.reserveTokens(),
+				load.memoryTotal(), request.maxPendingPrefillTokens());
 		if (queueTooLong || (!fits && !idle)) {
 			return false;
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
@@ -34,6 +34,8 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(AdmissionRequester.class);
 
+	private final RequestPlacement placement;
+
 	private final RelayedRequest request;
 
 	private final RelayService relayService;
@@ -51,7 +53,8 @@
 	/** Number of refusals so far, over all engines. */
 	private int refusals;
 
-	AdmissionRequester(RelayedRequest request, RelayService relayService) {
+	AdmissionRequester(RequestPlacement placement, RelayedRequest request, RelayService relayService) {
+		this.placement = placement;
 		this.request = request;
 		this.relayService = relayService;
 	}
@@ -71,12 +74,13 @@
 		long knownPendingPrefillTokens = (this.refusals < MAX_REFUSALS)
 				? engine.pendingPrefillTokens(demand.entryHosts()) : load.memoryTotal();
 		this.requestNumber = this.relayService.registerAdmissionRequest(this);
-		long maxPendingPrefillTokens = PlacementStrategy.ForEngines.maxPendingPrefillTokens(
-				this.relayService.targetPool().statistics(this.request.service()), demand.latencyGoalMillis());
+		long maxPendingPrefillTokens = PlacementStrategy.ForEngines
+			.maxPendingPrefillTokens(this.relayService.targetPool().statistics(this.request.service()), demand);
 		boolean sent = this.relayService.admissionClient()
 			.trySend(load.address(),
 					new Message.AdmissionRequest(this.requestNumber, this.request.id(), demand.promptTokens(),
-							demand.expectedTotalTokens(), knownPendingPrefillTokens, maxPendingPrefillTokens));
+							demand.expectedTotalTokens(), knownPendingPrefillTokens, maxPendingPrefillTokens,
+							demand.reserveTokens()));
 		if (!sent) {
 			this.relayService.unregisterAdmissionRequest(this.requestNumber);
 			return false;
@@ -92,7 +96,7 @@
 		LogEvent.ADMISSION_TIMED_OUT.log(logger, this.request.id(), unresponsive.id(), TIMEOUT_MILLIS);
 		unresponsive.backOffSidecar(SIDECAR_BACKOFF_MILLIS);
 		cancel();
-		this.request.sendOrPlaceAgain(unresponsive);
+		this.placement.sendOrPlaceAgain(unresponsive);
 	}
 
 	/**
@@ -104,13 +108,13 @@
 		TrackedTarget engine = this.target;
 		cancel();
 		if (admitted) {
-			this.request.sendOrPlaceAgain(engine);
+			this.placement.sendOrPlaceAgain(engine);
 			return;
 		}
 		this.refusals++;
 		LogEvent.ADMISSION_REFUSED.log(logger, this.request.id(), engine.id(), this.refusals, load);
 		this.relayService.targetPool().updateLoad(load);
-		this.request.admissionRefused(this.refusals <= MAX_REFUSALS);
+		this.placement.admissionRefused(this.refusals <= MAX_REFUSALS);
 	}
 
 	boolean awaitsResponse() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -53,12 +53,6 @@
 	/** Max number of tries to resume from the KV backup before a KV copy is made. */
 	static final int MAX_BACKUP_TRIES = 2;
 
-	/**
-	 * Max fraction of an engine's memory in use, a new KV backup included; the rest stays
-	 * free for new requests.
-	 */
-	static final double MAX_BACKUP_MEMORY_FRACTION = 0.4;
-
 	/** Value of an output token in prompt tokens, as the users weigh it. */
 	private static final double OUTPUT_TOKEN_WEIGHT = 10;
 
@@ -102,8 +96,9 @@
 		if (service.engine().filter(ServiceSpec.EngineSpec::supportsKvBackups).isEmpty()) {
 			return Optional.empty();
 		}
+		double usedFraction = this.request.targetPool().usedMemoryFraction(service);
 		TrackedTarget holder = chooseHolder(chosen,
-				kvCopyDemand(chosen).withMaxMemoryFraction(MAX_BACKUP_MEMORY_FRACTION));
+				kvCopyDemand(chosen).withMaxMemoryFraction(BackupPolicy.maxMemoryFraction(usedFraction)));
 		return Optional.ofNullable(holder).filter((engine) -> engine.load() != null);
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationStatistics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationStatistics.java
@@ -1,5 +1,8 @@
 package io.dotterelcrank.process.relay;
 
+import java.util.SortedMap;
+import java.util.TreeMap;
+
 /**
  * Moving averages over the generations of one service that this host has served: how long
  * they are, and how fast engines prefill and decode. Stands in for figures that differ
@@ -32,6 +35,21 @@
 
 	private double eventMillis = INITIAL_EVENT_MILLIS;
 
+	/**
+	 * Time for which memory is held, assumed before the first observation, in
+	 * milliseconds.
+	 */
+	private static final double INITIAL_MEMORY_MILLIS = 5_000;
+
+	/** Moving average of the tokens of complete generations; 0 before the first. */
+	private double heldTokens;
+
+	/** Moving averages of the expected tokens of prompt and output, by priority. */
+	private final SortedMap<Integer, Double> totalTokensByPriority = new TreeMap<>();
+
+	/** Moving average of their tokens multiplied by their durations. */
+	private double heldTokenMillis;
+
 	private double prefillTokensPerSecond = INITIAL_PREFILL_TOKENS_PER_SECOND;
 
 	private double totalTokens = INITIAL_TOTAL_TOKENS;
@@ -42,8 +60,11 @@
 	 * Records the expected size of an arriving generation.
 	 * @param promptTokens tokens of its prompt
 	 * @param expectedTotalTokens expected tokens of prompt and output
+	 * @param priority its priority; 0 is the most urgent
 	 */
-	void recordArrival(long promptTokens, long expectedTotalTokens) {
+	void recordArrival(long promptTokens, long expectedTotalTokens, int priority) {
+		this.totalTokensByPriority.merge(priority, (double) expectedTotalTokens,
+				(mean, tokens) -> mean + EWMA_WEIGHT * (tokens - mean));
 		this.totalTokens += EWMA_WEIGHT * (expectedTotalTokens - this.totalTokens);
 		this.outputTokens += EWMA_WEIGHT * (expectedTotalTokens - promptTokens - this.outputTokens);
 	}
@@ -71,6 +92,25 @@
 		}
 	}
 
+	/**
+	 * Records how long a complete generation held its memory.
+	 * @param tokens tokens of prompt and output
+	 * @param millis time from its sending to its end, in milliseconds
+	 */
+	void recordMemory(long tokens, long millis) {
+		double weight = (this.heldTokens == 0) ? 1 : EWMA_WEIGHT;
+		this.heldTokens += weight * (tokens - this.heldTokens);
+		this.heldTokenMillis += weight * ((double) tokens * millis - this.heldTokenMillis);
+	}
+
+	/**
+	 * Returns how long a token of memory is held, on average.
+	 * @return time in milliseconds, with each generation weighted by its size
+	 */
+	double memoryMillis() {
+		return (this.heldTokens > 0) ? this.heldTokenMillis / this.heldTokens : INITIAL_MEMORY_MILLIS;
+	}
+
 	/**
 	 * Returns the mean time between two events of a stream.
 	 * @return time in milliseconds
@@ -83,6 +123,15 @@
 		return this.prefillTokensPerSecond;
 	}
 
+	/**
+	 * Returns the size of a typical generation that is more urgent than others.
+	 * @param priority priority of the others
+	 * @return tokens of prompt and output; 0 if there are no more urgent ones
+	 */
+	long typicalTokensMoreUrgentThan(int priority) {
+		return this.totalTokensByPriority.headMap(priority).values().stream().mapToLong(Math::round).max().orElse(0);
+	}
+
 	/**
 	 * Returns the size of a typical generation.
 	 * @return tokens of prompt and output
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
@@ -0,0 +1,168 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.process.overload.Backlog;
+import io.dotterelcrank.process.overload.EngineCapacity;
+import io.dotterelcrank.process.overload.RefusalPolicy;
+import io.dotterelcrank.process.overload.ReturnDetector;
+import io.dotterelcrank.process.overload.ReturnSchedule;
+import io.dotterelcrank.process.overload.WaitingOrder;
+import io.dotterelcrank.version.plan.Route;
+import io.dotterelcrank.version.plan.ServiceSpec;
+
+/**
+ * Applies the decisions of {@link io.dotterelcrank.process.overload} to the generations
+ * of this host: collects the load of the engines and the requests that wait, and keeps
+ * the state of each service. Confined to the traffic thread.
+ */
+final class OverloadControl {
+
+	/**
+	 * Fraction of a caller's remaining time that it waits at most before it returns; the
+	 * rest is left for the repeated request.
+	 */
+	static final double LONGEST_RETURN_FRACTION = 1.0 / 3;
+
+	/** Time without an event for which every caller waits, in milliseconds. */
+	private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+	/** Number of latency goals for which a caller waits for the first event. */
+	private static final long PATIENCE_GOALS = 4;
+
+	private final Clock clock;
+
+	private final TargetPool targetPool;
+
+	private final UniformRandomProvider random;
+
+	private final RefusalPolicy refusalPolicy = new RefusalPolicy.ForExpectedStart();
+
+	/** Backlogs by service. */
+	private final Map<String, Backlog> backlogs = new HashMap<>();
+
+	/** Schedules by service. */
+	private final Map<String, ReturnSchedule> returnSchedules = new HashMap<>();
+
+	/** Detectors by route. */
+	private final Map<String, ReturnDetector> returnDetectors = new HashMap<>();
+
+	/** Number of entry hosts, this one included. */
+	private int entryHosts = 1;
+
+	OverloadControl(Clock clock, TargetPool targetPool, UniformRandomProvider random) {
+		this.clock = clock;
+		this.targetPool = targetPool;
+		this.random = random;
+	}
+
+	void updateEntryHosts(int count) {
+		this.entryHosts = count;
+	}
+
+	/**
+	 * Records an arriving request.
+	 * @param request the request, with its route and service
+	 * @return whether its caller was refused before and has returned
+	 */
+	boolean recordArrival(RelayedRequest request) {
+		Route route = request.route();
+		if (request.service().engine().isPresent()) {
+			backlog(request.service()).recordArrival(size(request));
+		}
+		return this.returnDetectors.computeIfAbsent(route.name(), (name) -> new ReturnDetector())
+			.recordArrival(request.request().deadlineMillis());
+	}
+
+	/**
+	 * Returns the times of a generation that cannot be placed now.
+	 * @param request the generation
+	 * @param waiting requests that wait at this host
+	 * @return its times, as the refusal policy judges them
+	 */
+	RefusalPolicy.Wait wait(RelayedRequest request, Collection<RelayedRequest> waiting) {
+		Backlog.Demand ahead = Backlog.Demand.NONE;
+		for (RelayedRequest other : waiting) {
+			if (other != request && other.service() != null && other.service().name().equals(request.service().name())
+					&& WaitingOrder.COMPARATOR.compare(other, request) < 0) {
+				ahead = ahead.plus(size(other));
+			}
+		}
+		EngineCapacity share = capacity(request.service()).share(this.entryHosts);
+		Backlog backlog = backlog(request.service());
+		return new RefusalPolicy.Wait(this.clock.millis() - request.arrivedAtMillis(),
+				request.late() ? Backlog.NEVER : backlog.millisUntilStart(share, ahead, size(request)),
+				backlog.millisUntilLateStart(share, ahead, size(request)), request.route().latencyGoalMillis(),
+				usefulMillis(request), share.known());
+	}
+
+	private static Backlog.Demand size(RelayedRequest request) {
+		PlacementStrategy.Demand demand = request.demand();
+		return new Backlog.Demand(demand.expectedTotalTokens(), demand.promptTokens());
+	}
+
+	boolean refuses(RefusalPolicy.Wait wait) {
+		return this.refusalPolicy.refuses(wait);
+	}
+
+	/**
+	 * Returns the delay after which a refused caller may return.
+	 * @param request the refused generation
+	 * @param wait its times when it was refused
+	 * @return delay in milliseconds
+	 */
+	long returnDelayMillis(RelayedRequest request, RefusalPolicy.Wait wait) {
+		long remainingMillis = request.request().deadlineAtMillis() - this.clock.millis();
+		long longestMillis = (long) (LONGEST_RETURN_FRACTION * remainingMillis);
+		return this.returnSchedules
+			.computeIfAbsent(request.service().name(), (name) -> ReturnSchedule.of(this.clock, this.random))
+			.assign(request.demand().expectedTotalTokens(),
+					capacity(request.service()).share(this.entryHosts).freedTokensPerSecond(), wait.lateStartMillis(),
+					longestMillis);
+	}
+
+	/**
+	 * Returns the time since its arrival up to which a first token is of use to the
+	 * caller: the last one must come before the deadline, and the first before the caller
+	 * gives up.
+	 * @param request the generation
+	 * @return time in milliseconds
+	 */
+	private long usefulMillis(RelayedRequest request) {
+		GenerationStatistics statistics = this.targetPool.statistics(request.service());
+		PlacementStrategy.Demand demand = request.demand();
+		long outputMillis = Math.round(statistics.eventMillis() * (demand.expectedTotalTokens() - demand.promptTokens())
+				/ request.tokensPerEvent());
+		long patienceMillis = Math.max(MIN_PATIENCE_MILLIS, PATIENCE_GOALS * request.route().latencyGoalMillis());
+		long latestMillis = request.request().deadlineMillis() - outputMillis;
+		return Math.max(request.route().latencyGoalMillis(), Math.min(latestMillis, patienceMillis));
+	}
+
+	private EngineCapacity capacity(ServiceSpec service) {
+		GenerationStatistics statistics = this.targetPool.statistics(service);
+		EngineCapacity capacity = EngineCapacity.UNKNOWN;
+		for (TrackedTarget engine : this.targetPool.accepting(service)) {
+			if (engine.load() != null) {
+				long usedTokens = engine.load().memoryUsed();
+				long committedTokens = usedTokens + engine.load().unreadTokens()
+						+ Math.max(0, engine.load().growthTokens());
+				long freeTokens = (long) (PlacementStrategy.ForEngines.USABLE_MEMORY_FRACTION
+						* engine.load().memoryTotal()) - committedTokens;
+				capacity = capacity
+					.plus(new EngineCapacity(Math.max(0, freeTokens), 1_000 * usedTokens / statistics.memoryMillis(),
+							engine.load().unreadTokens(), statistics.prefillTokensPerSecond(), 1));
+			}
+		}
+		return capacity;
+	}
+
+	private Backlog backlog(ServiceSpec service) {
+		return this.backlogs.computeIfAbsent(service.name(), (name) -> Backlog.of(this.clock));
+	}
+
+}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -32,12 +32,14 @@
 	 * @param dataCentre preferred data centre
 	 * @param remotePenaltySeconds cost of another data centre, in seconds
 	 * @param entryHosts number of entry hosts, each of which knows only its own requests
-	 * @param latencyGoalMillis time within which the first event is due, in milliseconds
+	 * @param maxPrefillMillis time that prefill of the prompts ahead and of its own may
+	 * take, in milliseconds
 	 * @param maxMemoryFraction fraction of an engine's memory that may be in use, this
 	 * request included; {@link #NO_LIMIT} if the limit of all requests is enough
+	 * @param reserveTokens memory that has to stay free for other requests, in tokens
 	 */
 	record Demand(long promptTokens, long expectedTotalTokens, String dataCentre, double remotePenaltySeconds,
-			int entryHosts, long latencyGoalMillis, double maxMemoryFraction) {
+			int entryHosts, long maxPrefillMillis, double maxMemoryFraction, long reserveTokens) {
 
 		/** Value of {@link #maxMemoryFraction} without a limit. */
 		static final double NO_LIMIT = Double.POSITIVE_INFINITY;
@@ -48,20 +50,20 @@
 		 */
 		static final double REQUEST_REMOTE_PENALTY_SECONDS = 0.02;
 
-		static Demand of(Optional<GenerationTraits> traits, String dataCentre, int entryHosts, long latencyGoalMillis) {
+		static Demand of(Optional<GenerationTraits> traits, String dataCentre, int entryHosts, long maxPrefillMillis) {
 			return new Demand(traits.map(GenerationTraits::promptTokens).orElse(0L),
 					traits.map(GenerationTraits::expectedTotalTokens).orElse(0L), dataCentre,
-					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, latencyGoalMillis, NO_LIMIT);
+					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, maxPrefillMillis, NO_LIMIT, 0);
 		}
 
 		/**
-		 * Returns this demand with more memory, so that some stays free for others.
-		 * @param reserveTokens memory that has to stay free, in tokens
-		 * @return the larger demand
+		 * Returns this demand for engines that keep some memory free for others.
+		 * @param tokens memory that has to stay free, in tokens
+		 * @return the stricter demand
 		 */
-		Demand withReserve(long reserveTokens) {
-			return new Demand(this.promptTokens, this.expectedTotalTokens + reserveTokens, this.dataCentre,
-					this.remotePenaltySeconds, this.entryHosts, this.latencyGoalMillis, this.maxMemoryFraction);
+		Demand withReserve(long tokens) {
+			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
+					this.entryHosts, this.maxPrefillMillis, this.maxMemoryFraction, tokens);
 		}
 
 		/**
@@ -70,7 +72,7 @@
 		 */
 		Demand forPromptOnly() {
 			return new Demand(this.promptTokens, this.promptTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.latencyGoalMillis, this.maxMemoryFraction);
+					this.entryHosts, this.maxPrefillMillis, this.maxMemoryFraction, this.reserveTokens);
 		}
 
 		/**
@@ -83,7 +85,7 @@
 		Demand forKvCopy(String sourceDataCentre, double copySecondsPerToken) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, sourceDataCentre,
 					REQUEST_REMOTE_PENALTY_SECONDS + copySecondsPerToken * this.expectedTotalTokens, this.entryHosts,
-					this.latencyGoalMillis, this.maxMemoryFraction);
+					this.maxPrefillMillis, this.maxMemoryFraction, this.reserveTokens);
 		}
 
 		/**
@@ -94,7 +96,7 @@
 		 */
 		Demand withMaxMemoryFraction(double fraction) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.latencyGoalMillis, fraction);
+					this.entryHosts, this.maxPrefillMillis, fraction, this.reserveTokens);
 		}
 
 	}
@@ -115,12 +117,6 @@
 		 */
 		static final double USABLE_MEMORY_FRACTION = 0.95;
 
-		/**
-		 * Fraction of the latency goal that prefill of the prompts ahead may take; beyond
-		 * it requests wait at the entry host, where they can still go elsewhere.
-		 */
-		static final double MAX_QUEUE_GOAL_FRACTION = 0.6;
-
 		private static final double MILLIS_PER_SECOND = 1_000;
 
 		/** Cost of an engine whose memory is full, in seconds. */
@@ -149,14 +145,17 @@
 		}
 
 		/**
-		 * Returns the prefill backlog beyond which a request would miss its latency goal.
+		 * Returns the prefill backlog beyond which a request waits at the entry host,
+		 * where it can still go elsewhere.
 		 * @param statistics statistics of the service
-		 * @param latencyGoalMillis latency goal of the request, in milliseconds
-		 * @return number of prompt tokens
+		 * @param demand resources that the request needs
+		 * @return number of prompt tokens ahead of its own; 0 if its own take all the
+		 * time
 		 */
-		static long maxPendingPrefillTokens(GenerationStatistics statistics, long latencyGoalMillis) {
-			return Math.round(statistics.prefillTokensPerSecond() * MAX_QUEUE_GOAL_FRACTION * latencyGoalMillis
-					/ MILLIS_PER_SECOND);
+		static long maxPendingPrefillTokens(GenerationStatistics statistics, Demand demand) {
+			long tokens = Math
+				.round(statistics.prefillTokensPerSecond() * demand.maxPrefillMillis() / MILLIS_PER_SECOND);
+			return Math.max(0, tokens - demand.promptTokens());
 		}
 
 		@Override
@@ -190,8 +189,9 @@
 		private boolean fits(TrackedTarget target, Demand demand) {
 			EngineLoad load = target.load();
 			if (load == null) {
-				return target.outstandingRequestCount() == 0 || estimatedUsedTokens(target, demand)
-						+ demand.expectedTotalTokens() <= USABLE_MEMORY_FRACTION * this.memoryTokens;
+				return target.outstandingRequestCount() == 0
+						|| estimatedUsedTokens(target, demand) + demand.expectedTotalTokens()
+								+ demand.reserveTokens() <= USABLE_MEMORY_FRACTION * this.memoryTokens;
 			}
 			if (load.memoryUsed() + demand.expectedTotalTokens() > demand.maxMemoryFraction() * this.memoryTokens) {
 				return false;
@@ -200,8 +200,8 @@
 					: load.running() * this.statistics.typicalRemainingTokens();
 			EngineLoad updated = load.withUnreadTokens(target.pendingPrefillTokens(demand.entryHosts()))
 				.withGrowthTokens(growthTokens);
-			return fits(updated, demand.expectedTotalTokens(), this.memoryTokens,
-					maxPendingPrefillTokens(this.statistics, demand.latencyGoalMillis()))
+			return fits(updated, demand.expectedTotalTokens() + demand.reserveTokens(), this.memoryTokens,
+					maxPendingPrefillTokens(this.statistics, demand))
 					|| (target.outstandingRequestCount() == 0 && load.running() == 0);
 		}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -20,6 +20,7 @@
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.Target;
+import io.dotterelcrank.process.overload.WaitingOrder;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.version.plan.ServingPlan;
 
@@ -50,15 +51,6 @@
 	/** Max number of waiting requests; more are refused at once. */
 	static final int MAX_WAITING_REQUESTS = 200;
 
-	/**
-	 * Order in which waiting requests are placed: first those that can still meet their
-	 * latency goal, then by priority, then by age.
-	 */
-	private static final Comparator<RelayedRequest> WAITING_ORDER = Comparator
-		.comparing(RelayedRequest::missesLatencyGoal)
-		.thenComparingInt(RelayedRequest::priority)
-		.thenComparingLong(RelayedRequest::arrivedAtMillis);
-
 	private static final Logger logger = LoggerFactory.getLogger(RelayService.class);
 
 	private final Clock clock;
@@ -69,6 +61,8 @@
 
 	private final LoadSampler loadSampler;
 
+	private final OverloadControl overloadControl;
+
 	private final RelaySettings settings;
 
 	private final UniformRandomProvider random;
@@ -87,6 +81,9 @@
 	/** Requests that wait for a free target, or for the first plan. */
 	private final List<RelayedRequest> waiting = new ArrayList<>();
 
+	/** Whether waiting requests are about to be placed, as another one has ended. */
+	private boolean placementScheduled;
+
 	/** 0 before the first admission request. */
 	private long lastAdmissionRequestNumber;
 
@@ -116,6 +113,7 @@
 		this.random = random;
 		this.metrics = new RelayMetrics(metrics);
 		this.targetPool = new TargetPool(clock, random);
+		this.overloadControl = new OverloadControl(clock, this.targetPool, random);
 		this.loadSampler = new LoadSampler(clock, trafficThread, clients.engineLoads(), this.targetPool, random);
 		this.startedMillis = clock.millis();
 	}
@@ -219,6 +217,7 @@
 	 */
 	public void updateEntryHosts(int count) {
 		this.entryHosts = Math.max(1, count);
+		this.overloadControl.updateEntryHosts(this.entryHosts);
 	}
 
 	/**
@@ -272,6 +271,13 @@
 	void remove(RelayedRequest request) {
 		this.activeRequests.remove(request);
 		this.waiting.remove(request);
+		if (!this.waiting.isEmpty() && !this.placementScheduled) {
+			this.placementScheduled = true;
+			this.trafficThread.execute(() -> {
+				this.placementScheduled = false;
+				placeWaiting();
+			});
+		}
 	}
 
 	boolean tryEnqueue(RelayedRequest request) {
@@ -285,7 +291,7 @@
 	}
 
 	void placeWaiting() {
-		this.waiting.sort(WAITING_ORDER);
+		this.waiting.sort(WaitingOrder.COMPARATOR);
 		for (RelayedRequest request : List.copyOf(this.waiting)) {
 			if (request.tryPlace()) {
 				this.waiting.remove(request);
@@ -349,6 +355,18 @@
 		return this.plan;
 	}
 
+	OverloadControl overloadControl() {
+		return this.overloadControl;
+	}
+
+	/**
+	 * Returns the requests that wait for a free target.
+	 * @return live view, in no order
+	 */
+	List<RelayedRequest> waiting() {
+		return this.waiting;
+	}
+
 	LoadSampler loadSampler() {
 		return this.loadSampler;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -14,6 +14,8 @@
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.RendezvousHash;
 import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.process.overload.ConnectionShare;
+import io.dotterelcrank.process.overload.WaitingOrder;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.GenerationTraits;
@@ -32,26 +34,11 @@
  * idempotent or if the generation can be resumed from its KV cache. Confined to the
  * traffic thread.
  */
-public final class RelayedRequest {
+public final class RelayedRequest implements WaitingOrder.Candidate {
 
 	/** Max number of sends as long as no target may have run the request. */
 	static final int MAX_SENDS = 3;
 
-	/** Fraction of the latency goal that a request may wait for a free target. */
-	static final double MAX_WAIT_GOAL_FRACTION = 0.6;
-
-	/**
-	 * Fraction of the deadline that a request may wait for a free target, if that is
-	 * longer: a late response is worth more to its caller than none.
-	 */
-	static final double MAX_WAIT_DEADLINE_FRACTION = 0.15;
-
-	/**
-	 * Fraction of the latency goal after which a waiting generation will miss the goal;
-	 * the prefill takes the rest.
-	 */
-	static final double LATE_AFTER_GOAL_FRACTION = 0.7;
-
 	/** Fraction of the latency goal after which an idempotent request is hedged. */
 	static final double HEDGE_AFTER_GOAL_FRACTION = 0.5;
 
@@ -92,7 +79,7 @@
 
 	private final GenerationResumer resumer = new GenerationResumer(this);
 
-	private final AdmissionRequester admissionRequester;
+	private final RequestPlacement placement;
 
 	private final Set<String> triedTargetIds = new HashSet<>();
 
@@ -110,32 +97,18 @@
 	/** Whether a target of an ended attempt may have run the request. */
 	private boolean mayHaveRun;
 
-	/** Whether the loads of some engines were read for this request, or need not be. */
-	private boolean loadsSampled;
-
-	private boolean awaitsLoads;
-
 	private boolean responseStarted;
 
 	private boolean done;
 
-	/** Id of the last event sent to the caller; empty before the first. */
-	private OptionalLong lastEventId = OptionalLong.empty();
-
-	/** Time from arrival to the first event; -1 before it. */
-	private long firstEventMillis = -1;
-
-	/** When the last event was sent to the caller; the start of the response before. */
-	private long lastEventAtMillis;
-
-	/** Max time between two events. */
-	private long maxEventGapMillis;
+	private final StreamProgress progress;
 
 	RelayedRequest(RelayService relayService, CallerRequest request, CallerChannel caller) {
 		this.relayService = relayService;
 		this.request = request;
 		this.caller = caller;
-		this.admissionRequester = new AdmissionRequester(this, relayService);
+		this.progress = new StreamProgress(request.arrivedAtMillis());
+		this.placement = new RequestPlacement(this, relayService);
 	}
 
 	void start() {
@@ -204,20 +177,15 @@
 		this.deadlineTimer = this.relayService.trafficThread().schedule(remainingMillis, this::deadlineExceeded);
 		this.relayService.retryBudget(this.service.name()).recordRequest();
 		this.request.traits()
-			.ifPresent((traits) -> statistics().recordArrival(traits.promptTokens(), traits.expectedTotalTokens()));
-		placeOrEnqueue();
+			.ifPresent((traits) -> statistics().recordArrival(traits.promptTokens(), traits.expectedTotalTokens(),
+					priority()));
+		this.placement.start();
 	}
 
 	private long timeoutAtMillis() {
 		return this.request.arrivedAtMillis() + Math.min(this.request.deadlineMillis(), this.route.timeoutMillis());
 	}
 
-	private void placeOrEnqueue() {
-		if (!tryPlace() && !this.relayService.tryEnqueue(this)) {
-			endWithError(Failure.notRun(ResultCode.OVERLOADED, "too many requests are waiting"));
-		}
-	}
-
 	/**
 	 * Sends the request to a target, or ends it if no target can take it in time.
 	 * @return {@code false} if it has to wait
@@ -226,71 +194,7 @@
 		if (this.done) {
 			return true;
 		}
-		if (this.route == null) {
-			return tryStartAfterPlanWait();
-		}
-		if (startsOrAwaitsLoadSample()) {
-			return false;
-		}
-		PlacementStrategy.Demand demand = missesLatencyGoal() ? demand().withReserve(statistics().typicalTotalTokens())
-				: demand();
-		TargetPool.Choice choice = this.relayService.targetPool().choose(this.service, demand, this.triedTargetIds);
-		if (choice.target() != null) {
-			if (this.service.engine().isEmpty() || !this.admissionRequester.trySend(choice.target(), demand)) {
-				sendOrPlaceAgain(choice.target());
-			}
-			return true;
-		}
-		if (this.relayService.awaitsFirstTargets()) {
-			return false;
-		}
-		if (maxWaitExceeded() || (!choice.anyAvailable() && !this.triedTargetIds.isEmpty())) {
-			ResultCode code = choice.anyAvailable() ? ResultCode.OVERLOADED : ResultCode.NO_TARGET;
-			endInFailure(code, "no target of service " + this.service.name() + " can accept the request");
-			return true;
-		}
-		return false;
-	}
-
-	private boolean startsOrAwaitsLoadSample() {
-		if (!this.loadsSampled && this.service.engine().isPresent()) {
-			this.loadsSampled = true;
-			int size = resumable() ? LoadSampler.RESUMABLE_SAMPLE_SIZE : LoadSampler.SAMPLE_SIZE;
-			this.awaitsLoads = this.relayService.loadSampler().trySample(this.service, size, () -> {
-				this.awaitsLoads = false;
-				this.relayService.placeWaiting();
-			});
-		}
-		return this.awaitsLoads;
-	}
-
-	/**
-	 * Sends the request to the chosen target, or places it again if that target no longer
-	 * accepts it.
-	 * @param target chosen target; it has admitted the request unless it needs no
-	 * admission or its sidecar did not respond
-	 */
-	void sendOrPlaceAgain(TrackedTarget target) {
-		if (!trySend(target, Optional.empty(), "placed")) {
-			placeOrEnqueue();
-			return;
-		}
-		this.relayService.metrics().recordWait(now() - this.request.arrivedAtMillis());
-	}
-
-	/**
-	 * Handles a refusal by the chosen target's sidecar.
-	 * @param retryNow whether to choose another target at once instead of at the next
-	 * poll
-	 */
-	void admissionRefused(boolean retryNow) {
-		this.relayService.metrics().recordAdmissionRefusal();
-		if (retryNow) {
-			placeOrEnqueue();
-		}
-		else if (!this.relayService.tryEnqueue(this)) {
-			endWithError(Failure.notRun(ResultCode.OVERLOADED, "too many requests are waiting"));
-		}
+		return (this.route != null) ? this.placement.tryPlace() : tryStartAfterPlanWait();
 	}
 
 	/**
@@ -302,40 +206,37 @@
 			return false;
 		}
 		start();
-		return this.done || this.admissionRequester.awaitsResponse() || !this.attempts.isEmpty();
+		return this.done || this.placement.awaitsAdmission() || !this.attempts.isEmpty();
 	}
 
-	/**
-	 * Returns whether a waiting generation can no longer meet its latency goal. Late
-	 * generations wait behind the others: if memory is short for seconds, most callers
-	 * are then served on time instead of all being served late.
-	 * @return {@code true} if its first event will be late
-	 */
-	boolean missesLatencyGoal() {
-		return this.route != null && streaming()
-				&& now() - this.request.arrivedAtMillis() > this.route.latencyGoalMillis() * LATE_AFTER_GOAL_FRACTION;
+	@Override
+	public boolean late() {
+		return this.route != null && this.placement.late();
 	}
 
-	long arrivedAtMillis() {
-		return this.request.arrivedAtMillis();
+	@Override
+	public boolean returned() {
+		return this.placement.returned();
 	}
 
-	private boolean maxWaitExceeded() {
-		double maxWaitMillis = Math.max(this.route.latencyGoalMillis() * MAX_WAIT_GOAL_FRACTION,
-				this.request.deadlineMillis() * MAX_WAIT_DEADLINE_FRACTION);
-		return now() - this.request.arrivedAtMillis() > maxWaitMillis;
+	@Override
+	public long arrivedAtMillis() {
+		return this.request.arrivedAtMillis();
 	}
 
 	PlacementStrategy.Demand demand() {
-		return PlacementStrategy.Demand.of(this.request.traits(), this.relayService.settings().dataCentre(),
-				this.relayService.entryHosts(), this.route.latencyGoalMillis());
+		return this.placement.demand();
+	}
+
+	Set<String> triedTargetIds() {
+		return this.triedTargetIds;
 	}
 
 	int tokensPerEvent() {
 		return this.service.engine().map(ServiceSpec.EngineSpec::tokensPerEvent).orElse(1);
 	}
 
-	private GenerationStatistics statistics() {
+	GenerationStatistics statistics() {
 		return this.relayService.targetPool().statistics(this.service);
 	}
 
@@ -370,8 +271,9 @@
 		attempt.setExchange(this.relayService.targetClient()
 			.send(new TargetRequest(this.request, chosen.membership().registration(),
 					this.workspace.map(Workspace::name), remainingMillis, enginePriority(),
-					this.route.kind() == RequestKind.IDEMPOTENT, resumeFrom, resumeAfterEventId,
-					attempt.backupHolder()), attempt));
+					this.route.kind() == RequestKind.IDEMPOTENT,
+					ConnectionShare.of(this.service.maxConnections(), this.relayService.entryHosts()).idle(),
+					resumeFrom, resumeAfterEventId, attempt.backupHolder()), attempt));
 		if (resumeFrom.isEmpty()) {
 			this.resumer.updateSource(attempt);
 		}
@@ -383,18 +285,19 @@
 				: OptionalInt.empty();
 	}
 
-	private boolean resumable() {
+	boolean resumable() {
 		return streaming() && this.request.traits()
 			.map(GenerationTraits::maxTokens)
 			.filter((maxTokens) -> statistics().eventMillis() * maxTokens / tokensPerEvent() >= MIN_RESUMABLE_MILLIS)
 			.isPresent();
 	}
 
-	private boolean streaming() {
+	boolean streaming() {
 		return this.route.kind() == RequestKind.STREAMING;
 	}
 
-	int priority() {
+	@Override
+	public int priority() {
 		int routePriority = (this.route != null) ? this.route.priority() : 0;
 		return this.workspace.map(Workspace::priority).orElse(OptionalInt.empty()).orElse(routePriority);
 	}
@@ -465,7 +368,7 @@
 	 * {@link ResultCode#TARGET_LOST} instead of any other code if it may have run
 	 * @param message description of the failure, for logs and the error message
 	 */
-	private void endInFailure(ResultCode code, String message) {
+	void endInFailure(ResultCode code, String message) {
 		boolean possiblyReceived = this.mayHaveRun || this.attempts.stream().anyMatch(RelayAttempt::writeStarted);
 		if (this.responseStarted) {
 			end("cut", message);
@@ -481,25 +384,27 @@
 		}
 	}
 
-	private void endWithError(Failure failure) {
-		Failure reported = (failure.ran() == Ran.NO)
-				? failure.withRetryAfter(
-						MIN_RETRY_AFTER_MILLIS + this.relayService.random().nextInt(RETRY_AFTER_JITTER_MILLIS))
-				: failure;
+	void endWithError(Failure failure) {
+		Failure reported = (failure.ran() == Ran.NO) ? failure.withRetryAfter(retryAfterMillis()) : failure;
 		end(failure.code().name(), failure.message());
 		this.caller.sendError(reported);
 	}
 
+	private long retryAfterMillis() {
+		return (this.placement.returnDelayMillis() > 0) ? this.placement.returnDelayMillis()
+				: MIN_RETRY_AFTER_MILLIS + this.relayService.random().nextInt(RETRY_AFTER_JITTER_MILLIS);
+	}
+
 	private void end(String outcome, String message) {
 		this.done = true;
 		this.deadlineTimer.cancel();
-		this.admissionRequester.cancel();
+		this.placement.cancel();
 		List.copyOf(this.attempts).forEach(RelayAttempt::cancel);
 		this.relayService.remove(this);
 		long millis = now() - this.request.arrivedAtMillis();
 		String kind = (this.route != null) ? this.route.kind().name() : "UNROUTED";
-		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.firstEventMillis,
-				this.maxEventGapMillis, this.sendCount, this.lastEventId.orElse(0), message);
+		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.progress.firstEventMillis(),
+				this.progress.maxEventGapMillis(), this.sendCount, lastEventId(), message);
 		this.relayService.metrics().recordEnd(kind, outcome, millis);
 	}
 
@@ -540,7 +445,7 @@
 			return;
 		}
 		if (mayRetry() && retryBudgetAllows()) {
-			placeOrEnqueue();
+			this.placement.placeOrEnqueue();
 			return;
 		}
 		endInFailure(ResultCode.OVERLOADED, reason);
@@ -573,7 +478,7 @@
 		this.resumer.updateSource(attempt);
 		if (!this.responseStarted) {
 			this.responseStarted = true;
-			this.lastEventAtMillis = now();
+			this.progress.recordStart(now());
 			this.caller.startResponse(head.status(), head.headers());
 		}
 		else {
@@ -591,26 +496,17 @@
 	 * @return {@code false} if the attempt was rejected
 	 */
 	boolean forwardEvent(RelayAttempt attempt, EventFramer.Event event) {
-		if (event.id().isPresent()) {
-			long id = event.id().getAsLong();
-			if (this.lastEventId.isPresent() && id <= this.lastEventId.getAsLong()) {
-				return true;
-			}
-			if (this.lastEventId.isPresent() && id != this.lastEventId.getAsLong() + 1) {
-				attempt.rejectResponse("event id " + id + " received after " + this.lastEventId.getAsLong());
-				return false;
-			}
-			this.lastEventId = event.id();
+		if (this.progress.contains(event)) {
+			return true;
 		}
-		long nowMillis = now();
-		if (this.firstEventMillis < 0) {
-			this.firstEventMillis = nowMillis - this.request.arrivedAtMillis();
-			statistics().recordFirstEvent(attempt.prefillTokens(), nowMillis - attempt.sentMillis());
+		if (this.progress.skips(event)) {
+			attempt.rejectResponse(
+					"event id " + event.id().getAsLong() + " received after " + this.progress.lastEventId());
+			return false;
 		}
-		else {
-			this.maxEventGapMillis = Math.max(this.maxEventGapMillis, nowMillis - this.lastEventAtMillis);
+		if (this.progress.recordEvent(event, now())) {
+			statistics().recordFirstEvent(attempt.prefillTokens(), now() - attempt.sentMillis());
 		}
-		this.lastEventAtMillis = nowMillis;
 		this.caller.write(event.bytes());
 		if (!this.caller.writable()) {
 			attempt.setReadEnabled(false);
@@ -619,8 +515,9 @@
 	}
 
 	void streamCompleted() {
-		long streamMillis = this.lastEventAtMillis - this.request.arrivedAtMillis() - this.firstEventMillis;
-		statistics().recordStream(this.lastEventId.orElse(0), streamMillis);
+		statistics().recordStream(lastEventId(), this.progress.streamMillis());
+		statistics().recordMemory(demand().promptTokens() + lastEventId() * tokensPerEvent(),
+				this.progress.streamMillis() + this.progress.firstEventMillis());
 		end("served", "stream complete");
 		this.caller.end();
 	}
@@ -646,7 +543,7 @@
 	 */
 	private boolean tryRetryAfterServerError() {
 		this.mayHaveRun = true;
-		return !this.attempts.isEmpty() || (mayRetry() && retryBudgetAllows() && tryPlace());
+		return !this.attempts.isEmpty() || (mayRetry() && retryBudgetAllows() && this.placement.tryPlace());
 	}
 
 	void removeAttempt(RelayAttempt attempt) {
@@ -658,7 +555,7 @@
 	 * @return the id; 0 before the first event
 	 */
 	long lastEventId() {
-		return this.lastEventId.orElse(0);
+		return this.progress.lastEventId();
 	}
 
 	/**
@@ -666,7 +563,7 @@
 	 * @return time in milliseconds; 0 before the response has started
 	 */
 	long millisSinceLastEvent() {
-		return this.responseStarted ? now() - this.lastEventAtMillis : 0;
+		return this.responseStarted ? this.progress.millisSinceLastEvent(now()) : 0;
 	}
 
 	String id() {
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -0,0 +1,259 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.Optional;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.process.overload.RefusalPolicy;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.GenerationTraits;
+import io.dotterelcrank.request.ResultCode;
+
+/**
+ * Places one request: chooses its target, has a generation admitted there, and decides
+ * whether it waits or is refused while no target can take it. Invariant: a request that
+ * is not idempotent waits only while no target may have run it. Confined to the traffic
+ * thread.
+ */
+final class RequestPlacement {
+
+	/** Fraction of the latency goal that a request may wait for a free target. */
+	static final double MAX_WAIT_GOAL_FRACTION = 0.6;
+
+	/**
+	 * Fraction of the deadline that a request may wait for a free target, if that is
+	 * longer: a late response is worth more to its caller than none.
+	 */
+	static final double MAX_WAIT_DEADLINE_FRACTION = 0.15;
+
+	/**
+	 * Fraction of the latency goal within which the first event is planned; the rest
+	 * covers estimates that are too short.
+	 */
+	static final double ON_TIME_GOAL_FRACTION = 0.9;
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	private static final Logger logger = LoggerFactory.getLogger(RequestPlacement.class);
+
+	private final RelayedRequest request;
+
+	private final RelayService relayService;
+
+	private final AdmissionRequester admissionRequester;
+
+	/** Whether the loads of some engines were read for this request, or need not be. */
+	private boolean loadsSampled;
+
+	private boolean awaitsLoads;
+
+	/**
+	 * Delay after which the refused caller may return; 0 unless refused as overloaded.
+	 */
+	private long returnDelayMillis;
+
+	/** Whether the caller was refused before. */
+	private boolean returned;
+
+	RequestPlacement(RelayedRequest request, RelayService relayService) {
+		this.request = request;
+		this.relayService = relayService;
+		this.admissionRequester = new AdmissionRequester(this, request, relayService);
+	}
+
+	/**
+	 * Places the request for the first time.
+	 */
+	void start() {
+		this.returned = this.relayService.overloadControl().recordArrival(this.request);
+		placeOrEnqueue();
+	}
+
+	void placeOrEnqueue() {
+		if (!tryPlace() && !this.relayService.tryEnqueue(this.request)) {
+			this.request.endWithError(Failure.notRun(ResultCode.OVERLOADED, "too many requests are waiting"));
+		}
+	}
+
+	/**
+	 * Sends the request to a target, or ends it if no target can take it in time.
+	 * @return {@code false} if it has to wait
+	 */
+	boolean tryPlace() {
+		if (startsOrAwaitsLoadSample()) {
+			return false;
+		}
+		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
+		TargetPool.Choice choice = this.relayService.targetPool()
+			.choose(this.request.service(), demand, this.request.triedTargetIds());
+		if (choice.target() != null) {
+			if (this.request.service().engine().isEmpty()
+					|| !this.admissionRequester.trySend(choice.target(), demand)) {
+				sendOrPlaceAgain(choice.target());
+			}
+			return true;
+		}
+		if (this.relayService.awaitsFirstTargets()) {
+			return false;
+		}
+		if (!choice.anyAvailable() && !this.request.triedTargetIds().isEmpty()) {
+			this.request.endInFailure(ResultCode.NO_TARGET,
+					"no target of service " + this.request.service().name() + " accepts requests");
+			return true;
+		}
+		return refusedForLackOfCapacity();
+	}
+
+	/**
+	 * Ends a request that no target can take now, if it would start too late.
+	 * @return {@code false} if it waits
+	 */
+	private boolean refusedForLackOfCapacity() {
+		if (this.request.service().engine().isEmpty()) {
+			boolean refused = waitedMillis() > maxWaitMillis();
+			if (refused) {
+				this.request.endInFailure(ResultCode.OVERLOADED,
+						"no target of service " + this.request.service().name() + " can accept the request");
+			}
+			return refused;
+		}
+		OverloadControl control = this.relayService.overloadControl();
+		RefusalPolicy.Wait wait = control.wait(this.request, this.relayService.waiting());
+		if (!control.refuses(wait)) {
+			return false;
+		}
+		this.returnDelayMillis = control.returnDelayMillis(this.request, wait);
+		LogEvent.REQUEST_REFUSED.log(logger, this.request.id(), this.request.service().name(), wait.waitedMillis(),
+				wait.startMillis(), wait.lateStartMillis(), wait.usefulMillis(), this.returnDelayMillis, this.returned);
+		this.request.endInFailure(ResultCode.OVERLOADED,
+				"no engine of service " + this.request.service().name() + " has memory in time");
+		return true;
+	}
+
+	/**
+	 * Returns the memory that this request leaves free: for a more urgent one, and if it
+	 * is late, for one that can still be on time.
+	 * @return number of tokens
+	 */
+	private long reserveTokens() {
+		long urgentTokens = this.request.statistics().typicalTokensMoreUrgentThan(this.request.priority());
+		return late() ? Math.max(urgentTokens, this.request.statistics().typicalTotalTokens()) : urgentTokens;
+	}
+
+	private boolean startsOrAwaitsLoadSample() {
+		if (!this.loadsSampled && this.request.service().engine().isPresent()) {
+			this.loadsSampled = true;
+			int size = this.request.resumable() ? LoadSampler.RESUMABLE_SAMPLE_SIZE : LoadSampler.SAMPLE_SIZE;
+			this.awaitsLoads = this.relayService.loadSampler().trySample(this.request.service(), size, () -> {
+				this.awaitsLoads = false;
+				this.relayService.placeWaiting();
+			});
+		}
+		return this.awaitsLoads;
+	}
+
+	/**
+	 * Sends the request to the chosen target, or places it again if that target no longer
+	 * accepts it.
+	 * @param target chosen target; it has admitted the request unless it needs no
+	 * admission or its sidecar did not respond
+	 */
+	void sendOrPlaceAgain(TrackedTarget target) {
+		if (!this.request.trySend(target, Optional.empty(), "placed")) {
+			placeOrEnqueue();
+			return;
+		}
+		this.relayService.metrics().recordWait(waitedMillis());
+	}
+
+	/**
+	 * Handles a refusal by the chosen target's sidecar.
+	 * @param retryNow whether to choose another target at once instead of at the next
+	 * poll
+	 */
+	void admissionRefused(boolean retryNow) {
+		this.relayService.metrics().recordAdmissionRefusal();
+		if (retryNow) {
+			placeOrEnqueue();
+		}
+		else if (!this.relayService.tryEnqueue(this.request)) {
+			this.request.endWithError(Failure.notRun(ResultCode.OVERLOADED, "too many requests are waiting"));
+		}
+	}
+
+	/**
+	 * Returns whether the first event can no longer be on time.
+	 * @return {@code false} for requests that are no streams
+	 */
+	boolean late() {
+		return this.request.streaming() && waitedMillis() > onTimeMillis();
+	}
+
+	/**
+	 * Returns whether the caller was refused before.
+	 * @return {@code true} for a repeated request
+	 */
+	boolean returned() {
+		return this.returned;
+	}
+
+	/**
+	 * Returns the delay after which the refused caller may return.
+	 * @return delay in milliseconds; 0 unless the request was refused as overloaded
+	 */
+	long returnDelayMillis() {
+		return this.returnDelayMillis;
+	}
+
+	boolean awaitsAdmission() {
+		return this.admissionRequester.awaitsResponse();
+	}
+
+	/**
+	 * Stops waiting for an admission response.
+	 */
+	void cancel() {
+		this.admissionRequester.cancel();
+	}
+
+	private long waitedMillis() {
+		return this.relayService.clock().millis() - this.request.arrivedAtMillis();
+	}
+
+	/**
+	 * Returns the wait after which the latency goal is missed, as prefill takes the rest.
+	 * @return time since the arrival, in milliseconds
+	 */
+	private long onTimeMillis() {
+		long promptTokens = this.request.request().traits().map(GenerationTraits::promptTokens).orElse(0L);
+		double prefillMillis = MILLIS_PER_SECOND * promptTokens / this.request.statistics().prefillTokensPerSecond();
+		return Math.round(this.request.route().latencyGoalMillis() * ON_TIME_GOAL_FRACTION - prefillMillis);
+	}
+
+	/**
+	 * Returns the time that prefill may take: what is left of the latency goal, or a good
+	 * part of a whole one if it is missed.
+	 * @return time in milliseconds
+	 */
+	private long maxPrefillMillis() {
+		double goalMillis = this.request.route().latencyGoalMillis() * ON_TIME_GOAL_FRACTION;
+		return Math.round(late() ? goalMillis : goalMillis - (waitedMillis()));
+	}
+
+	/**
+	 * Returns the longest wait for a free target.
+	 * @return time since the arrival, in milliseconds
+	 */
+	private long maxWaitMillis() {
+		return (long) Math.max(this.request.route().latencyGoalMillis() * MAX_WAIT_GOAL_FRACTION,
+				this.request.request().deadlineMillis() * MAX_WAIT_DEADLINE_FRACTION);
+	}
+
+	PlacementStrategy.Demand demand() {
+		return PlacementStrategy.Demand.of(this.request.request().traits(), this.relayService.settings().dataCentre(),
+				this.relayService.entryHosts(), maxPrefillMillis());
+	}
+
+}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/StreamProgress.java
@@ -0,0 +1,102 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.OptionalLong;
+
+/**
+ * How much of a streamed response its caller has, and when it came. Invariant: event ids
+ * only grow by one. Confined to the traffic thread.
+ */
+final class StreamProgress {
+
+	private final long arrivedAtMillis;
+
+	/** Id of the last event sent to the caller; empty before the first. */
+	private OptionalLong lastEventId = OptionalLong.empty();
+
+	/** Time from arrival to the first event; -1 before it. */
+	private long firstEventMillis = -1;
+
+	/** When the last event was sent to the caller; the start of the response before. */
+	private long lastEventAtMillis;
+
+	/** Max time between two events. */
+	private long maxEventGapMillis;
+
+	StreamProgress(long arrivedAtMillis) {
+		this.arrivedAtMillis = arrivedAtMillis;
+	}
+
+	void recordStart(long nowMillis) {
+		this.lastEventAtMillis = nowMillis;
+	}
+
+	/**
+	 * Returns whether the caller already has an event.
+	 * @param event the event
+	 * @return {@code false} for events without an id
+	 */
+	boolean contains(EventFramer.Event event) {
+		return event.id().isPresent() && this.lastEventId.isPresent()
+				&& event.id().getAsLong() <= this.lastEventId.getAsLong();
+	}
+
+	/**
+	 * Returns whether events are missing before an event.
+	 * @param event the event
+	 * @return {@code true} if its id does not follow that of the last one
+	 */
+	boolean skips(EventFramer.Event event) {
+		return event.id().isPresent() && this.lastEventId.isPresent()
+				&& event.id().getAsLong() > this.lastEventId.getAsLong() + 1;
+	}
+
+	/**
+	 * Records an event that is sent to the caller.
+	 * @param event the event
+	 * @param nowMillis time in milliseconds
+	 * @return whether it is the first one
+	 */
+	boolean recordEvent(EventFramer.Event event, long nowMillis) {
+		if (event.id().isPresent()) {
+			this.lastEventId = event.id();
+		}
+		boolean first = this.firstEventMillis < 0;
+		if (first) {
+			this.firstEventMillis = nowMillis - this.arrivedAtMillis;
+		}
+		else {
+			this.maxEventGapMillis = Math.max(this.maxEventGapMillis, nowMillis - this.lastEventAtMillis);
+		}
+		this.lastEventAtMillis = nowMillis;
+		return first;
+	}
+
+	/**
+	 * Returns the id of the last event sent to the caller.
+	 * @return the id; 0 before the first event
+	 */
+	long lastEventId() {
+		return this.lastEventId.orElse(0);
+	}
+
+	long firstEventMillis() {
+		return this.firstEventMillis;
+	}
+
+	long maxEventGapMillis() {
+		return this.maxEventGapMillis;
+	}
+
+	/**
+	 * Returns the time from the first to the last event.
+	 * @return time in milliseconds; only valid after the first event
+	 */
+	long streamMillis() {
+		return this.lastEventAtMillis - this.arrivedAtMillis - this.firstEventMillis;
+	}
+
+	long millisSinceLastEvent(long nowMillis) {
+		return nowMillis - this.lastEventAtMillis;
+	}
+
+}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -13,6 +13,7 @@
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
+import io.dotterelcrank.process.overload.ConnectionShare;
 import io.dotterelcrank.version.plan.ServiceSpec;
 
 /**
@@ -99,7 +100,8 @@
 		}
 		List<TrackedTarget> candidates = usable.stream()
 			.filter((target) -> !excludedIds.contains(target.id())
-					&& withinColdRate(target, service, demand.entryHosts()))
+					&& withinColdRate(target, service, demand.entryHosts())
+					&& hasFreeConnection(target, service, demand.entryHosts()))
 			.toList();
 		List<TrackedTarget> preferred = candidates.stream().filter((target) -> !target.inBackoff()).toList();
 		return new Choice(true,
@@ -119,6 +121,24 @@
 			.toList();
 	}
 
+	/**
+	 * Returns how much of the memory of a service's engines is in use.
+	 * @param service the service
+	 * @return fraction over the engines that report their load and accept new work; 0 if
+	 * there are none
+	 */
+	double usedMemoryFraction(ServiceSpec service) {
+		long used = 0;
+		long total = 0;
+		for (TrackedTarget engine : accepting(service)) {
+			if (engine.load() != null) {
+				used += engine.load().memoryUsed();
+				total += engine.load().memoryTotal();
+			}
+		}
+		return (total > 0) ? (double) used / total : 0;
+	}
+
 	/**
 	 * Returns whether a request may be sent to a target now. Every send depends on this
 	 * check, since the target may have changed after it was chosen.
@@ -138,6 +158,12 @@
 				|| target.coldRateLimiter().allows(service.coldRequestsPerSecond(), entryHosts);
 	}
 
+	// The requests at an engine are limited by its memory, far below its connections.
+	private static boolean hasFreeConnection(TrackedTarget target, ServiceSpec service, int entryHosts) {
+		return service.engine().isPresent()
+				|| target.outstandingRequestCount() < ConnectionShare.of(service.maxConnections(), entryHosts).busy();
+	}
+
 	private PlacementStrategy strategy(ServiceSpec service) {
 		return service.engine()
 			.<PlacementStrategy>map((engine) -> new PlacementStrategy.ForEngines(engine.memoryTokens(),
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/overload/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of this package.
+ */
+package io.dotterelcrank.process.overload;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
@@ -188,6 +188,7 @@
 
 	private void completeResponse() {
 		PooledHttpClient.ResponseListener endedListener = this.listener;
+		int maxIdleConnections = this.request.maxIdleConnections();
 		this.listener = null;
 		this.request = null;
 		boolean framed = HttpUtil.isContentLengthSet(this.responseHead)
@@ -196,7 +197,7 @@
 			this.reused = true;
 			this.reusableUntilMillis = this.clock.millis() + maxIdleMillis();
 			setReadEnabled(true);
-			this.client.release(this);
+			this.client.release(this, maxIdleConnections);
 		}
 		else {
 			close();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
@@ -54,7 +54,7 @@
 		PooledHttpClient.Request httpRequest = new PooledHttpClient.Request(request.target().address(),
 				HttpMethod.valueOf(request.request().method()), request.request().uri(),
 				this.messageMapper.targetHeaders(request), request.request().body(), request.reuseConnection(),
-				CONNECT_TIMEOUT_MILLIS);
+				request.maxIdleConnections(), CONNECT_TIMEOUT_MILLIS);
 		TargetExchange exchange = new TargetExchange(request, listener);
 		exchange.handle = this.client.send(httpRequest, exchange);
 		return exchange;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
@@ -116,8 +116,20 @@
 		return this.loop;
 	}
 
-	void release(HttpConnection connection) {
-		this.idleConnections.computeIfAbsent(connection.address(), (address) -> new ArrayDeque<>()).addLast(connection);
+	/**
+	 * Keeps a connection for a later request, or closes it.
+	 * @param connection connection without a request
+	 * @param maxIdle number of idle connections above which it is closed
+	 */
+	void release(HttpConnection connection, int maxIdle) {
+		Deque<HttpConnection> idle = this.idleConnections.computeIfAbsent(connection.address(),
+				(address) -> new ArrayDeque<>());
+		if (idle.size() < maxIdle) {
+			idle.addLast(connection);
+		}
+		else {
+			connection.close();
+		}
 	}
 
 	void remove(HttpConnection connection) {
@@ -169,16 +181,33 @@
 	 * An HTTP request. The body array is not modified after construction.
 	 *
 	 * @param address address of the server
-	 * @param method HTTP method
+	 * @param method method of the request
 	 * @param uri path and query
 	 * @param headers headers; Host and Content-Length are added, Host only if absent
 	 * @param body body
 	 * @param reuseConnection whether a connection that served an earlier request may be
 	 * used
+	 * @param maxIdleConnections number of idle connections to the server above which the
+	 * connection is closed after the response
 	 * @param connectTimeoutMillis connection timeout, in milliseconds
 	 */
 	public record Request(InetSocketAddress address, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
-			boolean reuseConnection, int connectTimeoutMillis) {
+			boolean reuseConnection, int maxIdleConnections, int connectTimeoutMillis) {
+
+		/**
+		 * Creates a request whose connection is kept after the response.
+		 * @param address address of the server
+		 * @param method method of the request
+		 * @param uri path and query
+		 * @param headers headers
+		 * @param body body
+		 * @param connectTimeoutMillis connection timeout, in milliseconds
+		 * @return request that may use any idle connection
+		 */
+		public static Request keepingConnection(InetSocketAddress address, HttpMethod method, String uri,
+				HttpHeaders headers, byte[] body, int connectTimeoutMillis) {
+			return new Request(address, method, uri, headers, body, true, Integer.MAX_VALUE, connectTimeoutMillis);
+		}
 
 		DefaultFullHttpRequest toNettyRequest() {
 			DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.method, this.uri,
