--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -208,7 +208,7 @@
 			try {
 				applyOperatorRecord(this.platform.decodeOperatorRecord(record));
 			}
-			catch (PlatformException ex) {
+			catch (PlatformException | RuntimeException ex) {
 				LogEvent.RECORD_MALFORMED.log(logger, this.platform.operatorsTable(), record.key(), record.offset(),
 						ex.getMessage());
 			}
@@ -242,7 +242,7 @@
 			try {
 				this.registry.update(this.platform.decodeRegistration(record));
 			}
-			catch (PlatformException ex) {
+			catch (PlatformException | RuntimeException ex) {
 				LogEvent.RECORD_MALFORMED.log(logger, this.platform.targetsTable(), record.key(), record.offset(),
 						ex.getMessage());
 			}
