A late generation may queue behind others whatever its own prompt

Cause, found on reading: the prefill queue ahead was limited by what the goal leaves after the generation's own prefill, also for late ones, so that a prompt whose prefill alone takes the goal waited for an engine without any queue.

Names and order of fields.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationStatistics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationStatistics.java
@@ -33,22 +33,16 @@
 	/** Time between two events, assumed before the first observation, in milliseconds. */
 	private static final double INITIAL_EVENT_MILLIS = 32;
 
-	private double eventMillis = INITIAL_EVENT_MILLIS;
-
 	/**
 	 * Time for which memory is held, assumed before the first observation, in
 	 * milliseconds.
 	 */
 	private static final double INITIAL_MEMORY_MILLIS = 5_000;
 
-	/** Moving average of the tokens of complete generations; 0 before the first. */
-	private double heldTokens;
-
 	/** Moving averages of the expected tokens of prompt and output, by priority. */
 	private final SortedMap<Integer, Double> totalTokensByPriority = new TreeMap<>();
 
-	/** Moving average of their tokens multiplied by their durations. */
-	private double heldTokenMillis;
+	private double eventMillis = INITIAL_EVENT_MILLIS;
 
 	private double prefillTokensPerSecond = INITIAL_PREFILL_TOKENS_PER_SECOND;
 
@@ -56,6 +50,12 @@
 
 	private double outputTokens = INITIAL_OUTPUT_TOKENS;
 
+	/** Moving average of the tokens of complete generations; 0 before the first. */
+	private double heldTokens;
+
+	/** Moving average of their tokens multiplied by their durations. */
+	private double heldTokenMillis;
+
 	/**
 	 * Records the expected size of an arriving generation.
 	 * @param promptTokens tokens of its prompt
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/LoadSampler.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/LoadSampler.java
@@ -16,8 +16,8 @@
  * reports the load of any engine of its service. Addresses the load pattern of many entry
  * hosts that know only their own requests: some engines get the generations of several
  * hosts while others are idle. Invariants: a generation waits at most
- * {@link #TIMEOUT_MILLIS}, and engines are read only while no sidecar reports. Confined
- * to the traffic thread.
+ * {@link #TIMEOUT_MILLIS}, and no engine is read whose sidecar reports. Confined to the
+ * traffic thread.
  */
 final class LoadSampler {
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
@@ -32,6 +32,8 @@
 	/** Time without an event for which every caller waits, in milliseconds. */
 	private static final long MIN_PATIENCE_MILLIS = 2_000;
 
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	/** Number of latency goals for which a caller waits for the first event. */
 	private static final long PATIENCE_GOALS = 4;
 
@@ -153,9 +155,9 @@
 						+ Math.max(0, engine.load().growthTokens());
 				long freeTokens = (long) (PlacementStrategy.ForEngines.USABLE_MEMORY_FRACTION
 						* engine.load().memoryTotal()) - committedTokens;
-				capacity = capacity
-					.plus(new EngineCapacity(Math.max(0, freeTokens), 1_000 * usedTokens / statistics.memoryMillis(),
-							engine.load().unreadTokens(), statistics.prefillTokensPerSecond(), 1));
+				capacity = capacity.plus(new EngineCapacity(Math.max(0, freeTokens),
+						MILLIS_PER_SECOND * usedTokens / statistics.memoryMillis(), engine.load().unreadTokens(),
+						statistics.prefillTokensPerSecond(), 1));
 			}
 		}
 		return capacity;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -32,14 +32,14 @@
 	 * @param dataCentre preferred data centre
 	 * @param remotePenaltySeconds cost of another data centre, in seconds
 	 * @param entryHosts number of entry hosts, each of which knows only its own requests
-	 * @param maxPrefillMillis time that prefill of the prompts ahead and of its own may
-	 * take, in milliseconds
+	 * @param maxQueueMillis time that prefill of the prompts ahead may take, in
+	 * milliseconds
 	 * @param maxMemoryFraction fraction of an engine's memory that may be in use, this
 	 * request included; {@link #NO_LIMIT} if the limit of all requests is enough
 	 * @param reserveTokens memory that has to stay free for other requests, in tokens
 	 */
 	record Demand(long promptTokens, long expectedTotalTokens, String dataCentre, double remotePenaltySeconds,
-			int entryHosts, long maxPrefillMillis, double maxMemoryFraction, long reserveTokens) {
+			int entryHosts, long maxQueueMillis, double maxMemoryFraction, long reserveTokens) {
 
 		/** Value of {@link #maxMemoryFraction} without a limit. */
 		static final double NO_LIMIT = Double.POSITIVE_INFINITY;
@@ -50,10 +50,10 @@
 		 */
 		static final double REQUEST_REMOTE_PENALTY_SECONDS = 0.02;
 
-		static Demand of(Optional<GenerationTraits> traits, String dataCentre, int entryHosts, long maxPrefillMillis) {
+		static Demand of(Optional<GenerationTraits> traits, String dataCentre, int entryHosts, long maxQueueMillis) {
 			return new Demand(traits.map(GenerationTraits::promptTokens).orElse(0L),
 					traits.map(GenerationTraits::expectedTotalTokens).orElse(0L), dataCentre,
-					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, maxPrefillMillis, NO_LIMIT, 0);
+					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, maxQueueMillis, NO_LIMIT, 0);
 		}
 
 		/**
@@ -63,7 +63,7 @@
 		 */
 		Demand withReserve(long tokens) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.maxPrefillMillis, this.maxMemoryFraction, tokens);
+					this.entryHosts, this.maxQueueMillis, this.maxMemoryFraction, tokens);
 		}
 
 		/**
@@ -72,7 +72,7 @@
 		 */
 		Demand forPromptOnly() {
 			return new Demand(this.promptTokens, this.promptTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.maxPrefillMillis, this.maxMemoryFraction, this.reserveTokens);
+					this.entryHosts, this.maxQueueMillis, this.maxMemoryFraction, this.reserveTokens);
 		}
 
 		/**
@@ -85,7 +85,7 @@
 		Demand forKvCopy(String sourceDataCentre, double copySecondsPerToken) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, sourceDataCentre,
 					REQUEST_REMOTE_PENALTY_SECONDS + copySecondsPerToken * this.expectedTotalTokens, this.entryHosts,
-					this.maxPrefillMillis, this.maxMemoryFraction, this.reserveTokens);
+					this.maxQueueMillis, this.maxMemoryFraction, this.reserveTokens);
 		}
 
 		/**
@@ -96,7 +96,7 @@
 		 */
 		Demand withMaxMemoryFraction(double fraction) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.maxPrefillMillis, fraction, this.reserveTokens);
+					this.entryHosts, this.maxQueueMillis, fraction, this.reserveTokens);
 		}
 
 	}
@@ -149,13 +149,10 @@
 		 * where it can still go elsewhere.
 		 * @param statistics statistics of the service
 		 * @param demand resources that the request needs
-		 * @return number of prompt tokens ahead of its own; 0 if its own take all the
-		 * time
+		 * @return number of prompt tokens ahead of its own
 		 */
 		static long maxPendingPrefillTokens(GenerationStatistics statistics, Demand demand) {
-			long tokens = Math
-				.round(statistics.prefillTokensPerSecond() * demand.maxPrefillMillis() / MILLIS_PER_SECOND);
-			return Math.max(0, tokens - demand.promptTokens());
+			return Math.round(statistics.prefillTokensPerSecond() * demand.maxQueueMillis() / MILLIS_PER_SECOND);
 		}
 
 		@Override
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -34,6 +34,13 @@
 	 */
 	static final double ON_TIME_GOAL_FRACTION = 0.9;
 
+	/**
+	 * Fraction of the latency goal that prefill of the prompts ahead of a late generation
+	 * may take; beyond it the generation waits at the entry host, where it can still go
+	 * elsewhere.
+	 */
+	static final double LATE_QUEUE_GOAL_FRACTION = 0.6;
+
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	private static final Logger logger = LoggerFactory.getLogger(RequestPlacement.class);
@@ -233,13 +240,13 @@
 	}
 
 	/**
-	 * Returns the time that prefill may take: what is left of the latency goal, or a good
-	 * part of a whole one if it is missed.
+	 * Returns the time that prefill of the prompts ahead may take: what the latency goal
+	 * leaves, or a good part of a whole one if it is missed.
 	 * @return time in milliseconds
 	 */
-	private long maxPrefillMillis() {
-		double goalMillis = this.request.route().latencyGoalMillis() * ON_TIME_GOAL_FRACTION;
-		return Math.round(late() ? goalMillis : goalMillis - (waitedMillis()));
+	private long maxQueueMillis() {
+		return late() ? Math.round(this.request.route().latencyGoalMillis() * LATE_QUEUE_GOAL_FRACTION)
+				: Math.max(0, onTimeMillis() - waitedMillis());
 	}
 
 	/**
@@ -253,7 +260,7 @@
 
 	PlacementStrategy.Demand demand() {
 		return PlacementStrategy.Demand.of(this.request.request().traits(), this.relayService.settings().dataCentre(),
-				this.relayService.entryHosts(), maxPrefillMillis());
+				this.relayService.entryHosts(), maxQueueMillis());
 	}
 
 }
