Estimates of prefill in refusals and memory for urgent ones reverted

Engines prefill urgent prompts first, which the estimate does not see; memory left for urgent requests is taken from quotes on a site whose memory is short; a prefill rate that believes fast observations sooner lengthens every queue.

Change: the expected start comes from memory alone; prefill rates are plain moving averages; only late generations leave memory for others. A generation waits at least its latency goal.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/Backlog.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/Backlog.java
@@ -22,12 +22,9 @@
 	private final Clock clock;
 
 	/** Moving average of the tokens of prompt and output that arrive per second. */
-	private double totalTokensPerSecond;
+	private double arrivingTokensPerSecond;
 
-	/** Moving average of the prompt tokens that arrive per second. */
-	private double promptTokensPerSecond;
-
-	/** When the averages were last updated. */
+	/** When the average was last updated. */
 	private long updatedMillis;
 
 	private Backlog(Clock clock) {
@@ -46,19 +43,16 @@
 
 	/**
 	 * Records an arriving generation.
-	 * @param demand its size
+	 * @param tokens expected tokens of prompt and output
 	 */
-	public void recordArrival(Demand demand) {
+	public void recordArrival(long tokens) {
 		decay();
-		this.totalTokensPerSecond += demand.totalTokens() * MILLIS_PER_SECOND / ARRIVAL_WINDOW_MILLIS;
-		this.promptTokensPerSecond += demand.promptTokens() * MILLIS_PER_SECOND / ARRIVAL_WINDOW_MILLIS;
+		this.arrivingTokensPerSecond += tokens * MILLIS_PER_SECOND / ARRIVAL_WINDOW_MILLIS;
 	}
 
 	private void decay() {
 		long nowMillis = this.clock.millis();
-		double factor = Math.exp((this.updatedMillis - nowMillis) / ARRIVAL_WINDOW_MILLIS);
-		this.totalTokensPerSecond *= factor;
-		this.promptTokensPerSecond *= factor;
+		this.arrivingTokensPerSecond *= Math.exp((this.updatedMillis - nowMillis) / ARRIVAL_WINDOW_MILLIS);
 		this.updatedMillis = nowMillis;
 	}
 
@@ -66,35 +60,26 @@
 	 * Estimates when a generation that can still be on time could start, behind others of
 	 * its kind.
 	 * @param share this host's share of the capacity
-	 * @param ahead sizes of the waiting generations that go first, in sum
-	 * @param own size of the generation itself
-	 * @return time until its first token, in milliseconds; {@link #NEVER} if nothing
-	 * becomes free
+	 * @param tokensAhead expected tokens of the waiting generations that go first
+	 * @param tokens expected tokens of the generation itself
+	 * @return time until its start, in milliseconds; {@link #NEVER} if no memory is freed
 	 */
-	public long millisUntilStart(EngineCapacity share, Demand ahead, Demand own) {
-		return millisUntilStart(share, ahead.plus(own), 0, 0);
+	public long millisUntilStart(EngineCapacity share, long tokensAhead, long tokens) {
+		return drainMillis(tokensAhead + tokens - share.freeTokens(), share.freedTokensPerSecond());
 	}
 
 	/**
 	 * Estimates when a late generation could start, which every arriving one overtakes.
 	 * @param share this host's share of the capacity
-	 * @param ahead sizes of the waiting generations that go first, in sum
-	 * @param own size of the generation itself
-	 * @return time until its first token, in milliseconds; {@link #NEVER} while arrivals
-	 * take all that becomes free
+	 * @param tokensAhead expected tokens of the waiting generations that go first
+	 * @param tokens expected tokens of the generation itself
+	 * @return time until its start, in milliseconds; {@link #NEVER} while arrivals take
+	 * all memory that is freed
 	 */
-	public long millisUntilLateStart(EngineCapacity share, Demand ahead, Demand own) {
+	public long millisUntilLateStart(EngineCapacity share, long tokensAhead, long tokens) {
 		decay();
-		return millisUntilStart(share, ahead.plus(own), this.totalTokensPerSecond, this.promptTokensPerSecond);
-	}
-
-	private static long millisUntilStart(EngineCapacity share, Demand demand, double overtakingTotalTokens,
-			double overtakingPromptTokens) {
-		long memoryMillis = drainMillis(demand.totalTokens() - share.freeTokens(),
-				share.freedTokensPerSecond() - overtakingTotalTokens);
-		long prefillMillis = drainMillis(share.pendingPrefillTokens() + demand.promptTokens(),
-				share.prefillTokensPerSecond() - overtakingPromptTokens);
-		return Math.max(memoryMillis, prefillMillis);
+		return drainMillis(tokensAhead + tokens - share.freeTokens(),
+				share.freedTokensPerSecond() - this.arrivingTokensPerSecond);
 	}
 
 	private static long drainMillis(long missingTokens, double tokensPerSecond) {
@@ -104,26 +89,4 @@
 		return (tokensPerSecond > 0) ? Math.round(MILLIS_PER_SECOND * missingTokens / tokensPerSecond) : NEVER;
 	}
 
-	/**
-	 * Size of one or several generations. Immutable.
-	 *
-	 * @param totalTokens expected tokens of prompt and output
-	 * @param promptTokens tokens of the prompt
-	 */
-	public record Demand(long totalTokens, long promptTokens) {
-
-		/** No generation. */
-		public static final Demand NONE = new Demand(0, 0);
-
-		/**
-		 * Adds another size.
-		 * @param other size of other generations
-		 * @return the sum
-		 */
-		public Demand plus(Demand other) {
-			return new Demand(this.totalTokens + other.totalTokens, this.promptTokens + other.promptTokens);
-		}
-
-	}
-
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/EngineCapacity.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/EngineCapacity.java
@@ -1,21 +1,18 @@
 package io.dotterelcrank.process.overload;
 
 /**
- * What the engines of a service have left, and how fast more becomes free: KV cache
- * memory, and the prefill of prompts. Immutable.
+ * KV cache memory of the engines of a service, and how fast their running generations
+ * free it. Immutable.
  *
  * @param freeTokens memory that no request has and none is expected to need, in tokens
  * @param freedTokensPerSecond memory that running generations free per second, in tokens;
  * 0 if not known
- * @param pendingPrefillTokens prompt tokens that wait for prefill
- * @param prefillTokensPerSecond prompt tokens that the engines prefill per second
  * @param reportedEngines number of engines that the figures come from
  */
-public record EngineCapacity(long freeTokens, double freedTokensPerSecond, long pendingPrefillTokens,
-		double prefillTokensPerSecond, int reportedEngines) {
+public record EngineCapacity(long freeTokens, double freedTokensPerSecond, int reportedEngines) {
 
 	/** No engine has reported its load. */
-	public static final EngineCapacity UNKNOWN = new EngineCapacity(0, 0, 0, 0, 0);
+	public static final EngineCapacity UNKNOWN = new EngineCapacity(0, 0, 0);
 
 	/**
 	 * Adds another capacity.
@@ -24,10 +21,7 @@
 	 */
 	public EngineCapacity plus(EngineCapacity other) {
 		return new EngineCapacity(this.freeTokens + other.freeTokens,
-				this.freedTokensPerSecond + other.freedTokensPerSecond,
-				this.pendingPrefillTokens + other.pendingPrefillTokens,
-				this.prefillTokensPerSecond + other.prefillTokensPerSecond,
-				this.reportedEngines + other.reportedEngines);
+				this.freedTokensPerSecond + other.freedTokensPerSecond, this.reportedEngines + other.reportedEngines);
 	}
 
 	/**
@@ -37,8 +31,7 @@
 	 */
 	public EngineCapacity share(int entryHosts) {
 		int hosts = Math.max(1, entryHosts);
-		return new EngineCapacity(this.freeTokens / hosts, this.freedTokensPerSecond / hosts,
-				this.pendingPrefillTokens / hosts, this.prefillTokensPerSecond / hosts, this.reportedEngines);
+		return new EngineCapacity(this.freeTokens / hosts, this.freedTokensPerSecond / hosts, this.reportedEngines);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/RefusalPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/RefusalPolicy.java
@@ -17,12 +17,12 @@
 	 * Times of a generation that waits, in milliseconds. Immutable.
 	 *
 	 * @param waitedMillis time since its arrival
-	 * @param startMillis expected time until its first token among those that can be on
-	 * time; {@link Backlog#NEVER} if it is late already
-	 * @param lateStartMillis expected time until its first token once it is late
-	 * @param onTimeMillis time since its arrival up to which a first token is on time
-	 * @param usefulMillis time since its arrival up to which a first token is of use to
-	 * the caller
+	 * @param startMillis expected time until its start among those that can be on time;
+	 * {@link Backlog#NEVER} if it is late already
+	 * @param lateStartMillis expected time until its start once it is late
+	 * @param onTimeMillis time since its arrival up to which a start is on time
+	 * @param usefulMillis time since its arrival up to which a start is of use to the
+	 * caller
 	 * @param capacityKnown whether the expected times rest on load reports
 	 */
 	record Wait(long waitedMillis, long startMillis, long lateStartMillis, long onTimeMillis, long usefulMillis,
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationStatistics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationStatistics.java
@@ -1,8 +1,5 @@
 package io.dotterelcrank.process.relay;
 
-import java.util.SortedMap;
-import java.util.TreeMap;
-
 /**
  * Moving averages over the generations of one service that this host has served: how long
  * they are, and how fast engines prefill and decode. Stands in for figures that differ
@@ -13,12 +10,6 @@
 	/** Weight of a new observation. */
 	private static final double EWMA_WEIGHT = 0.05;
 
-	/**
-	 * Weight of an observed prefill rate below the known one. Prompts of other hosts that
-	 * are not known to be ahead make it look slower.
-	 */
-	private static final double SLOWER_PREFILL_WEIGHT = 0.01;
-
 	/** Prompt tokens prefilled per second, assumed before the first observation. */
 	private static final double INITIAL_PREFILL_TOKENS_PER_SECOND = 7_000;
 
@@ -45,9 +36,6 @@
 	 */
 	private static final double INITIAL_MEMORY_MILLIS = 5_000;
 
-	/** Moving averages of the expected tokens of prompt and output, by priority. */
-	private final SortedMap<Integer, Double> totalTokensByPriority = new TreeMap<>();
-
 	private double eventMillis = INITIAL_EVENT_MILLIS;
 
 	private double prefillTokensPerSecond = INITIAL_PREFILL_TOKENS_PER_SECOND;
@@ -66,11 +54,8 @@
 	 * Records the expected size of an arriving generation.
 	 * @param promptTokens tokens of its prompt
 	 * @param expectedTotalTokens expected tokens of prompt and output
-	 * @param priority its priority; 0 is the most urgent
 	 */
-	void recordArrival(long promptTokens, long expectedTotalTokens, int priority) {
-		this.totalTokensByPriority.merge(priority, (double) expectedTotalTokens,
-				(mean, tokens) -> mean + EWMA_WEIGHT * (tokens - mean));
+	void recordArrival(long promptTokens, long expectedTotalTokens) {
 		this.totalTokens += EWMA_WEIGHT * (expectedTotalTokens - this.totalTokens);
 		this.outputTokens += EWMA_WEIGHT * (expectedTotalTokens - promptTokens - this.outputTokens);
 	}
@@ -83,8 +68,7 @@
 	void recordFirstEvent(long tokens, long millis) {
 		if (tokens >= MIN_OBSERVED_PREFILL_TOKENS && millis > 0) {
 			double observed = tokens * MILLIS_PER_SECOND / millis;
-			double weight = (observed < this.prefillTokensPerSecond) ? SLOWER_PREFILL_WEIGHT : EWMA_WEIGHT;
-			this.prefillTokensPerSecond += weight * (observed - this.prefillTokensPerSecond);
+			this.prefillTokensPerSecond += EWMA_WEIGHT * (observed - this.prefillTokensPerSecond);
 		}
 	}
 
@@ -130,15 +114,6 @@
 		return this.prefillTokensPerSecond;
 	}
 
-	/**
-	 * Returns the size of a typical generation that is more urgent than others.
-	 * @param priority priority of the others
-	 * @return tokens of prompt and output; 0 if there are no more urgent ones
-	 */
-	long typicalTokensMoreUrgentThan(int priority) {
-		return this.totalTokensByPriority.headMap(priority).values().stream().mapToLong(Math::round).max().orElse(0);
-	}
-
 	/**
 	 * Returns the size of a typical generation.
 	 * @return tokens of prompt and output
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
@@ -75,7 +75,7 @@
 	boolean recordArrival(RelayedRequest request) {
 		Route route = request.route();
 		if (request.service().engine().isPresent()) {
-			backlog(request.service()).recordArrival(size(request));
+			backlog(request.service()).recordArrival(request.demand().expectedTotalTokens());
 		}
 		return this.returnDetectors.computeIfAbsent(route.name(), (name) -> new ReturnDetector())
 			.recordArrival(request.request().deadlineMillis());
@@ -88,26 +88,22 @@
 	 * @return its times, as the refusal policy judges them
 	 */
 	RefusalPolicy.Wait wait(RelayedRequest request, Collection<RelayedRequest> waiting) {
-		Backlog.Demand ahead = Backlog.Demand.NONE;
+		long tokens = request.demand().expectedTotalTokens();
+		long tokensAhead = 0;
 		for (RelayedRequest other : waiting) {
 			if (other != request && other.service() != null && other.service().name().equals(request.service().name())
 					&& WaitingOrder.COMPARATOR.compare(other, request) < 0) {
-				ahead = ahead.plus(size(other));
+				tokensAhead += other.demand().expectedTotalTokens();
 			}
 		}
 		EngineCapacity share = capacity(request.service()).share(this.entryHosts);
 		Backlog backlog = backlog(request.service());
 		return new RefusalPolicy.Wait(this.clock.millis() - request.arrivedAtMillis(),
-				request.late() ? Backlog.NEVER : backlog.millisUntilStart(share, ahead, size(request)),
-				backlog.millisUntilLateStart(share, ahead, size(request)), request.route().latencyGoalMillis(),
+				request.late() ? Backlog.NEVER : backlog.millisUntilStart(share, tokensAhead, tokens),
+				backlog.millisUntilLateStart(share, tokensAhead, tokens), request.route().latencyGoalMillis(),
 				usefulMillis(request), share.known());
 	}
 
-	private static Backlog.Demand size(RelayedRequest request) {
-		PlacementStrategy.Demand demand = request.demand();
-		return new Backlog.Demand(demand.expectedTotalTokens(), demand.promptTokens());
-	}
-
 	boolean refuses(RefusalPolicy.Wait wait) {
 		return this.refusalPolicy.refuses(wait);
 	}
@@ -129,9 +125,8 @@
 	}
 
 	/**
-	 * Returns the time since its arrival up to which a first token is of use to the
-	 * caller: the last one must come before the deadline, and the first before the caller
-	 * gives up.
+	 * Returns the time since its arrival up to which a start is of use to the caller: its
+	 * last token must come before the deadline, and its first before the caller gives up.
 	 * @param request the generation
 	 * @return time in milliseconds
 	 */
@@ -141,7 +136,7 @@
 		long outputMillis = Math.round(statistics.eventMillis() * (demand.expectedTotalTokens() - demand.promptTokens())
 				/ request.tokensPerEvent());
 		long patienceMillis = Math.max(MIN_PATIENCE_MILLIS, PATIENCE_GOALS * request.route().latencyGoalMillis());
-		long latestMillis = request.request().deadlineMillis() - outputMillis;
+		long latestMillis = Math.min(request.request().deadlineMillis() - outputMillis, request.maxWaitMillis());
 		return Math.max(request.route().latencyGoalMillis(), Math.min(latestMillis, patienceMillis));
 	}
 
@@ -156,8 +151,7 @@
 				long freeTokens = (long) (PlacementStrategy.ForEngines.USABLE_MEMORY_FRACTION
 						* engine.load().memoryTotal()) - committedTokens;
 				capacity = capacity.plus(new EngineCapacity(Math.max(0, freeTokens),
-						MILLIS_PER_SECOND * usedTokens / statistics.memoryMillis(), engine.load().unreadTokens(),
-						statistics.prefillTokensPerSecond(), 1));
+						MILLIS_PER_SECOND * usedTokens / statistics.memoryMillis(), 1));
 			}
 		}
 		return capacity;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -177,8 +177,7 @@
 		this.deadlineTimer = this.relayService.trafficThread().schedule(remainingMillis, this::deadlineExceeded);
 		this.relayService.retryBudget(this.service.name()).recordRequest();
 		this.request.traits()
-			.ifPresent((traits) -> statistics().recordArrival(traits.promptTokens(), traits.expectedTotalTokens(),
-					priority()));
+			.ifPresent((traits) -> statistics().recordArrival(traits.promptTokens(), traits.expectedTotalTokens()));
 		this.placement.start();
 	}
 
@@ -228,6 +227,10 @@
 		return this.placement.demand();
 	}
 
+	long maxWaitMillis() {
+		return this.placement.maxWaitMillis();
+	}
+
 	Set<String> triedTargetIds() {
 		return this.triedTargetIds;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -136,13 +136,12 @@
 	}
 
 	/**
-	 * Returns the memory that this request leaves free: for a more urgent one, and if it
-	 * is late, for one that can still be on time.
+	 * Returns the memory that this request leaves free if it is late, for one that can
+	 * still be on time.
 	 * @return number of tokens
 	 */
 	private long reserveTokens() {
-		long urgentTokens = this.request.statistics().typicalTokensMoreUrgentThan(this.request.priority());
-		return late() ? Math.max(urgentTokens, this.request.statistics().typicalTotalTokens()) : urgentTokens;
+		return late() ? this.request.statistics().typicalTotalTokens() : 0;
 	}
 
 	private boolean startsOrAwaitsLoadSample() {
@@ -230,7 +229,7 @@
 	 * Returns the longest wait for a free target.
 	 * @return time since the arrival, in milliseconds
 	 */
-	private long maxWaitMillis() {
+	long maxWaitMillis() {
 		return (long) Math.max(this.request.route().latencyGoalMillis() * MAX_WAIT_GOAL_FRACTION,
 				this.request.request().deadlineMillis() * MAX_WAIT_DEADLINE_FRACTION);
 	}
