--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/RefusalPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/RefusalPolicy.java
@@ -65,19 +65,4 @@
 
 	}
 
-	/**
-	 * Lets every generation wait as long as a start is of use.
-	 */
-	enum ForElapsedTime implements RefusalPolicy {
-
-		/** Stateless. */
-		INSTANCE;
-
-		@Override
-		public boolean refuses(Wait wait) {
-			return wait.waitedMillis() >= wait.usefulMillis();
-		}
-
-	}
-
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/overload/RefusalPolicyTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/overload/RefusalPolicyTests.java
@@ -48,14 +48,12 @@
 	@Test
 	void generationIsRefusedOnceNoStartIsOfUse() {
 		assertThat(this.policy.refuses(wait(6_000, 0, 0))).isTrue();
-		assertThat(RefusalPolicy.ForElapsedTime.INSTANCE.refuses(wait(6_000, 0, 0))).isTrue();
 	}
 
 	@Test
 	void nothingIsRefusedOnUnknownCapacity() {
 		RefusalPolicy.Wait unknown = new RefusalPolicy.Wait(100, Backlog.NEVER, Backlog.NEVER, 1_200, 6_000, false);
 		assertThat(this.policy.refuses(unknown)).isFalse();
-		assertThat(RefusalPolicy.ForElapsedTime.INSTANCE.refuses(wait(5_000, Backlog.NEVER, Backlog.NEVER))).isFalse();
 	}
 
 }
