Move the routing and retry decisions out of RelayedRequest

Cause: RelayedRequest had 608 lines and decided on routes, retries, hedges and final failures between the calls that send and answer. A query, retryBudgetAllows, also asked other hosts for a loan.

Change: RouteResolver (pure) finds route, service and workspace; RetryPolicy (pure) allows resends and hedges and chooses the final failure; RequestAttempts holds the attempts and sends them. GenerationResumer gets the RelayService itself instead of five accessors. retryBudgetAllows is a query; obtainsRetryPermit asks for the loan, and only a retry or resume calls it: a hedge no longer borrows, it is no retry of a lost request. The fractions of the grace time are 0.3 for new streams (0.31) and 0.4 for idle connections (3.2 of 8 s), which other grace times share. Wait is called WaitEstimate; constants of BackupPolicy say which limit they are.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/RefusalPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/overload/RefusalPolicy.java
@@ -8,13 +8,13 @@
 
 	/**
 	 * Decides on a generation that no engine has memory for now.
-	 * @param wait the generation's times
+	 * @param wait expected wait of the generation
 	 * @return {@code true} if it is to be refused now
 	 */
-	boolean refuses(Wait wait);
+	boolean refuses(WaitEstimate wait);
 
 	/**
-	 * Times of a generation that waits, in milliseconds. Immutable.
+	 * Past and expected wait of a generation, in milliseconds. Immutable.
 	 *
 	 * @param waitedMillis time since its arrival
 	 * @param startMillis expected time until its start among those that can be on time;
@@ -25,7 +25,7 @@
 	 * caller
 	 * @param capacityKnown whether the expected times rest on load reports
 	 */
-	record Wait(long waitedMillis, long startMillis, long lateStartMillis, long onTimeMillis, long usefulMillis,
+	record WaitEstimate(long waitedMillis, long startMillis, long lateStartMillis, long onTimeMillis, long usefulMillis,
 			boolean capacityKnown) {
 
 		/**
@@ -52,7 +52,7 @@
 		static final double HYSTERESIS = 1.5;
 
 		@Override
-		public boolean refuses(Wait wait) {
+		public boolean refuses(WaitEstimate wait) {
 			if (wait.waitedMillis() >= wait.usefulMillis()) {
 				return true;
 			}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/BackupPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/BackupPolicy.java
@@ -9,14 +9,14 @@
  */
 final class BackupPolicy {
 
-	/** Fraction of an engine's memory that may be in use while memory is plenty. */
-	static final double MAX_MEMORY_FRACTION = 0.4;
+	/** Limit of an engine while no more than the unrestricted use is reached. */
+	static final double UNRESTRICTED_LIMIT_FRACTION = 0.4;
 
-	/** Fraction of all memory in use up to which memory is plenty. */
-	static final double PLENTY_FRACTION = 0.5;
+	/** Use of all engines' memory up to which the limit is not lowered. */
+	static final double UNRESTRICTED_USE_FRACTION = 0.5;
 
-	/** Fraction of all memory in use from which on there are no new backups. */
-	static final double SHORT_FRACTION = 0.7;
+	/** Use of all engines' memory from which on there are no new backups. */
+	static final double NO_BACKUP_USE_FRACTION = 0.7;
 
 	private BackupPolicy() {
 	}
@@ -27,8 +27,9 @@
 	 * @return fraction of the engine's memory that may be in use, the backup included
 	 */
 	static double maxMemoryFraction(double usedFraction) {
-		double spare = (SHORT_FRACTION - usedFraction) / (SHORT_FRACTION - PLENTY_FRACTION);
-		return MAX_MEMORY_FRACTION * Math.max(0, Math.min(1, spare));
+		double headroom = (NO_BACKUP_USE_FRACTION - usedFraction)
+				/ (NO_BACKUP_USE_FRACTION - UNRESTRICTED_USE_FRACTION);
+		return UNRESTRICTED_LIMIT_FRACTION * Math.max(0, Math.min(1, headroom));
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -60,6 +60,8 @@
 
 	private final RelayedRequest request;
 
+	private final RelayService relayService;
+
 	/** Attempt that runs the generation; {@code null} before it is sent. */
 	private RelayAttempt source;
 
@@ -81,8 +83,13 @@
 	 */
 	private long permitDeadlineMillis;
 
-	GenerationResumer(RelayedRequest request) {
+	GenerationResumer(RelayedRequest request, RelayService relayService) {
 		this.request = request;
+		this.relayService = relayService;
+	}
+
+	private boolean obtainsRetryPermit() {
+		return this.relayService.obtainsRetryPermit(this.request.service().name());
 	}
 
 	/**
@@ -96,7 +103,7 @@
 		if (service.engine().filter(ServiceSpec.EngineSpec::supportsKvBackups).isEmpty()) {
 			return Optional.empty();
 		}
-		double usedFraction = this.request.targetPool().usedMemoryFraction(service);
+		double usedFraction = this.relayService.targetPool().usedMemoryFraction(service);
 		TrackedTarget holder = chooseHolder(chosen,
 				kvCopyDemand(chosen).withMaxMemoryFraction(BackupPolicy.maxMemoryFraction(usedFraction)));
 		return Optional.ofNullable(holder).filter((engine) -> engine.load() != null);
@@ -122,7 +129,7 @@
 	 * @return the chosen engine, or {@code null} if none has the capacity
 	 */
 	private TrackedTarget chooseHolder(TrackedTarget engine, PlacementStrategy.Demand demand) {
-		return this.request.targetPool().choose(this.request.service(), demand, Set.of(engine.id())).target();
+		return this.relayService.targetPool().choose(this.request.service(), demand, Set.of(engine.id())).target();
 	}
 
 	/**
@@ -160,14 +167,14 @@
 			return;
 		}
 		if (this.source.backupHolder().isEmpty()) {
-			this.request.loadSampler().refresh(this.source.target());
+			this.relayService.loadSampler().refresh(this.source.target());
 		}
 		boolean leaving = this.source.target().leaving() || !this.source.target().membership().listed();
 		boolean stalled = this.request.millisSinceLastEvent() > stallTimeoutMillis();
 		if (!leaving && !stalled) {
 			return;
 		}
-		if (!this.request.retryBudgetAllows()) {
+		if (!obtainsRetryPermit()) {
 			recordSkip(leaving ? "leaving" : "silent", "over-budget");
 			return;
 		}
@@ -190,7 +197,7 @@
 
 	private boolean tryResumeFromBackup(String cause) {
 		Optional<TrackedTarget> holder = this.source.backupHolder()
-			.flatMap((registration) -> this.request.targetPool().find(registration.id()));
+			.flatMap((registration) -> this.relayService.targetPool().find(registration.id()));
 		if (holder.isEmpty() || holder.get().inBackoff()) {
 			return false;
 		}
@@ -199,12 +206,12 @@
 	}
 
 	private boolean tryResume(TargetRequest.KvCopy copy, String cause) {
-		Optional<TrackedTarget> holder = this.request.targetPool().find(copy.holder().id());
+		Optional<TrackedTarget> holder = this.relayService.targetPool().find(copy.holder().id());
 		String skipReason = null;
 		if (holder.isEmpty()) {
 			skipReason = "holder-gone";
 		}
-		else if (!this.request.retryBudgetAllows()) {
+		else if (!obtainsRetryPermit()) {
 			skipReason = "over-budget";
 		}
 		else if (!this.request.trySend(holder.get(), Optional.of(copy), cause)) {
@@ -213,12 +220,12 @@
 		if (skipReason != null) {
 			LogEvent.RESUME_SKIPPED.log(logger, this.request.id(), this.source.target().id(), copy.holder().id(), cause,
 					skipReason);
-			this.request.metrics().recordResume(skipReason);
+			this.relayService.metrics().recordResume(skipReason);
 			return false;
 		}
 		LogEvent.RESUME_STARTED.log(logger, this.request.id(), this.source.target().id(), copy.holder().id(), cause,
 				this.request.lastEventId());
-		this.request.metrics().recordResume("begun");
+		this.relayService.metrics().recordResume("begun");
 		return true;
 	}
 
@@ -256,7 +263,7 @@
 		if (this.skipReportedFor != this.source) {
 			this.skipReportedFor = this.source;
 			LogEvent.RESUME_SKIPPED.log(logger, this.request.id(), this.source.target().id(), "-", cause, reason);
-			this.request.metrics().recordResume(reason);
+			this.relayService.metrics().recordResume(reason);
 		}
 	}
 
@@ -266,10 +273,10 @@
 		long startedMillis = this.request.now();
 		TargetClient.CopyRequest copyRequest = new TargetClient.CopyRequest(this.request.id(),
 				from.target().membership().registration(), holder);
-		this.request.targetClient().copyKv(copyRequest, (result) -> {
+		this.relayService.targetClient().copyKv(copyRequest, (result) -> {
 			LogEvent.KV_COPY_ENDED.log(logger, this.request.id(), from.target().id(), holder.id(), result.outcome(),
 					this.request.now() - startedMillis);
-			this.request.metrics().recordResume("copy-" + result.outcome());
+			this.relayService.metrics().recordResume("copy-" + result.outcome());
 			from.target().releaseKvCopy();
 			if (!this.request.done() && this.source == from) {
 				this.kvCopyRunning = false;
@@ -312,7 +319,7 @@
 		}
 		boolean firstFailure = !this.backupTriedAfterFailure;
 		this.backupTriedAfterFailure = true;
-		if (firstFailure && this.source.backupHolder().isPresent() && !this.request.retryBudgetAllows()) {
+		if (firstFailure && this.source.backupHolder().isPresent() && !obtainsRetryPermit()) {
 			this.permitDeadlineMillis = this.request.now() + PERMIT_WAIT_MILLIS;
 			return true;
 		}
@@ -324,7 +331,7 @@
 	 */
 	void pollRetryPermit() {
 		boolean expired = this.request.now() >= this.permitDeadlineMillis;
-		if (this.permitDeadlineMillis > 0 && (expired || this.request.retryBudgetAllows())) {
+		if (this.permitDeadlineMillis > 0 && (expired || obtainsRetryPermit())) {
 			this.permitDeadlineMillis = 0;
 			if (!tryResumeFromBackup("broken")) {
 				this.request.generationLost("the engine failed and the generation could not be resumed");
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
@@ -82,12 +82,12 @@
 	}
 
 	/**
-	 * Returns the times of a generation that cannot be placed now.
+	 * Estimates the wait of a generation that cannot be placed now.
 	 * @param request the generation
 	 * @param waiting requests that wait at this host
-	 * @return its times, as the refusal policy judges them
+	 * @return past and expected wait
 	 */
-	RefusalPolicy.Wait wait(RelayedRequest request, Collection<RelayedRequest> waiting) {
+	RefusalPolicy.WaitEstimate estimateWait(RelayedRequest request, Collection<RelayedRequest> waiting) {
 		long tokens = request.demand().expectedTotalTokens();
 		long tokensAhead = 0;
 		for (RelayedRequest other : waiting) {
@@ -98,23 +98,23 @@
 		}
 		EngineCapacity share = capacity(request.service()).share(this.entryHosts);
 		Backlog backlog = backlog(request.service());
-		return new RefusalPolicy.Wait(this.clock.millis() - request.arrivedAtMillis(),
+		return new RefusalPolicy.WaitEstimate(this.clock.millis() - request.arrivedAtMillis(),
 				request.late() ? Backlog.NEVER : backlog.millisUntilStart(share, tokensAhead, tokens),
 				backlog.millisUntilLateStart(share, tokensAhead, tokens), request.route().latencyGoalMillis(),
 				usefulMillis(request), share.known());
 	}
 
-	boolean refuses(RefusalPolicy.Wait wait) {
+	boolean refuses(RefusalPolicy.WaitEstimate wait) {
 		return this.refusalPolicy.refuses(wait);
 	}
 
 	/**
 	 * Returns the delay after which a refused caller may return.
 	 * @param request the refused generation
-	 * @param wait its times when it was refused
+	 * @param wait its wait when it was refused
 	 * @return delay in milliseconds
 	 */
-	long returnDelayMillis(RelayedRequest request, RefusalPolicy.Wait wait) {
+	long returnDelayMillis(RelayedRequest request, RefusalPolicy.WaitEstimate wait) {
 		long remainingMillis = request.request().deadlineAtMillis() - this.clock.millis();
 		long longestMillis = (long) (LONGEST_RETURN_FRACTION * remainingMillis);
 		return this.returnSchedules
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -35,7 +35,10 @@
 	/** Counted at the target until the attempt ends. */
 	private final TrackedTarget.OutstandingRequest outstandingRequest;
 
-	/** Prompt tokens to be prefilled before the first event, those queued included. */
+	/**
+	 * Prompt tokens to be prefilled before the first event, those known to be queued
+	 * included; without a load report, only those this host has sent.
+	 */
 	private final long prefillTokens;
 
 	/** By the clock of the process. */
@@ -123,7 +126,7 @@
 		this.active = false;
 		this.target.recordEnd(this.outstandingRequest);
 		this.backupHolder.ifPresent((holder) -> holder.recordBackupEnd(this));
-		this.request.removeAttempt(this);
+		this.request.attempts().remove(this);
 	}
 
 	@Override
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -51,6 +51,12 @@
 	/** Max number of waiting requests; more are refused at once. */
 	static final int MAX_WAITING_REQUESTS = 200;
 
+	/**
+	 * Fraction of the grace period after which new streams are refused; the rest lets
+	 * streams end that a balancer still sends meanwhile.
+	 */
+	static final double DRAIN_STREAM_ACCEPT_FRACTION = 0.3;
+
 	private static final Logger logger = LoggerFactory.getLogger(RelayService.class);
 
 	private final Clock clock;
@@ -239,6 +245,14 @@
 		return this.drainStartedMillis > 0 && this.clock.millis() >= this.acceptsUntilMillis;
 	}
 
+	/**
+	 * Returns whether new streams are refused.
+	 * @return {@code true} in a graceful shutdown, except at its beginning
+	 */
+	boolean refusesStreams() {
+		return drainingMillis() > this.settings.graceMillis() * DRAIN_STREAM_ACCEPT_FRACTION;
+	}
+
 	/**
 	 * Returns the number of active requests.
 	 * @return requests without a complete response, waiting ones included
@@ -309,11 +323,21 @@
 	}
 
 	boolean retryBudgetAllows(String service) {
-		boolean allowed = retryBudget(service).allowsRetry(this.entryHosts);
-		if (!allowed) {
+		return retryBudget(service).allowsRetry(this.entryHosts);
+	}
+
+	/**
+	 * Returns whether a request may be retried now. If not, a permit is requested from
+	 * other entry hosts, which may arrive soon.
+	 * @param service name of the service
+	 * @return {@code true} if a permit is available
+	 */
+	boolean obtainsRetryPermit(String service) {
+		boolean available = retryBudgetAllows(service);
+		if (!available) {
 			this.clients.retryLoans().requestLoan(service);
 		}
-		return allowed;
+		return available;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -1,25 +1,19 @@
 package io.dotterelcrank.process.relay;
 
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
-import java.util.Set;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
-import io.dotterelcrank.common.RendezvousHash;
 import io.dotterelcrank.common.Scheduler;
-import io.dotterelcrank.process.overload.ConnectionShare;
 import io.dotterelcrank.process.overload.WaitingOrder;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
 import io.dotterelcrank.version.plan.RequestKind;
 import io.dotterelcrank.version.plan.Route;
@@ -36,24 +30,12 @@
  */
 public final class RelayedRequest implements WaitingOrder.Candidate {
 
-	/** Max number of sends as long as no target may have run the request. */
-	static final int MAX_SENDS = 3;
-
-	/** Fraction of the latency goal after which an idempotent request is hedged. */
-	static final double HEDGE_AFTER_GOAL_FRACTION = 0.5;
-
 	/**
 	 * Min expected duration of the longest output of a generation that is resumed
 	 * elsewhere, in milliseconds; a shorter one ends before it could be resumed.
 	 */
 	static final long MIN_RESUMABLE_MILLIS = 500;
 
-	/**
-	 * Fraction of the grace period after which new streams are refused; the rest lets
-	 * streams end that a balancer still sends meanwhile.
-	 */
-	static final double DRAIN_STREAM_ACCEPT_FRACTION = 0.3125;
-
 	/** Min retry delay suggested to refused callers, in milliseconds. */
 	static final long MIN_RETRY_AFTER_MILLIS = 200;
 
@@ -63,9 +45,6 @@
 	/** Lowest HTTP status of a server error. */
 	private static final int MIN_SERVER_ERROR_STATUS = 500;
 
-	/** Max priority value passed to an engine; 0 is the most urgent. */
-	private static final int MAX_ENGINE_PRIORITY = 9;
-
 	private static final Logger logger = LoggerFactory.getLogger(RelayedRequest.class);
 
 	private final RelayService relayService;
@@ -74,14 +53,13 @@
 
 	private final CallerChannel caller;
 
-	/** Attempts without a final result yet. */
-	private final List<RelayAttempt> attempts = new ArrayList<>();
+	private final RequestAttempts attempts;
 
-	private final GenerationResumer resumer = new GenerationResumer(this);
+	private final GenerationResumer resumer;
 
 	private final RequestPlacement placement;
 
-	private final Set<String> triedTargetIds = new HashSet<>();
+	private final StreamProgress progress;
 
 	private Route route;
 
@@ -92,8 +70,6 @@
 	private Scheduler.ScheduledTask deadlineTimer = () -> {
 	};
 
-	private int sendCount;
-
 	/** Whether a target of an ended attempt may have run the request. */
 	private boolean mayHaveRun;
 
@@ -101,14 +77,14 @@
 
 	private boolean done;
 
-	private final StreamProgress progress;
-
 	RelayedRequest(RelayService relayService, CallerRequest request, CallerChannel caller) {
 		this.relayService = relayService;
 		this.request = request;
 		this.caller = caller;
 		this.progress = new StreamProgress(request.arrivedAtMillis());
+		this.attempts = new RequestAttempts(this, relayService);
 		this.placement = new RequestPlacement(this, relayService);
+		this.resumer = new GenerationResumer(this, relayService);
 	}
 
 	void start() {
@@ -120,52 +96,22 @@
 			endWithError(Failure.notRun(ResultCode.NOT_READY, "no configuration received yet"));
 			return;
 		}
-		Optional<Route> matchedRoute = plan.route(this.request.host(), this.request.uri());
-		if (matchedRoute.isEmpty()) {
-			refuseUnknownRouteOrKey(ResultCode.UNKNOWN_ROUTE,
-					"no route for " + this.request.host() + this.request.uri());
-			return;
-		}
-		this.route = matchedRoute.get();
-		if (plan.requiresApiKeys() && !this.route.apiKeyOptional()) {
-			this.workspace = this.request.apiKey().flatMap(plan::workspace);
-			if (this.workspace.isEmpty()) {
-				refuseUnknownRouteOrKey(ResultCode.UNKNOWN_KEY, "the key belongs to no workspace");
-				return;
-			}
+		try {
+			RouteResolver.Resolution resolution = RouteResolver.resolve(this.request, plan,
+					this.relayService.planIsFresh());
+			this.route = resolution.route();
+			this.service = resolution.service();
+			this.workspace = resolution.workspace();
 		}
-		Optional<ServiceSpec> knownService = plan.service(this.route.selectService(routingFraction()));
-		if (knownService.isEmpty()) {
-			endWithError(Failure.notRun(ResultCode.NO_TARGET,
-					"route " + this.route.name() + " refers to an unknown service"));
+		catch (RequestException ex) {
+			endWithError(ex.failure());
 			return;
 		}
-		this.service = knownService.get();
 		startPlacement();
 	}
 
-	private void refuseUnknownRouteOrKey(ResultCode code, String message) {
-		if (this.relayService.planIsFresh()) {
-			endWithError(Failure.notRun(code, message));
-		}
-		else {
-			endWithError(Failure.notRun(ResultCode.NOT_READY, message + ", but the configuration may be stale"));
-		}
-	}
-
-	/**
-	 * Returns a number derived from the request id, which selects among the route's
-	 * weighted services.
-	 * @return number from 0 up to but not including 1
-	 */
-	private double routingFraction() {
-		return (RendezvousHash.hash(this.request.id()) >>> 11) * 0x1.0p-53;
-	}
-
 	private void startPlacement() {
-		boolean refusesStream = streaming() && this.relayService
-			.drainingMillis() > this.relayService.settings().graceMillis() * DRAIN_STREAM_ACCEPT_FRACTION;
-		if (refusesStream || this.relayService.refusesRequests()) {
+		if (this.relayService.refusesRequests() || (streaming() && this.relayService.refusesStreams())) {
 			endWithError(Failure.notRun(ResultCode.ENTRY_LEAVING, "the entry host is shutting down"));
 			return;
 		}
@@ -231,10 +177,6 @@
 		return this.placement.maxWaitMillis();
 	}
 
-	Set<String> triedTargetIds() {
-		return this.triedTargetIds;
-	}
-
 	int tokensPerEvent() {
 		return this.service.engine().map(ServiceSpec.EngineSpec::tokensPerEvent).orElse(1);
 	}
@@ -255,39 +197,13 @@
 			return false;
 		}
 		Optional<TrackedTarget> backupHolder = resumable() ? this.resumer.chooseBackupHolder(chosen) : Optional.empty();
-		this.sendCount++;
-		if (this.sendCount > 1) {
-			this.relayService.retryBudget(this.service.name()).recordRetry();
-		}
-		if (chosen.cold()) {
-			chosen.coldRateLimiter().recordSend();
-		}
-		this.triedTargetIds.add(chosen.id());
-		RelayAttempt attempt = new RelayAttempt(this, chosen, backupHolder, resumeFrom.isPresent());
-		this.attempts.add(attempt);
-		LogEvent.REQUEST_SENT.log(logger, this.request.id(), chosen.id(), this.service.name(), this.sendCount, cause,
-				backupHolder.map(TrackedTarget::id).orElse("-"), this.relayService.plan().version(), chosen.load());
-		this.relayService.metrics().recordSend(cause);
-		long remainingMillis = Math.max(1, this.request.deadlineAtMillis() - now());
-		OptionalLong resumeAfterEventId = resumeFrom.isPresent() ? OptionalLong.of(lastEventId())
-				: OptionalLong.empty();
-		attempt.setExchange(this.relayService.targetClient()
-			.send(new TargetRequest(this.request, chosen.membership().registration(),
-					this.workspace.map(Workspace::name), remainingMillis, enginePriority(),
-					this.route.kind() == RequestKind.IDEMPOTENT,
-					ConnectionShare.of(this.service.maxConnections(), this.relayService.entryHosts()).idle(),
-					resumeFrom, resumeAfterEventId, attempt.backupHolder()), attempt));
+		RelayAttempt attempt = this.attempts.send(chosen, backupHolder, resumeFrom, cause);
 		if (resumeFrom.isEmpty()) {
 			this.resumer.updateSource(attempt);
 		}
 		return true;
 	}
 
-	private OptionalInt enginePriority() {
-		return this.service.engine().isPresent() ? OptionalInt.of(Math.min(MAX_ENGINE_PRIORITY, priority()))
-				: OptionalInt.empty();
-	}
-
 	boolean resumable() {
 		return streaming() && this.request.traits()
 			.map(GenerationTraits::maxTokens)
@@ -336,26 +252,23 @@
 		if (resumable()) {
 			this.resumer.poll();
 		}
-		else if (this.route.kind() == RequestKind.IDEMPOTENT && now()
-				- this.attempts.get(0).sentMillis() > this.route.latencyGoalMillis() * HEDGE_AFTER_GOAL_FRACTION) {
+		else if (RetryPolicy.hedgeDue(this.route, now() - this.attempts.first().sentMillis(),
+				this.attempts.sendCount())) {
 			hedge();
 		}
 	}
 
 	private void hedge() {
-		if (this.sendCount >= this.route.maxAttempts() || !retryBudgetAllows()) {
+		if (!this.relayService.retryBudgetAllows(this.service.name())) {
 			return;
 		}
-		TargetPool.Choice choice = this.relayService.targetPool().choose(this.service, demand(), this.triedTargetIds);
+		TargetPool.Choice choice = this.relayService.targetPool()
+			.choose(this.service, demand(), this.attempts.triedTargetIds());
 		if (choice.target() != null) {
 			trySend(choice.target(), Optional.empty(), "hedge");
 		}
 	}
 
-	boolean retryBudgetAllows() {
-		return this.relayService.retryBudgetAllows(this.service.name());
-	}
-
 	private void deadlineExceeded() {
 		if (this.done) {
 			return;
@@ -366,25 +279,17 @@
 	/**
 	 * Ends the request without a complete response: aborts a started response, otherwise
 	 * sends an error that states whether the request may have run.
-	 * @param code cause of the failure; reported as {@link ResultCode#OVERLOADED} instead
-	 * of {@link ResultCode#DEADLINE_EXCEEDED} if the request has not run, and as
-	 * {@link ResultCode#TARGET_LOST} instead of any other code if it may have run
+	 * @param code cause of the failure
 	 * @param message description of the failure, for logs and the error message
 	 */
 	void endInFailure(ResultCode code, String message) {
-		boolean possiblyReceived = this.mayHaveRun || this.attempts.stream().anyMatch(RelayAttempt::writeStarted);
 		if (this.responseStarted) {
 			end("cut", message);
 			this.caller.abort();
+			return;
 		}
-		else if (possiblyReceived) {
-			boolean deadlinePassed = code == ResultCode.DEADLINE_EXCEEDED;
-			endWithError(Failure.mayHaveRun(deadlinePassed ? code : ResultCode.TARGET_LOST, message));
-		}
-		else {
-			endWithError(
-					Failure.notRun((code == ResultCode.DEADLINE_EXCEEDED) ? ResultCode.OVERLOADED : code, message));
-		}
+		boolean possiblyReceived = this.mayHaveRun || this.attempts.anyWriteStarted();
+		endWithError(RetryPolicy.finalFailure(code, possiblyReceived, message));
 	}
 
 	void endWithError(Failure failure) {
@@ -402,12 +307,12 @@
 		this.done = true;
 		this.deadlineTimer.cancel();
 		this.placement.cancel();
-		List.copyOf(this.attempts).forEach(RelayAttempt::cancel);
+		this.attempts.cancelAll();
 		this.relayService.remove(this);
 		long millis = now() - this.request.arrivedAtMillis();
 		String kind = (this.route != null) ? this.route.kind().name() : "UNROUTED";
 		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.progress.firstEventMillis(),
-				this.progress.maxEventGapMillis(), this.sendCount, lastEventId(), message);
+				this.progress.maxEventGapMillis(), this.attempts.sendCount(), lastEventId(), message);
 		this.relayService.metrics().recordEnd(kind, outcome, millis);
 	}
 
@@ -425,7 +330,7 @@
 	 * @param writable whether the caller's connection accepts more bytes
 	 */
 	public void callerWritabilityChanged(boolean writable) {
-		this.attempts.forEach((attempt) -> attempt.setReadEnabled(writable));
+		this.attempts.setReadEnabled(writable);
 	}
 
 	/**
@@ -447,18 +352,16 @@
 			}
 			return;
 		}
-		if (mayRetry() && retryBudgetAllows()) {
+		if (tryObtainRetry()) {
 			this.placement.placeOrEnqueue();
 			return;
 		}
 		endInFailure(ResultCode.OVERLOADED, reason);
 	}
 
-	private boolean mayRetry() {
-		if (this.route.kind() == RequestKind.IDEMPOTENT) {
-			return this.sendCount < Math.max(this.route.maxAttempts(), this.mayHaveRun ? 1 : MAX_SENDS);
-		}
-		return !this.mayHaveRun && this.sendCount < MAX_SENDS;
+	private boolean tryObtainRetry() {
+		return RetryPolicy.allowsResend(this.route, this.attempts.sendCount(), this.mayHaveRun)
+				&& this.relayService.obtainsRetryPermit(this.service.name());
 	}
 
 	/**
@@ -477,7 +380,7 @@
 	 * @param head head of its response; forwarded unless a response has already started
 	 */
 	void streamStarted(RelayAttempt attempt, TargetClient.ResponseHead head) {
-		List.copyOf(this.attempts).stream().filter((other) -> other != attempt).forEach(RelayAttempt::cancel);
+		this.attempts.cancelAllExcept(attempt);
 		this.resumer.updateSource(attempt);
 		if (!this.responseStarted) {
 			this.responseStarted = true;
@@ -546,11 +449,7 @@
 	 */
 	private boolean tryRetryAfterServerError() {
 		this.mayHaveRun = true;
-		return !this.attempts.isEmpty() || (mayRetry() && retryBudgetAllows() && this.placement.tryPlace());
-	}
-
-	void removeAttempt(RelayAttempt attempt) {
-		this.attempts.remove(attempt);
+		return !this.attempts.isEmpty() || (tryObtainRetry() && this.placement.tryPlace());
 	}
 
 	/**
@@ -581,28 +480,20 @@
 		return this.request;
 	}
 
-	boolean done() {
-		return this.done;
-	}
-
-	ServiceSpec service() {
-		return this.service;
+	Optional<Workspace> workspace() {
+		return this.workspace;
 	}
 
-	TargetPool targetPool() {
-		return this.relayService.targetPool();
+	RequestAttempts attempts() {
+		return this.attempts;
 	}
 
-	LoadSampler loadSampler() {
-		return this.relayService.loadSampler();
-	}
-
-	TargetClient targetClient() {
-		return this.relayService.targetClient();
+	boolean done() {
+		return this.done;
 	}
 
-	RelayMetrics metrics() {
-		return this.relayService.metrics();
+	ServiceSpec service() {
+		return this.service;
 	}
 
 }
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
@@ -0,0 +1,148 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.process.overload.ConnectionShare;
+import io.dotterelcrank.version.plan.RequestKind;
+import io.dotterelcrank.version.plan.Workspace;
+
+/**
+ * The attempts of one request. Invariant: contains exactly the attempts without a final
+ * result. Confined to the traffic thread.
+ */
+final class RequestAttempts {
+
+	/** Max priority value passed to an engine; 0 is the most urgent. */
+	private static final int MAX_ENGINE_PRIORITY = 9;
+
+	private static final Logger logger = LoggerFactory.getLogger(RequestAttempts.class);
+
+	private final RelayedRequest request;
+
+	private final RelayService relayService;
+
+	private final List<RelayAttempt> active = new ArrayList<>();
+
+	private final Set<String> triedTargetIds = new HashSet<>();
+
+	private int sendCount;
+
+	RequestAttempts(RelayedRequest request, RelayService relayService) {
+		this.request = request;
+		this.relayService = relayService;
+	}
+
+	/**
+	 * Sends the request to a target.
+	 * @param target target to send to
+	 * @param backupHolder holder of the generation's KV backup
+	 * @param resumeFrom copy of the KV cache to resume from; empty for a new execution
+	 * @param cause reason of the send, for logs and metrics
+	 * @return the attempt
+	 */
+	RelayAttempt send(TrackedTarget target, Optional<TrackedTarget> backupHolder,
+			Optional<TargetRequest.KvCopy> resumeFrom, String cause) {
+		this.sendCount++;
+		if (this.sendCount > 1) {
+			this.relayService.retryBudget(this.request.service().name()).recordRetry();
+		}
+		if (target.cold()) {
+			target.coldRateLimiter().recordSend();
+		}
+		this.triedTargetIds.add(target.id());
+		RelayAttempt attempt = new RelayAttempt(this.request, target, backupHolder, resumeFrom.isPresent());
+		this.active.add(attempt);
+		LogEvent.REQUEST_SENT.log(logger, this.request.id(), target.id(), this.request.service().name(), this.sendCount,
+				cause, backupHolder.map(TrackedTarget::id).orElse("-"), this.relayService.plan().version(),
+				target.load());
+		this.relayService.metrics().recordSend(cause);
+		attempt.setExchange(this.relayService.targetClient().send(targetRequest(attempt, resumeFrom), attempt));
+		return attempt;
+	}
+
+	private TargetRequest targetRequest(RelayAttempt attempt, Optional<TargetRequest.KvCopy> resumeFrom) {
+		long remainingMillis = Math.max(1, this.request.request().deadlineAtMillis() - this.request.now());
+		int idleConnections = ConnectionShare
+			.of(this.request.service().maxConnections(), this.relayService.entryHosts())
+			.idle();
+		OptionalLong resumeAfterEventId = resumeFrom.isPresent() ? OptionalLong.of(this.request.lastEventId())
+				: OptionalLong.empty();
+		return new TargetRequest(this.request.request(), attempt.target().membership().registration(),
+				this.request.workspace().map(Workspace::name), remainingMillis, enginePriority(),
+				this.request.route().kind() == RequestKind.IDEMPOTENT, idleConnections, resumeFrom, resumeAfterEventId,
+				attempt.backupHolder());
+	}
+
+	private OptionalInt enginePriority() {
+		return this.request.service().engine().isPresent()
+				? OptionalInt.of(Math.min(MAX_ENGINE_PRIORITY, this.request.priority())) : OptionalInt.empty();
+	}
+
+	void remove(RelayAttempt attempt) {
+		this.active.remove(attempt);
+	}
+
+	void cancelAll() {
+		List.copyOf(this.active).forEach(RelayAttempt::cancel);
+	}
+
+	void cancelAllExcept(RelayAttempt attempt) {
+		List.copyOf(this.active).stream().filter((other) -> other != attempt).forEach(RelayAttempt::cancel);
+	}
+
+	/**
+	 * Pauses or resumes reading from the targets.
+	 * @param enabled whether to read
+	 */
+	void setReadEnabled(boolean enabled) {
+		this.active.forEach((attempt) -> attempt.setReadEnabled(enabled));
+	}
+
+	/**
+	 * Returns the oldest attempt.
+	 * @return the attempt
+	 * @throws IndexOutOfBoundsException if there is none
+	 */
+	RelayAttempt first() {
+		return this.active.get(0);
+	}
+
+	boolean isEmpty() {
+		return this.active.isEmpty();
+	}
+
+	int size() {
+		return this.active.size();
+	}
+
+	boolean anyWriteStarted() {
+		return this.active.stream().anyMatch(RelayAttempt::writeStarted);
+	}
+
+	/**
+	 * Returns the targets the request was ever sent to.
+	 * @return ids of the targets
+	 */
+	Set<String> triedTargetIds() {
+		return this.triedTargetIds;
+	}
+
+	/**
+	 * Returns the number of sends, those of ended attempts included.
+	 * @return number of sends
+	 */
+	int sendCount() {
+		return this.sendCount;
+	}
+
+}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -90,7 +90,7 @@
 		}
 		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
 		TargetPool.Choice choice = this.relayService.targetPool()
-			.choose(this.request.service(), demand, this.request.triedTargetIds());
+			.choose(this.request.service(), demand, this.request.attempts().triedTargetIds());
 		if (choice.target() != null) {
 			if (this.request.service().engine().isEmpty()
 					|| !this.admissionRequester.trySend(choice.target(), demand)) {
@@ -101,7 +101,7 @@
 		if (this.relayService.awaitsFirstTargets()) {
 			return false;
 		}
-		if (!choice.anyAvailable() && !this.request.triedTargetIds().isEmpty()) {
+		if (!choice.anyAvailable() && !this.request.attempts().triedTargetIds().isEmpty()) {
 			this.request.endInFailure(ResultCode.NO_TARGET,
 					"no target of service " + this.request.service().name() + " accepts requests");
 			return true;
@@ -123,7 +123,7 @@
 			return refused;
 		}
 		OverloadControl control = this.relayService.overloadControl();
-		RefusalPolicy.Wait wait = control.wait(this.request, this.relayService.waiting());
+		RefusalPolicy.WaitEstimate wait = control.estimateWait(this.request, this.relayService.waiting());
 		if (!control.refuses(wait)) {
 			return false;
 		}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/overload/RefusalPolicyTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/overload/RefusalPolicyTests.java
@@ -12,8 +12,8 @@
 
 	private final RefusalPolicy policy = new RefusalPolicy.ForExpectedStart();
 
-	private static RefusalPolicy.Wait wait(long waitedMillis, long startMillis, long lateStartMillis) {
-		return new RefusalPolicy.Wait(waitedMillis, startMillis, lateStartMillis, 1_200, 6_000, true);
+	private static RefusalPolicy.WaitEstimate wait(long waitedMillis, long startMillis, long lateStartMillis) {
+		return new RefusalPolicy.WaitEstimate(waitedMillis, startMillis, lateStartMillis, 1_200, 6_000, true);
 	}
 
 	@Test
@@ -52,7 +52,8 @@
 
 	@Test
 	void nothingIsRefusedOnUnknownCapacity() {
-		RefusalPolicy.Wait unknown = new RefusalPolicy.Wait(100, Backlog.NEVER, Backlog.NEVER, 1_200, 6_000, false);
+		RefusalPolicy.WaitEstimate unknown = new RefusalPolicy.WaitEstimate(100, Backlog.NEVER, Backlog.NEVER, 1_200,
+				6_000, false);
 		assertThat(this.policy.refuses(unknown)).isFalse();
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -535,7 +535,7 @@
 	private void loadEnginesBeyondBackupLimit() {
 		for (String id : new String[] { "e1", "e2", "e3" }) {
 			this.fixture.reportLoad(id, 4,
-					(long) (RelayFixture.MEMORY_TOKENS * BackupPolicy.MAX_MEMORY_FRACTION) - 2_000);
+					(long) (RelayFixture.MEMORY_TOKENS * BackupPolicy.UNRESTRICTED_LIMIT_FRACTION) - 2_000);
 		}
 	}
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -67,10 +67,10 @@
 	static final long SERVICE_UPDATE_MILLIS = 250;
 
 	/**
-	 * Time from the start of a graceful shutdown until idle connections are closed, in
-	 * milliseconds; without active requests, the daemon stops right after.
+	 * Fraction of the grace period after which idle connections are closed; without
+	 * active requests, the daemon stops right after.
 	 */
-	static final long IDLE_CLOSE_DELAY_MILLIS = 3_200;
+	static final double IDLE_CLOSE_FRACTION = 0.4;
 
 	/**
 	 * Fraction of the grace period after which the process ends even if requests are
@@ -310,15 +310,16 @@
 			this.callerServer.closeAfterResponses();
 		});
 		long startedMillis = this.runtime.clock().millis();
+		long graceMillis = this.settings.relay().graceMillis();
 		boolean complete = false;
 		while (!complete) {
 			pause();
 			long elapsedMillis = this.runtime.clock().millis() - startedMillis;
-			if (elapsedMillis > IDLE_CLOSE_DELAY_MILLIS) {
+			if (elapsedMillis > graceMillis * IDLE_CLOSE_FRACTION) {
 				this.runtime.trafficLoop().execute(this.callerServer::closeIdle);
 			}
-			complete = elapsedMillis > this.settings.relay().graceMillis() * FORCED_STOP_FRACTION
-					|| (elapsedMillis > IDLE_CLOSE_DELAY_MILLIS && this.service.activeRequests() == 0);
+			complete = elapsedMillis > graceMillis * FORCED_STOP_FRACTION
+					|| (elapsedMillis > graceMillis * IDLE_CLOSE_FRACTION && this.service.activeRequests() == 0);
 		}
 		LogEvent.PROCESS_STOPPED.log(logger, this.settings.common().name(), this.service.activeRequests());
 	}
