Decide in ReaderGroup which hosts read tables for which

Cause: TableSharing decided on groups and ranks between its links, so that grouping had no test without links.

Change: ReaderGroup (pure) forms the group and ranks its hosts; TableSharing pushes and follows. The groups are the same.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -1,17 +1,14 @@
 package io.dotterelcrank.process.replica;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.function.Supplier;
 
 import io.dotterelcrank.common.Clock;
-import io.dotterelcrank.common.RendezvousHash;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
@@ -30,9 +27,6 @@
  */
 public final class TableSharing {
 
-	/** Min number of hosts in a group, if there are as many. */
-	static final int MIN_GROUP_SIZE = 4;
-
 	/** Pushes sent within the time for which a host follows. */
 	static final int PUSHES_PER_FOLLOW = 3;
 
@@ -42,9 +36,6 @@
 	 */
 	static final double STAGGER_FRACTION = 0.15;
 
-	/** Rank beyond which hosts no longer follow longer. */
-	static final int MAX_STAGGERED_RANK = 2;
-
 	/** Pushes without an acknowledgement after which a link is replaced. */
 	static final int MAX_UNACKNOWLEDGED_PUSHES = 4;
 
@@ -130,47 +121,11 @@
 		if (!table.feed.listed() || table.feed.following() || table.feed.ageMillis() > table.maxAgeMillis()) {
 			return;
 		}
-		for (Member member : group()) {
-			if (precedes(this.self.name(), member.name())) {
-				follower(member.address()).push(table);
-			}
-		}
-	}
-
-	/**
-	 * Returns the hosts that share reads with this one. Hosts whose lists of members
-	 * differ for a while may form different groups; some tables are then read twice.
-	 * @return the group, or nothing if this host is not yet listed
-	 */
-	private List<Member> group() {
-		Map<String, List<Member>> byDataCentre = new TreeMap<>();
-		this.members.get()
-			.forEach((member) -> byDataCentre.computeIfAbsent(member.dataCentre(), (name) -> new ArrayList<>())
-				.add(member));
-		List<List<Member>> groups = new ArrayList<>();
-		List<Member> open = new ArrayList<>();
-		for (List<Member> hosts : byDataCentre.values()) {
-			open.addAll(hosts);
-			if (open.size() >= MIN_GROUP_SIZE) {
-				groups.add(open);
-				open = new ArrayList<>();
-			}
-		}
-		if (groups.isEmpty()) {
-			groups.add(open);
-		}
-		else {
-			groups.get(groups.size() - 1).addAll(open);
-		}
-		return groups.stream()
-			.filter((group) -> group.stream().anyMatch((member) -> member.name().equals(this.self.name())))
-			.findFirst()
-			.orElse(List.of());
+		group().followers().forEach((member) -> follower(member.address()).push(table));
 	}
 
-	private static boolean precedes(String name, String other) {
-		int order = Long.compare(RendezvousHash.hash(name), RendezvousHash.hash(other));
-		return (order != 0) ? order < 0 : name.compareTo(other) < 0;
+	private ReaderGroup group() {
+		return ReaderGroup.of(this.self.name(), this.members.get());
 	}
 
 	private FollowerLink follower(InetSocketAddress address) {
@@ -190,24 +145,17 @@
 			}
 			if (push.fromOffset() <= table.feed.records().nextOffset()) {
 				table.feed.applyPeerRecords(push.records(), push.nextOffset(), push.ageMillis());
-				if (precedes(push.sender(), this.self.name()) && push.ageMillis() <= table.maxAgeMillis()
+				ReaderGroup group = group();
+				if (group.mayFollow(push.sender()) && push.ageMillis() <= table.maxAgeMillis()
 						&& push.nextOffset() >= table.feed.records().nextOffset()) {
-					table.feed.follow(push.sender(), (long) (table.followMillis * (1 + STAGGER_FRACTION * rank())));
+					table.feed.follow(push.sender(),
+							(long) (table.followMillis * (1 + STAGGER_FRACTION * group.rank())));
 				}
 			}
 			link.send(new Message.RecordsPushAck(push.table(), table.feed.records().nextOffset()));
 		});
 	}
 
-	/**
-	 * Returns the rank of this host among the followers of its group.
-	 * @return number from 0 to {@link #MAX_STAGGERED_RANK}
-	 */
-	private int rank() {
-		long before = group().stream().filter((member) -> precedes(member.name(), this.self.name())).count();
-		return (int) Math.min(MAX_STAGGERED_RANK, Math.max(0, before - 1));
-	}
-
 	/**
 	 * Returns how this host gets each table.
 	 * @return "store" or "peer" by name of the table, for dumps
