--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -259,7 +259,7 @@
 	}
 
 	private void hedge() {
-		if (!this.relayService.retryBudgetAllows(this.service.name())) {
+		if (!this.relayService.obtainsRetryPermit(this.service.name())) {
 			return;
 		}
 		TargetPool.Choice choice = this.relayService.targetPool()
