Number the error of arguments that cannot be parsed

Cause: unknown flags and surplus operands were reported in the words of the parser alone, without a result code; every other bad input has one.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
@@ -36,7 +36,9 @@
 import io.dotterelcrank.daemon.command.TimelineVerb;
 import io.dotterelcrank.daemon.command.Verb;
 import io.dotterelcrank.process.platform.PlatformException;
+import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.RequestException;
+import io.dotterelcrank.request.ResultCode;
 
 /**
  * Entry point of the command line. Stateless.
@@ -65,8 +67,8 @@
 		ParseResult<Verb> parsed = cli().parseWithResult(arguments);
 		if (!parsed.wasSuccessful()) {
 			List<String> errors = parsed.getErrors().stream().map(ParseException::getMessage).toList();
-			err.println("dotterelcrank: " + String.join("; ", errors) + " (see 'dotterelcrank help')");
-			return ExitCode.BAD_INPUT;
+			return report(Failure.notRun(ResultCode.INVALID_SETTING,
+					String.join("; ", errors) + " (see 'dotterelcrank help')"), err);
 		}
 		return run(parsed.getCommand(), out, err);
 	}
@@ -76,9 +78,7 @@
 			return verb.run(out);
 		}
 		catch (RequestException ex) {
-			err.println("dotterelcrank: " + ex.failure().code().number() + " " + ex.getMessage() + " - "
-					+ ex.failure().code().advice());
-			return ExitCode.of(ex.failure());
+			return report(ex.failure(), err);
 		}
 		catch (PlatformException ex) {
 			err.println("dotterelcrank: " + ex.getMessage());
@@ -90,6 +90,12 @@
 		}
 	}
 
+	private static ExitCode report(Failure failure, PrintStream err) {
+		ResultCode code = failure.code();
+		err.println("dotterelcrank: " + code.number() + " " + code + ": " + failure.message() + " - " + code.advice());
+		return ExitCode.of(failure);
+	}
+
 	private static Cli<Verb> cli() {
 		CliBuilder<Verb> builder = Cli.<Verb>builder("dotterelcrank")
 			.withDescription("Serves language-model generations of unknown length on crowded engines")
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/MainTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/MainTests.java
@@ -14,6 +14,7 @@
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.daemon.command.ExitCode;
+import io.dotterelcrank.request.ResultCode;
 import io.dotterelcrank.standin.http.PlatformServer;
 import io.dotterelcrank.standin.platform.StandinHostList;
 import io.dotterelcrank.standin.platform.StandinLog;
@@ -65,6 +66,14 @@
 				"--target", "--port", "--address", "--admission", "--log-address");
 	}
 
+	@Test
+	void unparsableArgumentsGetNumberedError() {
+		run("load", "--unknown", "x");
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).contains(
+				ResultCode.INVALID_SETTING.number() + " " + ResultCode.INVALID_SETTING.name(), "--unknown",
+				"dotterelcrank help");
+	}
+
 	@Test
 	void rejectsUnknownFlagsAndCommands() {
 		assertThat(run("entry", "--unknown", "x")).isEqualTo(ExitCode.BAD_INPUT);
