State once which status is a server error

Cause: RelayedRequest and RelayAttempt each had the threshold of 500.

Change: ResponseHead.serverError, beside success.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -19,9 +19,6 @@
 	/** Backoff of a target after a refusal or the first failed connection. */
 	static final long INITIAL_BACKOFF_MILLIS = 1_000;
 
-	/** Lowest HTTP status of a server error. */
-	private static final int MIN_SERVER_ERROR_STATUS = 500;
-
 	private final RelayedRequest request;
 
 	private final TrackedTarget target;
@@ -181,7 +178,7 @@
 			this.request.streamCompleted();
 			return;
 		}
-		if (this.head.status() >= MIN_SERVER_ERROR_STATUS) {
+		if (this.head.serverError()) {
 			this.target.recordFailure();
 		}
 		else {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -42,9 +42,6 @@
 	/** Max jitter added to the suggested retry delay, in milliseconds. */
 	static final int RETRY_AFTER_JITTER_MILLIS = 800;
 
-	/** Lowest HTTP status of a server error. */
-	private static final int MIN_SERVER_ERROR_STATUS = 500;
-
 	private static final Logger logger = LoggerFactory.getLogger(RelayedRequest.class);
 
 	private final RelayService relayService;
@@ -435,8 +432,7 @@
 	 * @param body whole body
 	 */
 	void responseReceived(TargetClient.ResponseHead head, byte[] body) {
-		if (head.status() >= MIN_SERVER_ERROR_STATUS && this.route.kind() == RequestKind.IDEMPOTENT
-				&& tryRetryAfterServerError()) {
+		if (head.serverError() && this.route.kind() == RequestKind.IDEMPOTENT && tryRetryAfterServerError()) {
 			return;
 		}
 		end(head.success() ? "served" : "failed-by-target", "status " + head.status());
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -149,6 +149,14 @@
 			return this.status >= 200 && this.status < 300;
 		}
 
+		/**
+		 * Returns whether the status is a server error.
+		 * @return {@code true} for a status of 500 or more
+		 */
+		public boolean serverError() {
+			return this.status >= 500;
+		}
+
 	}
 
 }
