Pass plan and targets to the traffic thread in one task

For the users, an entry daemon that has just started can send requests to a data centre taken out of service (EVAC); a process that ends by itself counts as running for that rule.

Cause: the plan went to the traffic thread in a task of its own while the other records of the same batch were still being decoded. Requests that wait for the first plan were then placed among targets without the removal.

Change: a new plan waits for updateService, which passes it with the targets in one task.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -103,6 +103,12 @@
 	/** Data centres taken out of service; confined to the control thread. */
 	private final Set<String> dataCentresOutOfService = new HashSet<>();
 
+	/**
+	 * Plan that the traffic thread does not have yet, if any; confined to the control
+	 * thread.
+	 */
+	private Optional<ServingPlan> newPlan = Optional.empty();
+
 	/** Exchanges table records with peers; confined to the control thread. */
 	private final PeerTableSync peerSync;
 
@@ -220,7 +226,7 @@
 		if (record instanceof RelayPlatform.PlanPublished published) {
 			ServingPlan plan = published.plan();
 			this.limits = plan.limits();
-			this.runtime.trafficLoop().execute(() -> this.service.updatePlan(plan));
+			this.newPlan = Optional.of(plan);
 		}
 		else if (record instanceof RelayPlatform.DataCentreChanged changed) {
 			if (changed.outOfService()) {
@@ -286,9 +292,12 @@
 	}
 
 	/**
-	 * Passes the state kept on the control thread to the traffic thread.
+	 * Passes the state kept on the control thread to the traffic thread, in one task: a
+	 * plan must not be used with targets from before the changes that came with it.
 	 */
 	private void updateService() {
+		Optional<ServingPlan> plan = this.newPlan;
+		this.newPlan = Optional.empty();
 		List<Target> targets = this.registry.targets(this.targetsFeed.ageMillis() < this.settings.drainMillis());
 		long planAgeMillis = this.operatorsFeed.ageMillis();
 		int entryHosts = Math.max(1, this.runtime.members().size());
@@ -298,6 +307,7 @@
 		this.runtime.trafficLoop().execute(() -> {
 			this.service.updateEntryHosts(entryHosts);
 			this.service.updatePlanAge(planAgeMillis);
+			plan.ifPresent(this.service::updatePlan);
 			this.service.updateTargets(targets);
 		});
 	}
