Read and log the request limit that a target names

A response lifts a limit only if its request was sent after the limit was named, as responses overtake each other.

No send depends on it yet.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -182,7 +182,13 @@
 
 	/** A generation is refused, as it would start too late. */
 	REQUEST_REFUSED(841, Level.INFO,
-			"request={} refused service={} waited={} start={} lateStart={} useful={} returnAfter={} returned={}");
+			"request={} refused service={} waited={} start={} lateStart={} useful={} returnAfter={} returned={}"),
+
+	/** A target names another request limit than before, or none any more. */
+	REQUEST_LIMIT_CHANGED(842, Level.INFO, "target={} request limit perSecond={} was={}"),
+
+	/** A target names a request limit that cannot be read. */
+	REQUEST_LIMIT_UNREADABLE(843, Level.WARN, "target={} request limit unreadable, in force perSecond={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -129,6 +129,9 @@
 	@Override
 	public void head(TargetClient.ResponseHead received) {
 		this.head = received;
+		if (!received.misdirected()) {
+			this.target.rateGate().update(received.requestLimit(), this.sentMillis);
+		}
 		if (received.misdirected() || received.ran() == Ran.NO) {
 			if (!this.resumed) {
 				this.target.backOff(INITIAL_BACKOFF_MILLIS);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
@@ -24,6 +24,10 @@
 		this.registry.counter("sends." + cause).inc();
 	}
 
+	void recordLimitedSend() {
+		this.registry.counter("limits.sends").inc();
+	}
+
 	void recordResume(String outcome) {
 		this.registry.counter("handovers." + outcome).inc();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -461,6 +461,7 @@
 		dump.put("ownRequests", target.outstandingRequestCount());
 		dump.put("failedShare", target.failureRate());
 		dump.put("load", String.valueOf(target.load()));
+		dump.put("requestLimit", target.rateGate().limit().requestsPerSecond());
 		return dump;
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
@@ -66,6 +66,9 @@
 				cause, backupHolder.map(TrackedTarget::id).orElse("-"), this.relayService.plan().version(),
 				target.load());
 		this.relayService.metrics().recordSend(cause);
+		if (target.rateGate().limit().named()) {
+			this.relayService.metrics().recordLimitedSend();
+		}
 		attempt.setExchange(this.relayService.targetClient().send(targetRequest(attempt, resumeFrom), attempt));
 		return attempt;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -137,9 +137,10 @@
 	 * @param misdirected whether another target than the expected one responded
 	 * @param confirmed whether the target confirmed the response as its own
 	 * @param eventStream whether the body is a stream of server-sent events
+	 * @param requestLimit request rate that the target names for all hosts together
 	 */
 	record ResponseHead(int status, List<Header> headers, Ran ran, boolean misdirected, boolean confirmed,
-			boolean eventStream) {
+			boolean eventStream, RequestLimit requestLimit) {
 
 		/**
 		 * Returns whether the status is a success.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -36,6 +36,8 @@
 	/** Used only while the target is cold. */
 	private final ColdTargetRateLimiter coldRateLimiter;
 
+	private final RequestRateGate rateGate;
+
 	/** In order of sending. */
 	private final Set<OutstandingRequest> outstandingRequests = new LinkedHashSet<>();
 
@@ -75,6 +77,7 @@
 		this.clock = clock;
 		this.membership = target;
 		this.coldRateLimiter = new ColdTargetRateLimiter(clock);
+		this.rateGate = new RequestRateGate(clock, target.registration().id());
 	}
 
 	void update(Target updated) {
@@ -185,6 +188,10 @@
 		return this.coldRateLimiter;
 	}
 
+	RequestRateGate rateGate() {
+		return this.rateGate;
+	}
+
 	/**
 	 * Records a request that is sent to the target, or that awaits admission there.
 	 * @param promptTokens tokens of the prompt; 0 if the request is no generation
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
@@ -11,7 +11,7 @@
 /**
  * Records requests and KV copies; the test triggers each response.
  */
-final class RecordingTargetClient implements TargetClient {
+class RecordingTargetClient implements TargetClient {
 
 	/** In the order of sending. */
 	private final List<RecordedExchange> exchanges = new ArrayList<>();
@@ -80,6 +80,9 @@
 		/** Whether the target may have received bytes of the request. */
 		private boolean writeStarted = true;
 
+		/** Limit that the target's responses name. */
+		private RequestLimit requestLimit = RequestLimit.NONE;
+
 		RecordedExchange(TargetRequest request, Listener listener) {
 			this.request = request;
 			this.listener = listener;
@@ -97,6 +100,11 @@
 			return this.cancelled;
 		}
 
+		RecordedExchange withRequestLimit(RequestLimit limit) {
+			this.requestLimit = limit;
+			return this;
+		}
+
 		void markUnwritten() {
 			this.writeStarted = false;
 		}
@@ -141,8 +149,8 @@
 			this.listener.failed(ran, "test");
 		}
 
-		private static ResponseHead head(int status, Ran ran, boolean confirmed, boolean eventStream) {
-			return new ResponseHead(status, List.of(), ran, status == 421, confirmed, eventStream);
+		private ResponseHead head(int status, Ran ran, boolean confirmed, boolean eventStream) {
+			return new ResponseHead(status, List.of(), ran, status == 421, confirmed, eventStream, this.requestLimit);
 		}
 
 		@Override
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 
+import io.dotterelcrank.process.relay.RequestLimit;
 import io.dotterelcrank.process.relay.TargetClient;
 import io.dotterelcrank.process.relay.TargetRequest;
 import io.dotterelcrank.request.CallerRequest;
@@ -55,7 +56,7 @@
 		boolean events = response.headers().get("Content-Type", "").startsWith("text/event-stream");
 		return new TargetClient.ResponseHead(response.status().code(),
 				List.of(new Header("Seal", response.headers().get("Seal", "none"))), ran, false,
-				response.headers().contains("Seal"), events);
+				response.headers().contains("Seal"), events, RequestLimit.NONE);
 	}
 
 	@Override
