--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ColdTargetRateLimiter.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetRateLimiter.java
@@ -3,13 +3,14 @@
 import io.dotterelcrank.common.Clock;
 
 /**
- * Token bucket that limits this host's requests to one cold target during its slow start.
- * Addresses the load pattern of a cold target that fails when its data centre is put back
- * into service and flooded. Invariant: requests that ask for a permit stay within this
- * host's fraction of the rate plus a burst of half a second's requests, at least one; the
- * fractions of all hosts add up to the rate. Not thread-safe.
+ * Token bucket that limits this host's requests to one target to its share of the rate
+ * that the target takes from all hosts. Addresses the load pattern of a cold target that
+ * fails when its data centre is put back into service and flooded. Invariant: requests
+ * that ask for a permit stay within this host's fraction of the rate plus a burst of half
+ * a second's requests, at least one; the fractions of all hosts add up to the rate. Not
+ * thread-safe.
  */
-final class ColdTargetRateLimiter {
+final class TargetRateLimiter {
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -20,14 +21,14 @@
 	/** When {@link #availablePermits} was last refilled. */
 	private long updatedMillis;
 
-	ColdTargetRateLimiter(Clock clock) {
+	TargetRateLimiter(Clock clock) {
 		this.clock = clock;
 		this.updatedMillis = clock.millis();
 	}
 
 	/**
 	 * Returns whether a request may be sent now. Takes no permit.
-	 * @param requestsPerSecond max rate that the cold target sustains, from all hosts
+	 * @param requestsPerSecond max rate that the target sustains, from all hosts
 	 * @param entryHosts number of hosts that share the rate
 	 * @return {@code true} if a permit is available
 	 */
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -34,7 +34,7 @@
 	private final Clock clock;
 
 	/** Used only while the target is cold. */
-	private final ColdTargetRateLimiter coldRateLimiter;
+	private final TargetRateLimiter coldRateLimiter;
 
 	private final RequestRateGate rateGate;
 
@@ -76,7 +76,7 @@
 	TrackedTarget(Clock clock, Target target) {
 		this.clock = clock;
 		this.membership = target;
-		this.coldRateLimiter = new ColdTargetRateLimiter(clock);
+		this.coldRateLimiter = new TargetRateLimiter(clock);
 		this.rateGate = new RequestRateGate(clock, target.registration().id());
 	}
 
@@ -184,7 +184,7 @@
 		return this.clock.millis() < this.membership.coldUntilMillis();
 	}
 
-	ColdTargetRateLimiter coldRateLimiter() {
+	TargetRateLimiter coldRateLimiter() {
 		return this.coldRateLimiter;
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ColdTargetRateLimiterProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetRateLimiterProperties.java
@@ -13,10 +13,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Model check of {@link ColdTargetRateLimiter}: several hosts, whose clocks freeze at
+ * Model check of {@link TargetRateLimiter}: several hosts, whose clocks freeze at
  * random, together keep within the rate of a cold target in every second.
  */
-class ColdTargetRateLimiterProperties {
+class TargetRateLimiterProperties {
 
 	/** Allows for the burst of half a second's requests. */
 	private static final double RATE_TOLERANCE = 1.5;
@@ -30,10 +30,10 @@
 		int hosts = 1 + random.nextInt(4);
 		double requestsPerSecond = 4 + random.nextInt(60);
 		List<Clock.Manual> clocks = new ArrayList<>();
-		List<ColdTargetRateLimiter> limiters = new ArrayList<>();
+		List<TargetRateLimiter> limiters = new ArrayList<>();
 		for (int i = 0; i < hosts; i++) {
 			clocks.add(Clock.manual(0));
-			limiters.add(new ColdTargetRateLimiter(clocks.get(i)));
+			limiters.add(new TargetRateLimiter(clocks.get(i)));
 		}
 		List<Long> sends = new ArrayList<>();
 		for (long nowMillis = 0; nowMillis < 4_000; nowMillis += 20) {
