Check deletions in the model check of shared tables

The check followed offsets only, so that a host whose offset advances without a deletion passed. It now deletes keys too and compares, after the bound, whether each host holds each key.

--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
@@ -78,6 +78,12 @@
 		return offset;
 	}
 
+	long delete(String key) {
+		long offset = this.log.size();
+		this.log.add(new KeyedRecord(key, offset, null));
+		return offset;
+	}
+
 	/**
 	 * Deletes all records but the newest of each key.
 	 */
@@ -159,6 +165,13 @@
 			return this.feed.records().nextOffset();
 		}
 
+		boolean holds(String key) {
+			return this.feed.records()
+				.since(0)
+				.stream()
+				.anyMatch((record) -> record.key().equals(key) && !record.deleted());
+		}
+
 		private void run(Runnable task) {
 			if (this.paused) {
 				this.deferred.add(task);
@@ -172,6 +185,7 @@
 		public CompletableFuture<Batch> list(String table) {
 			Map<String, KeyedRecord> newest = new HashMap<>();
 			SimulatedHosts.this.log.forEach((record) -> newest.put(record.key(), record));
+			newest.values().removeIf(KeyedRecord::deleted);
 			return respond(() -> new Batch(List.copyOf(newest.values()), SimulatedHosts.this.log.size(), false));
 		}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingProperties.java
@@ -1,8 +1,12 @@
 package io.dotterelcrank.process.replica;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -47,6 +51,11 @@
 		/** Offset and time of each record appended. */
 		private final List<long[]> appended = new ArrayList<>();
 
+		/** Time of the last change of each key. */
+		private final Map<String, Long> changedMillis = new HashMap<>();
+
+		private final Set<String> liveKeys = new HashSet<>();
+
 		private long nowMillis;
 
 		Run(int seed) {
@@ -59,8 +68,7 @@
 			for (int step = 0; step < STEPS; step++) {
 				int host = this.random.nextInt(HOSTS);
 				switch (this.random.nextInt(7)) {
-					case 0 -> this.appended
-						.add(new long[] { this.hosts.append("k" + this.random.nextInt(3)), this.nowMillis });
+					case 0 -> change("k" + this.random.nextInt(3));
 					case 1 -> disturb(host);
 					case 2 -> calm(host);
 					case 3 -> this.hosts.setCut(host, this.random.nextInt(HOSTS), true);
@@ -79,6 +87,19 @@
 			}
 		}
 
+		private void change(String key) {
+			boolean deletes = this.liveKeys.contains(key) && this.random.nextBoolean();
+			long offset = deletes ? this.hosts.delete(key) : this.hosts.append(key);
+			this.appended.add(new long[] { offset, this.nowMillis });
+			this.changedMillis.put(key, this.nowMillis);
+			if (deletes) {
+				this.liveKeys.remove(key);
+			}
+			else {
+				this.liveKeys.add(key);
+			}
+		}
+
 		private void advance(long millis) {
 			this.hosts.advance(millis);
 			this.nowMillis += millis;
@@ -111,6 +132,7 @@
 				if (this.disturbed[host]) {
 					continue;
 				}
+				checkKeys(host);
 				for (long[] record : this.appended) {
 					long sinceMillis = Math.max(record[1], this.calmSinceMillis[host]);
 					if (this.nowMillis - sinceMillis >= BOUND_MILLIS) {
@@ -120,6 +142,15 @@
 			}
 		}
 
+		private void checkKeys(int host) {
+			this.changedMillis.forEach((key, millis) -> {
+				if (this.nowMillis - Math.max(millis, this.calmSinceMillis[host]) >= BOUND_MILLIS) {
+					assertThat(this.hosts.host(host).holds(key)).as("host %d holds %s", host, key)
+						.isEqualTo(this.liveKeys.contains(key));
+				}
+			});
+		}
+
 	}
 
 }
