Send all records of a table to peers that may lack deletions

What callers saw: nothing reported. A host could keep a removed target among the listed ones, and a data centre that operators had put back out of service, until it next listed the table; with a removed target it sends requests to an address that is gone or given to another service.

Cause: a listing has no tombstones. A host that lists a table does not know what was deleted before, but passed its records on as complete from any offset, so that the receiver's offset went past a deletion that it never got. This happens at each restart of the host that reads for others, and after records expired.

Change: KeyedTable keeps the offset from which on it knows all deletions, which a listing or a discarded tombstone moves. Whoever reads from before it gets all records, and treats them as a listing.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -202,10 +202,12 @@
 	 * @param nextOffset offset after the last record that the sender holds
 	 * @param ageMillis time since the sender's records were last known to be current, in
 	 * milliseconds
-	 * @param records records from the requested offset on
+	 * @param records records of the table, in the order of their offsets
+	 * @param fromOffset offset from which on the records are complete, deletions
+	 * included; 0 if they are all records of the table
 	 */
-	record RecordsResponse(String table, long nextOffset, long ageMillis,
-			List<KeyedRecord> records) implements Message {
+	record RecordsResponse(String table, long nextOffset, long ageMillis, List<KeyedRecord> records,
+			long fromOffset) implements Message {
 	}
 
 	/**
@@ -258,7 +260,8 @@
 	 *
 	 * @param sender name of the sending host
 	 * @param table name of the table
-	 * @param fromOffset offset from which on the records are complete
+	 * @param fromOffset offset from which on the records are complete, deletions
+	 * included; 0 if they are all records of the table
 	 * @param nextOffset offset that the sender reads next
 	 * @param ageMillis how long ago the records were current, in milliseconds
 	 * @param records records of the table, in the order of their offsets
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTable.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTable.java
@@ -8,8 +8,10 @@
 import java.util.Set;
 
 /**
- * Newest record of each key of a table. Invariant: the offset of a key never falls, so
- * stale reads and stale records of peers change nothing. Not thread-safe.
+ * Newest record of each key of a table. Invariants: the offset of a key never falls, so
+ * stale reads and stale records of peers change nothing; every deletion at or after
+ * {@link #deletionsKnownFrom} has a tombstone or was followed by a newer record. Not
+ * thread-safe.
  */
 public final class KeyedTable {
 
@@ -22,6 +24,9 @@
 	/** Offset after the last record applied. */
 	private long nextOffset;
 
+	/** A listing has no tombstones, so deletions before it are not known. */
+	private long deletionsKnownFrom;
+
 	private int tombstones;
 
 	private KeyedTable() {
@@ -71,6 +76,7 @@
 		}
 		List<KeyedRecord> changes = new ArrayList<>(apply(listing, listingNextOffset));
 		changes.addAll(apply(deletions, listingNextOffset));
+		this.deletionsKnownFrom = Math.max(this.deletionsKnownFrom, listingNextOffset);
 		return changes;
 	}
 
@@ -98,9 +104,11 @@
 			.filter(KeyedRecord::deleted)
 			.sorted((left, right) -> Long.compare(left.offset(), right.offset()))
 			.limit(this.tombstones - MAX_TOMBSTONES / 2)
-			.map(KeyedRecord::key)
 			.toList()
-			.forEach(this.records::remove);
+			.forEach((tombstone) -> {
+				this.records.remove(tombstone.key());
+				this.deletionsKnownFrom = Math.max(this.deletionsKnownFrom, tombstone.offset() + 1);
+			});
 		this.tombstones = MAX_TOMBSTONES / 2;
 	}
 
@@ -117,6 +125,31 @@
 			.toList();
 	}
 
+	/**
+	 * Returns what another table lacks whose next offset is known.
+	 * @param fromOffset offset that the other table reads next
+	 * @return the records from there on, or all records if deletions since then are not
+	 * known
+	 */
+	public Update updateSince(long fromOffset) {
+		boolean incremental = fromOffset >= this.deletionsKnownFrom;
+		return new Update(incremental ? fromOffset : 0, since(incremental ? fromOffset : 0));
+	}
+
+	/**
+	 * Applies the update of another table, unless records before it are missing here.
+	 * @param update records of the other table
+	 * @param updateNextOffset offset that the other table reads next
+	 * @return records that changed the table
+	 */
+	public List<KeyedRecord> apply(Update update, long updateNextOffset) {
+		if (update.fromOffset() > this.nextOffset) {
+			return List.of();
+		}
+		return (update.fromOffset() == 0) ? applyListing(update.records(), updateNextOffset)
+				: apply(update.records(), updateNextOffset);
+	}
+
 	/**
 	 * Returns the offset to read next.
 	 * @return offset after the last record applied; 0 for an empty table
@@ -125,4 +158,14 @@
 		return this.nextOffset;
 	}
 
+	/**
+	 * Records that bring another table up to date. Immutable.
+	 *
+	 * @param fromOffset offset from which on the records are complete, deletions
+	 * included; 0 if they are all records of the table
+	 * @param records the records in the order of their offsets
+	 */
+	public record Update(long fromOffset, List<KeyedRecord> records) {
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
@@ -132,8 +132,9 @@
 		this.control.execute(() -> {
 			TableFeed feed = this.feeds.get(request.table());
 			if (feed != null) {
+				KeyedTable.Update update = feed.records().updateSince(request.fromOffset());
 				link.send(new Message.RecordsResponse(request.table(), feed.records().nextOffset(), feed.ageMillis(),
-						feed.records().since(request.fromOffset())));
+						update.records(), update.fromOffset()));
 			}
 		});
 	}
@@ -141,7 +142,8 @@
 	private void handleResponse(Message.RecordsResponse response) {
 		TableFeed feed = this.feeds.get(response.table());
 		if (feed != null) {
-			feed.applyPeerRecords(response.records(), response.nextOffset(), response.ageMillis());
+			feed.applyPeerRecords(new KeyedTable.Update(response.fromOffset(), response.records()),
+					response.nextOffset(), response.ageMillis());
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
@@ -217,13 +217,16 @@
 
 	/**
 	 * Applies records of a peer.
-	 * @param peerRecords records that the peer holds from this table's next offset on
+	 * @param update records of the peer; ignored if records before it are missing here
 	 * @param peerNextOffset offset that the peer reads next
 	 * @param ageMillis how long ago the peer's records were current, in milliseconds
 	 */
-	public void applyPeerRecords(List<KeyedRecord> peerRecords, long peerNextOffset, long ageMillis) {
+	public void applyPeerRecords(KeyedTable.Update update, long peerNextOffset, long ageMillis) {
+		if (update.fromOffset() > this.records.nextOffset()) {
+			return;
+		}
 		this.lastCurrentMillis = Math.max(this.lastCurrentMillis, this.clock.millis() - ageMillis);
-		notifyListener(this.records.apply(peerRecords, peerNextOffset));
+		notifyListener(this.records.apply(update, peerNextOffset));
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -144,7 +144,8 @@
 				return;
 			}
 			if (push.fromOffset() <= table.feed.records().nextOffset()) {
-				table.feed.applyPeerRecords(push.records(), push.nextOffset(), push.ageMillis());
+				table.feed.applyPeerRecords(new KeyedTable.Update(push.fromOffset(), push.records()), push.nextOffset(),
+						push.ageMillis());
 				ReaderGroup group = group();
 				if (group.mayFollow(push.sender()) && push.ageMillis() <= table.maxAgeMillis()
 						&& push.nextOffset() >= table.feed.records().nextOffset()) {
@@ -226,9 +227,10 @@
 			this.unacknowledgedPushes++;
 			KeyedTable records = table.feed.records();
 			long fromOffset = this.acknowledgedOffsets.getOrDefault(table.feed.table(), records.nextOffset());
-			List<KeyedRecord> missing = (fromOffset < records.nextOffset()) ? records.since(fromOffset) : List.of();
-			this.link.send(new Message.RecordsPush(TableSharing.this.self.name(), table.feed.table(), fromOffset,
-					records.nextOffset(), table.feed.ageMillis(), missing));
+			KeyedTable.Update update = (fromOffset < records.nextOffset()) ? records.updateSince(fromOffset)
+					: new KeyedTable.Update(fromOffset, List.of());
+			this.link.send(new Message.RecordsPush(TableSharing.this.self.name(), table.feed.table(),
+					update.fromOffset(), records.nextOffset(), table.feed.ageMillis(), update.records()));
 		}
 
 		@Override
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
@@ -69,7 +69,8 @@
 	@Test
 	void decodesRecordsAndDeletedKeys() throws IOException {
 		Message.RecordsResponse sent = new Message.RecordsResponse("op", 9, 250,
-				List.of(new KeyedRecord("config", 7, new byte[] { 1, 2 }), new KeyedRecord("evacuate/giza", 8, null)));
+				List.of(new KeyedRecord("config", 7, new byte[] { 1, 2 }), new KeyedRecord("evacuate/giza", 8, null)),
+				7);
 		Message.RecordsResponse received = (Message.RecordsResponse) this.codec.decode(this.codec.encode(sent, 77))
 			.message();
 		assertThat(received.nextOffset()).isEqualTo(9);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/KeyedTableTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/KeyedTableTests.java
@@ -68,4 +68,33 @@
 		assertThat(records.get(records.size() - 1).key()).isEqualTo("k" + (KeyedTable.MAX_TOMBSTONES + 9));
 	}
 
+	@Test
+	void tableThatWasListedSendsAllRecordsToOneThatIsBehind() {
+		this.table.applyListing(List.of(record("a", 1)), 10);
+		KeyedTable behind = KeyedTable.empty();
+		behind.apply(List.of(record("a", 1), record("b", 2)), 3);
+		KeyedTable.Update update = this.table.updateSince(behind.nextOffset());
+		assertThat(update.fromOffset()).isZero();
+		assertThat(behind.apply(update, this.table.nextOffset())).extracting(KeyedRecord::key).containsExactly("b");
+		assertThat(this.table.updateSince(behind.nextOffset())).isEqualTo(new KeyedTable.Update(10, List.of()));
+	}
+
+	@Test
+	void discardedTombstonesAreNotMissedByTablesBehind() {
+		KeyedTable behind = KeyedTable.empty();
+		behind.apply(List.of(record("k0", 0)), 1);
+		this.table.apply(List.of(record("k0", 0)), 1);
+		for (int i = 0; i < KeyedTable.MAX_TOMBSTONES + 10; i++) {
+			this.table.apply(List.of(tombstone("k" + i, i + 1)), i + 2);
+		}
+		behind.apply(this.table.updateSince(behind.nextOffset()), this.table.nextOffset());
+		assertThat(behind.since(0)).filteredOn((record) -> record.key().equals("k0") && !record.deleted()).isEmpty();
+	}
+
+	@Test
+	void updateAfterMissingRecordsIsIgnored() {
+		assertThat(this.table.apply(new KeyedTable.Update(5, List.of(record("a", 6))), 7)).isEmpty();
+		assertThat(this.table.nextOffset()).isZero();
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
@@ -72,7 +72,7 @@
 		this.control.advance(500);
 		RecordingLink link = this.transport.links.get(0);
 		link.listener.received(link, 0,
-				new Message.RecordsResponse("op", 9, 200, List.of(new KeyedRecord("config", 8, new byte[] { 1 }))));
+				new Message.RecordsResponse("op", 9, 200, List.of(new KeyedRecord("config", 8, new byte[] { 1 })), 0));
 		this.control.runDue();
 		assertThat(this.changes).extracting(KeyedRecord::offset).containsExactly(8L);
 		assertThat(this.feed.ageMillis()).isEqualTo(200);
@@ -91,16 +91,32 @@
 	void respondsWithRecordsFromRequestedOffset() {
 		start();
 		this.control.advance(600);
+		this.feed.applyPeerRecords(
+				new KeyedTable.Update(4, List.of(new KeyedRecord("a", 4, null), new KeyedRecord("b", 5, null))), 6, 0);
 		RecordingLink link = new RecordingLink(null);
-		this.sync.handleRequest(link, new Message.RecordsRequest("op", 3));
+		this.sync.handleRequest(link, new Message.RecordsRequest("op", 5));
 		this.sync.handleRequest(link, new Message.RecordsRequest("other", 0));
 		this.control.runDue();
 		Message.RecordsResponse response = (Message.RecordsResponse) link.sent.get(0);
-		assertThat(response.records()).extracting(KeyedRecord::offset).containsExactly(3L);
-		assertThat(response.nextOffset()).isEqualTo(4);
+		assertThat(response.records()).extracting(KeyedRecord::offset).containsExactly(5L);
+		assertThat(response.fromOffset()).isEqualTo(5);
+		assertThat(response.nextOffset()).isEqualTo(6);
 		assertThat(link.sent).hasSize(1);
 	}
 
+	@Test
+	void respondsWithAllRecordsIfDeletionsSinceTheRequestedOffsetAreNotKnown() {
+		start();
+		this.control.advance(600);
+		RecordingLink link = new RecordingLink(null);
+		this.sync.handleRequest(link, new Message.RecordsRequest("op", 3));
+		this.control.runDue();
+		Message.RecordsResponse response = (Message.RecordsResponse) link.sent.get(0);
+		assertThat(response.records()).extracting(KeyedRecord::offset).containsExactly(2L, 3L);
+		assertThat(response.fromOffset()).isZero();
+		assertThat(response.nextOffset()).isEqualTo(4);
+	}
+
 	/**
 	 * A store that holds two records and can be made unavailable.
 	 */
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableFeedTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableFeedTests.java
@@ -87,16 +87,18 @@
 		this.store.unavailable = true;
 		this.feed.start();
 		advance(1_000);
-		this.feed.applyPeerRecords(List.of(record("config", 7)), 8, 400);
+		this.feed.applyPeerRecords(new KeyedTable.Update(0, List.of(record("config", 7))), 8, 400);
 		assertThat(this.changes).hasSize(1);
 		assertThat(this.feed.ageMillis()).isEqualTo(400);
-		this.feed.applyPeerRecords(List.of(record("config", 2)), 3, 0);
+		this.feed.applyPeerRecords(new KeyedTable.Update(0, List.of(record("config", 2))), 3, 0);
 		assertThat(this.changes).hasSize(1);
 	}
 
 	@Test
 	void staleListingDoesNotRevertPeerRecords() {
-		this.feed.applyPeerRecords(List.of(record("config", 7), new KeyedRecord("evacuate/giza", 8, null)), 9, 0);
+		this.feed.applyPeerRecords(
+				new KeyedTable.Update(0, List.of(record("config", 7), new KeyedRecord("evacuate/giza", 8, null))), 9,
+				0);
 		this.store.responses.add(batch(5, record("config", 4), record("evacuate/giza", 3)));
 		this.feed.start();
 		advance(10);
