Poll generations that wait for the first plan

What callers saw: on an entry host that had just started, with two generations waiting for the first plan, no waiting request was sent or refused until another request ended.

Cause: every poll orders the active requests by the benefit of a KV copy, which asks the service of the request; a request that waits for the first plan has none (NullPointerException, so the poll ended before any request was placed).

Change: such a request has the lowest priority.

Evidence: both tests in RelayedRequestTests failed with the exception before.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -225,10 +225,10 @@
 	/**
 	 * Returns the priority of this generation among those to be copied off a draining
 	 * engine.
-	 * @return priority; the highest is copied first
+	 * @return priority; the highest is copied first, 0 before the first plan
 	 */
 	double copyPriority() {
-		return this.resumer.workSavedPerCopiedToken();
+		return (this.route != null) ? this.resumer.workSavedPerCopiedToken() : 0;
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -326,6 +326,29 @@
 		assertThat(fresh.targetClient().sendCount()).isOne();
 	}
 
+	@Test
+	void generationsThatWaitForTheFirstPlanAreSentWhenItArrives() {
+		RelayFixture fresh = RelayFixture.withoutPlan();
+		fresh.accept("/notes/1", this.caller);
+		fresh.accept("/notes/2", new RecordingCallerChannel());
+		fresh.accept("/order/1", new RecordingCallerChannel());
+		fresh.advance(300);
+		fresh.relayService().updatePlan(RelayFixture.plan(1));
+		fresh.advance(RelayService.POLL_MILLIS);
+		assertThat(fresh.targetClient().sendCount()).isEqualTo(3);
+	}
+
+	@Test
+	void generationsAreRefusedWhenTheFirstPlanDoesNotArrive() {
+		RelayFixture fresh = RelayFixture.withoutPlan();
+		RecordingCallerChannel other = new RecordingCallerChannel();
+		fresh.accept("/notes/1", this.caller);
+		fresh.accept("/notes/2", other);
+		fresh.advance(RelayService.STARTUP_WAIT_MILLIS + RelayService.POLL_MILLIS);
+		assertThat(this.caller.failure().code()).isEqualTo(ResultCode.NOT_READY);
+		assertThat(other.failure().code()).isEqualTo(ResultCode.NOT_READY);
+	}
+
 	@Test
 	void requestIsRefusedWhenTheFirstPlanDoesNotArrive() {
 		RelayFixture fresh = RelayFixture.withoutPlan();
