Lift a request limit only by a confirmed response

A refusal or an error without the target's confirmation need not carry the limit; taken for the end of the limit it lets every host send again at once. onlyAConfirmedResponseLiftsTheRequestLimit failed before (the limit was lifted).

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -129,7 +129,8 @@
 	@Override
 	public void head(TargetClient.ResponseHead received) {
 		this.head = received;
-		if (!received.misdirected()) {
+		boolean fromTarget = !received.misdirected() && (received.requestLimit().named() || received.confirmed());
+		if (fromTarget) {
 			this.target.rateGate().update(received.requestLimit(), this.sentMillis);
 		}
 		if (received.misdirected() || received.ran() == Ran.NO) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -387,4 +387,17 @@
 		assertThat(sendCount()).isOne();
 	}
 
+	@Test
+	void onlyAConfirmedResponseLiftsTheRequestLimit() {
+		this.fixture.accept("/lookup/1", this.caller);
+		RecordingTargetClient.RecordedExchange exchange = this.fixture.targetClient().exchange(0);
+		TrackedTarget target = this.fixture.relayService()
+			.targetPool()
+			.find(exchange.request().target().id())
+			.orElseThrow();
+		target.rateGate().update(RequestLimit.of(50), 0);
+		exchange.refuse(503);
+		assertThat(target.rateGate().limit()).isEqualTo(RequestLimit.of(50));
+	}
+
 }
