Replace the link to a host that issues rate permits when it falls silent

A link that fails without being closed was asked again each time the host's avoidance had passed, so that the host was passed over until TCP gave up. The next request opens a new link now. RelayEntryDaemonTests covers that an entry daemon issues permits to others; the silent link itself has no test over sockets.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PermitIssuerChoice.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PermitIssuerChoice.java
@@ -18,7 +18,7 @@
 public final class PermitIssuerChoice {
 
 	/** Time after which a request counts as unanswered, in milliseconds. */
-	static final long RESPONSE_TIMEOUT_MILLIS = 150;
+	public static final long RESPONSE_TIMEOUT_MILLIS = 150;
 
 	/** Time for which an unresponsive host is passed over, in milliseconds. */
 	static final long AVOID_MILLIS = 3_000;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRatePermitClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRatePermitClient.java
@@ -26,6 +26,8 @@
 
 	private final Scheduler control;
 
+	private final Clock clock;
+
 	/** Name of this host. */
 	private final String self;
 
@@ -48,6 +50,7 @@
 			Consumer<Message.RatePermit> onPermit) {
 		this.transport = transport;
 		this.control = control;
+		this.clock = clock;
 		this.self = self;
 		this.members = members;
 		this.ownRequests = ownRequests;
@@ -63,10 +66,19 @@
 				return;
 			}
 			this.choice.recordRequest(issuer.name());
-			this.links.computeIfAbsent(issuer.address(), (address) -> new IssuerLink(issuer)).send(request);
+			link(issuer).send(request);
 		}));
 	}
 
+	private IssuerLink link(Member issuer) {
+		IssuerLink link = this.links.get(issuer.address());
+		if (link != null && link.silent()) {
+			this.links.remove(issuer.address());
+			link.close();
+		}
+		return this.links.computeIfAbsent(issuer.address(), (address) -> new IssuerLink(issuer));
+	}
+
 	/**
 	 * Link to one host. Confined to the control thread.
 	 */
@@ -76,15 +88,34 @@
 
 		private final Link link;
 
+		/** When the oldest unanswered request was sent; 0 if there is none. */
+		private long unansweredSinceMillis;
+
 		IssuerLink(Member issuer) {
 			this.issuer = issuer;
 			this.link = PeerRatePermitClient.this.transport.open(issuer.address(), this);
 		}
 
 		void send(Message.RatePermitRequest request) {
+			if (this.unansweredSinceMillis == 0) {
+				this.unansweredSinceMillis = PeerRatePermitClient.this.clock.millis();
+			}
 			this.link.send(request);
 		}
 
+		/**
+		 * Returns whether the link may have failed without being closed.
+		 * @return {@code true} if a request was not answered in time
+		 */
+		boolean silent() {
+			return this.unansweredSinceMillis > 0 && PeerRatePermitClient.this.clock.millis()
+					- this.unansweredSinceMillis >= PermitIssuerChoice.RESPONSE_TIMEOUT_MILLIS;
+		}
+
+		void close() {
+			this.link.close();
+		}
+
 		@Override
 		public void opened(Link openedLink) {
 			// The link queues messages sent before it is open.
@@ -94,8 +125,10 @@
 		public void received(Link sender, long version, Message message) {
 			if (message instanceof Message.RatePermit permit) {
 				PeerRatePermitClient.this.onPermit.accept(permit);
-				PeerRatePermitClient.this.control
-					.execute(() -> PeerRatePermitClient.this.choice.recordResponse(this.issuer.name()));
+				PeerRatePermitClient.this.control.execute(() -> {
+					this.unansweredSinceMillis = 0;
+					PeerRatePermitClient.this.choice.recordResponse(this.issuer.name());
+				});
 			}
 		}
 
@@ -107,8 +140,9 @@
 		@Override
 		public void closed(Link closedLink) {
 			PeerRatePermitClient.this.control.execute(() -> {
-				PeerRatePermitClient.this.choice.recordFailure(this.issuer.name());
-				PeerRatePermitClient.this.links.remove(this.issuer.address(), this);
+				if (PeerRatePermitClient.this.links.remove(this.issuer.address(), this)) {
+					PeerRatePermitClient.this.choice.recordFailure(this.issuer.name());
+				}
 			});
 		}
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
@@ -77,6 +77,16 @@
 		assertThat(response.ageMillis()).isEqualTo(Integer.MAX_VALUE);
 	}
 
+	@Test
+	void ratePermitsAreIssuedToOtherHosts() throws Exception {
+		this.link.send(new Message.RatePermitRequest("t", true, 0.5, 0));
+		this.link.send(new Message.RatePermitRequest("t", true, 0.5, 0));
+		assertThat(this.received.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+			.isEqualTo(new Message.RatePermit("t", true, true, 0));
+		assertThat(this.received.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+			.isEqualTo(new Message.RatePermit("t", false, true, 2_000));
+	}
+
 	/**
 	 * Collects the messages of the daemon.
 	 */
