Send nothing new to a target that says that it is leaving

Change: the head of a response carries it, TrackedTarget keeps it for the incarnation, and acceptsNewWork, which every send asks, goes by it. A target that is removed from the list and comes back with the same start time keeps what it has said (TargetPool.formerTargets): without that, an outage of the list made the host forget it, and a request limit as well.

targetThatSaysThatItIsLeavingGetsNoNewRequest and TargetPoolProperties, whose targets now say it at random and come back to the list, failed before. Not done: the news is not passed on to other hosts.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -188,7 +188,10 @@
 	REQUEST_LIMIT_CHANGED(842, Level.INFO, "target={} request limit perSecond={} was={}"),
 
 	/** A target names a request limit that cannot be read. */
-	REQUEST_LIMIT_UNREADABLE(843, Level.WARN, "target={} request limit unreadable, in force perSecond={}");
+	REQUEST_LIMIT_UNREADABLE(843, Level.WARN, "target={} request limit unreadable, in force perSecond={}"),
+
+	/** A response of a target says that it is draining. */
+	TARGET_SAID_LEAVING(844, Level.INFO, "target={} says that it is leaving");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -133,6 +133,9 @@
 		if (fromTarget) {
 			this.target.rateGate().update(received.requestLimit(), this.sentMillis);
 		}
+		if (received.leaving() && !received.misdirected()) {
+			this.target.recordLeaving();
+		}
 		if (received.misdirected() || received.ran() == Ran.NO) {
 			if (!this.resumed) {
 				this.target.backOff(INITIAL_BACKOFF_MILLIS);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -138,9 +138,10 @@
 	 * @param confirmed whether the target confirmed the response as its own
 	 * @param eventStream whether the body is a stream of server-sent events
 	 * @param requestLimit request rate that the target names for all hosts together
+	 * @param leaving whether the target says that it is draining
 	 */
 	record ResponseHead(int status, List<Header> headers, Ran ran, boolean misdirected, boolean confirmed,
-			boolean eventStream, RequestLimit requestLimit) {
+			boolean eventStream, RequestLimit requestLimit, boolean leaving) {
 
 		/**
 		 * Returns whether the status is a success.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,6 +22,9 @@
  */
 final class TargetPool {
 
+	/** Max number of former targets that are remembered. */
+	private static final int MAX_FORMER_TARGETS = 1_000;
+
 	private final Clock clock;
 
 	private final UniformRandomProvider random;
@@ -33,6 +37,21 @@
 	/** Targets by id. */
 	private final Map<String, TrackedTarget> targets = new HashMap<>();
 
+	/**
+	 * Targets that are no longer known, by id, oldest first: an incarnation that comes
+	 * back after an outage of the list is bound by what it has said before.
+	 */
+	private final Map<String, TrackedTarget> formerTargets = new LinkedHashMap<>() {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, TrackedTarget> eldest) {
+			return size() > MAX_FORMER_TARGETS;
+		}
+
+	};
+
 	TargetPool(Clock clock, UniformRandomProvider random, RatePermitClient permits) {
 		this.clock = clock;
 		this.random = random;
@@ -47,13 +66,20 @@
 		Map<String, TrackedTarget> kept = new HashMap<>();
 		for (Target target : current) {
 			TargetRegistration registration = target.registration();
-			TrackedTarget tracked = this.targets.get(registration.id());
+			TrackedTarget tracked = this.targets.getOrDefault(registration.id(),
+					this.formerTargets.get(registration.id()));
 			if (tracked == null || tracked.membership().registration().bornMillis() != registration.bornMillis()) {
 				tracked = new TrackedTarget(this.clock, target, this.permits);
 			}
 			tracked.update(target);
 			kept.put(registration.id(), tracked);
 		}
+		kept.keySet().forEach(this.formerTargets::remove);
+		this.targets.forEach((id, target) -> {
+			if (!kept.containsKey(id)) {
+				this.formerTargets.put(id, target);
+			}
+		});
 		this.targets.clear();
 		this.targets.putAll(kept);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -6,7 +6,11 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.process.membership.Target;
 
@@ -32,6 +36,8 @@
 	/** Weight of a new observation in the exponentially weighted moving averages. */
 	private static final double EWMA_WEIGHT = 0.2;
 
+	private static final Logger logger = LoggerFactory.getLogger(TrackedTarget.class);
+
 	private final Clock clock;
 
 	/** Used only while the target is cold. */
@@ -54,6 +60,9 @@
 	/** Registration and listing of the target; its incarnation does not change. */
 	private Target membership;
 
+	/** Whether a response of the target has said that it is draining. */
+	private boolean saidLeaving;
+
 	/** {@code null} before the first load report. */
 	private EngineLoad load;
 
@@ -127,11 +136,23 @@
 
 	/**
 	 * Returns whether the target is draining.
-	 * @return {@code true} according to its registration or its last load report
+	 * @return {@code true} according to its registration, its last load report or one of
+	 * its responses
 	 */
 	boolean leaving() {
 		EngineLoad fresh = load();
-		return this.membership.registration().leaving() || (fresh != null && fresh.leaving());
+		return this.saidLeaving || this.membership.registration().leaving() || (fresh != null && fresh.leaving());
+	}
+
+	/**
+	 * Records that a response of the target says that it is draining, which stays true
+	 * for its incarnation.
+	 */
+	void recordLeaving() {
+		if (!this.saidLeaving) {
+			LogEvent.TARGET_SAID_LEAVING.log(logger, id());
+		}
+		this.saidLeaving = true;
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
@@ -83,6 +83,9 @@
 		/** Limit that the target's responses name. */
 		private RequestLimit requestLimit = RequestLimit.NONE;
 
+		/** Whether the target's responses say that it is draining. */
+		private boolean leaving;
+
 		RecordedExchange(TargetRequest request, Listener listener) {
 			this.request = request;
 			this.listener = listener;
@@ -105,6 +108,11 @@
 			return this;
 		}
 
+		RecordedExchange withLeaving() {
+			this.leaving = true;
+			return this;
+		}
+
 		void markUnwritten() {
 			this.writeStarted = false;
 		}
@@ -150,7 +158,8 @@
 		}
 
 		private ResponseHead head(int status, Ran ran, boolean confirmed, boolean eventStream) {
-			return new ResponseHead(status, List.of(), ran, status == 421, confirmed, eventStream, this.requestLimit);
+			return new ResponseHead(status, List.of(), ran, status == 421, confirmed, eventStream, this.requestLimit,
+					this.leaving);
 		}
 
 		@Override
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -400,4 +400,17 @@
 		assertThat(target.rateGate().limit()).isEqualTo(RequestLimit.of(50));
 	}
 
+	@Test
+	void targetThatSaysThatItIsLeavingGetsNoNewRequest() {
+		this.fixture.accept("/order/1", this.caller);
+		RecordingTargetClient.RecordedExchange first = this.fixture.targetClient().exchange(0);
+		first.withLeaving().respond(200, "");
+		for (int i = 2; i < 10; i++) {
+			this.fixture.accept("/order/" + i, new RecordingCallerChannel());
+			RecordingTargetClient.RecordedExchange next = this.fixture.targetClient().exchange(i - 1);
+			assertThat(next.request().target().id()).isNotEqualTo(first.request().target().id());
+			next.respond(200, "");
+		}
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetPoolProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetPoolProperties.java
@@ -1,9 +1,11 @@
 package io.dotterelcrank.process.relay;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -11,6 +13,7 @@
 
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.Ran;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -50,6 +53,9 @@
 
 		private long bornMillis = 1;
 
+		/** Incarnations that said in a response that they are draining. */
+		private final Set<String> saidLeaving = new HashSet<>();
+
 		Run(int seed) {
 			this.random = new Random(seed);
 			this.fixture = this.random.nextBoolean() ? new RelayFixture() : RelayFixture.withoutSidecars();
@@ -57,11 +63,16 @@
 				this.fixture.admissionClient().link();
 			}
 			this.fixture.targetClient()
-				.checkSends((request) -> assertThat(this.fixture.mayGetRequests(request.target()))
+				.checkSends((request) -> assertThat(this.fixture.mayGetRequests(request.target())
+						&& !this.saidLeaving.contains(incarnation(request.target())))
 					.as("send to %s", request.target())
 					.isTrue());
 		}
 
+		private static String incarnation(TargetRegistration target) {
+			return target.id() + '/' + target.bornMillis();
+		}
+
 		void play() {
 			for (int step = 0; step < STEPS; step++) {
 				switch (this.random.nextInt(9)) {
@@ -140,6 +151,10 @@
 
 		private void startOrEnd(int index, RecordingTargetClient.RecordedExchange exchange) {
 			int choice = this.random.nextInt(6);
+			if (choice != 1 && this.random.nextInt(10) == 0) {
+				exchange.withLeaving();
+				this.saidLeaving.add(incarnation(exchange.request().target()));
+			}
 			if (choice == 0) {
 				exchange.refuse(503);
 			}
