Leave a target alone for the time that it asks for with a refusal

A refusal put the target into a backoff of a second, which only ranks it behind others, so that it got requests again at once where no other was free.

If all targets want nothing for longer than the request may wait, its caller is refused at once as not run, with the time at which the first one takes requests.

callerIsRefusedAtOnceWhenAllTargetsWantNoRequests, pausedTargetGetsRequestsAgainAfterItsPause and TargetPoolProperties, whose targets now ask for pauses, failed before.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -191,7 +191,13 @@
 	REQUEST_LIMIT_UNREADABLE(843, Level.WARN, "target={} request limit unreadable, in force perSecond={}"),
 
 	/** A response of a target says that it is draining. */
-	TARGET_SAID_LEAVING(844, Level.INFO, "target={} says that it is leaving");
+	TARGET_SAID_LEAVING(844, Level.INFO, "target={} says that it is leaving"),
+
+	/** A target asks for a pause that cannot be read or is too long. */
+	RETRY_AFTER_OUT_OF_RANGE(845, Level.WARN, "Retry-After of a target unreadable or too long value=\"{}\" max={}"),
+
+	/** A target wants no requests for a time. */
+	TARGET_PAUSED(846, Level.INFO, "target={} wants no requests for millis={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/LoadSampler.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/LoadSampler.java
@@ -75,6 +75,7 @@
 	 */
 	boolean trySample(ServiceSpec service, int size, Runnable onComplete) {
 		List<TrackedTarget> engines = new ArrayList<>(this.targetPool.accepting(service));
+		engines.removeIf((engine) -> engine.rateGate().pausedMillis() > 0);
 		if (engines.size() <= 1 || engines.stream().anyMatch(TrackedTarget::reportedBySidecar)) {
 			return false;
 		}
@@ -99,7 +100,9 @@
 	 * @param engine engine that runs the generation
 	 */
 	void refresh(TrackedTarget engine) {
-		if (!engine.reportedBySidecar() && engine.loadAgeMillis() > MAX_REPORT_AGE_MILLIS && this.awaited.add(engine)) {
+		boolean paused = engine.rateGate().pausedMillis() > 0;
+		if (!paused && !engine.reportedBySidecar() && engine.loadAgeMillis() > MAX_REPORT_AGE_MILLIS
+				&& this.awaited.add(engine)) {
 			read(engine);
 		}
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -140,6 +140,7 @@
 			if (!this.resumed) {
 				this.target.backOff(INITIAL_BACKOFF_MILLIS);
 			}
+			this.target.rateGate().pause(received.misdirected() ? 0 : received.pauseMillis());
 			cancel();
 			this.request.attemptFailed(this, Ran.NO, "refused with status " + received.status());
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -114,6 +114,14 @@
 	 * @return {@code false} if it waits
 	 */
 	private boolean refusedForLackOfCapacity() {
+		long pausedMillis = this.relayService.targetPool().pausedMillis(this.request.service());
+		if (pausedMillis > 0 && waitedMillis() + pausedMillis > maxWaitMillis()) {
+			this.returnDelayMillis = pausedMillis
+					+ this.relayService.random().nextInt(RelayedRequest.RETRY_AFTER_JITTER_MILLIS);
+			this.request.endInFailure(ResultCode.OVERLOADED, "no target of service " + this.request.service().name()
+					+ " wants requests for " + pausedMillis + " ms");
+			return true;
+		}
 		if (this.request.service().engine().isEmpty()) {
 			boolean refused = waitedMillis() > maxWaitMillis();
 			if (refused) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestRateGate.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestRateGate.java
@@ -1,5 +1,6 @@
 package io.dotterelcrank.process.relay;
 
+import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -9,16 +10,23 @@
 
 /**
  * Keeps this host's requests to one target within the rate that the target names for all
- * hosts together. Invariants: a request under a limit takes a permit of the one host that
- * issues them or, if this host's share of the rate is at least a request in half a
- * second, of that share; a limit stays in force until a later response lifts it. Confined
- * to the traffic thread.
+ * hosts together, and sends it none while it wants none. Addresses the load pattern of a
+ * target in need that many hosts have requests for. Invariants: a request under a limit
+ * takes a permit of the one host that issues them or, if this host's share of the rate is
+ * at least a request in half a second, of that share; a limit stays in force until a
+ * later response lifts it. Confined to the traffic thread.
  */
 final class RequestRateGate {
 
 	/** Time within which a permit has to be used, in milliseconds. */
 	static final long PERMIT_MILLIS = 500;
 
+	/**
+	 * Max fraction by which a pause is extended at random, so that not all hosts come
+	 * back at once.
+	 */
+	static final double PAUSE_JITTER_FRACTION = 0.2;
+
 	/** Time after which a request for a permit is repeated, in milliseconds. */
 	static final long RESPONSE_TIMEOUT_MILLIS = 150;
 
@@ -30,6 +38,8 @@
 
 	private final RatePermitClient permits;
 
+	private final UniformRandomProvider random;
+
 	/** Used while this host's share is large enough. */
 	private final TargetRateLimiter share;
 
@@ -44,10 +54,14 @@
 	/** When a permit may be asked for again. */
 	private long nextRequestMillis;
 
-	RequestRateGate(Clock clock, String targetId, RatePermitClient permits) {
+	/** Until when the target wants no requests from this host. */
+	private long pausedUntilMillis;
+
+	RequestRateGate(Clock clock, String targetId, RatePermitClient permits, UniformRandomProvider random) {
 		this.clock = clock;
 		this.targetId = targetId;
 		this.permits = permits;
+		this.random = random;
 		this.share = new TargetRateLimiter(clock);
 	}
 
@@ -82,6 +96,26 @@
 		this.limit = changed;
 	}
 
+	/**
+	 * Sends nothing for a time, after the target has refused a request.
+	 * @param millis time that the target asks for, in milliseconds; 0 for none
+	 */
+	void pause(long millis) {
+		if (millis > 0) {
+			LogEvent.TARGET_PAUSED.log(logger, this.targetId, millis);
+			long jitterMillis = (long) (this.random.nextDouble() * PAUSE_JITTER_FRACTION * millis);
+			this.pausedUntilMillis = Math.max(this.pausedUntilMillis, this.clock.millis() + millis + jitterMillis);
+		}
+	}
+
+	/**
+	 * Returns the time until the target may get requests again.
+	 * @return time in milliseconds; 0 if it may get them now
+	 */
+	long pausedMillis() {
+		return Math.max(0, this.pausedUntilMillis - this.clock.millis());
+	}
+
 	/**
 	 * Handles the response of the host that issues the permits.
 	 * @param permit permit, refusal, or the news that the limit is lifted
@@ -100,9 +134,13 @@
 	 * Returns whether a request may be sent now; if not, asks for a permit, which may
 	 * arrive soon.
 	 * @param entryHosts number of hosts that share the rate
-	 * @return {@code true} without a limit, or with a permit
+	 * @return {@code true} without a limit or with a permit, unless the target wants no
+	 * requests
 	 */
 	boolean allows(int entryHosts) {
+		if (pausedMillis() > 0) {
+			return false;
+		}
 		if (!this.limit.named()) {
 			return true;
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -139,9 +139,11 @@
 	 * @param eventStream whether the body is a stream of server-sent events
 	 * @param requestLimit request rate that the target names for all hosts together
 	 * @param leaving whether the target says that it is draining
+	 * @param pauseMillis time for which the target wants no requests from this host, in
+	 * milliseconds; 0 if it names none
 	 */
 	record ResponseHead(int status, List<Header> headers, Ran ran, boolean misdirected, boolean confirmed,
-			boolean eventStream, RequestLimit requestLimit, boolean leaving) {
+			boolean eventStream, RequestLimit requestLimit, boolean leaving, long pauseMillis) {
 
 		/**
 		 * Returns whether the status is a success.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -69,7 +69,7 @@
 			TrackedTarget tracked = this.targets.getOrDefault(registration.id(),
 					this.formerTargets.get(registration.id()));
 			if (tracked == null || tracked.membership().registration().bornMillis() != registration.bornMillis()) {
-				tracked = new TrackedTarget(this.clock, target, this.permits);
+				tracked = new TrackedTarget(this.clock, target, this.permits, this.random);
 			}
 			tracked.update(target);
 			kept.put(registration.id(), tracked);
@@ -149,6 +149,15 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the time until some target of a service may get requests.
+	 * @param service the service
+	 * @return time in milliseconds; 0 if one wants requests now, or none accepts new work
+	 */
+	long pausedMillis(ServiceSpec service) {
+		return accepting(service).stream().mapToLong((target) -> target.rateGate().pausedMillis()).min().orElse(0);
+	}
+
 	/**
 	 * Returns how much of the memory of a service's engines is in use.
 	 * @param service the service
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -83,11 +84,11 @@
 	/** Time before which the sidecar gets no admission requests. */
 	private long sidecarBackoffUntilMillis;
 
-	TrackedTarget(Clock clock, Target target, RatePermitClient permits) {
+	TrackedTarget(Clock clock, Target target, RatePermitClient permits, UniformRandomProvider random) {
 		this.clock = clock;
 		this.membership = target;
 		this.coldRateLimiter = new TargetRateLimiter(clock);
-		this.rateGate = new RequestRateGate(clock, target.registration().id(), permits);
+		this.rateGate = new RequestRateGate(clock, target.registration().id(), permits, random);
 	}
 
 	void update(Target updated) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -32,7 +32,7 @@
 		TrackedTarget target = new TrackedTarget(this.clock,
 				new Target(new TargetRegistration(id, "bench", address, dataCentre, 24, false, 0, 1, 1), 0, true,
 						false),
-				RatePermitClient.Disabled.INSTANCE);
+				RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 		target.updateLoad(new EngineLoad(id, "bench", dataCentre, "10.0.0.1:80", 1, 2, 0, pendingPrefillTokens,
 				memoryUsed, MEMORY_TOKENS, false, -1, 0));
 		return target;
@@ -80,7 +80,7 @@
 	void engineWithoutLoadReportIsUsedByOneHostOnAverage() {
 		TrackedTarget reported = engine("reported", "giza", 3_000, 15_000);
 		TrackedTarget unreported = new TrackedTarget(this.clock, reported.membership(),
-				RatePermitClient.Disabled.INSTANCE);
+				RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(3_000, 3_500, "giza", 0, 20, 1_800,
 				PlacementStrategy.Demand.NO_LIMIT, 0);
 		int chosenCount = 0;
@@ -94,7 +94,7 @@
 	@Test
 	void allEnginesAreUsedIfNoneReportsItsLoad() {
 		TrackedTarget unreported = new TrackedTarget(this.clock, engine("e", "giza", 0, 0).membership(),
-				RatePermitClient.Disabled.INSTANCE);
+				RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 		assertThat(chosenId(demand(), unreported)).isEqualTo("e");
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
@@ -83,6 +83,9 @@
 		/** Limit that the target's responses name. */
 		private RequestLimit requestLimit = RequestLimit.NONE;
 
+		/** Time for which the target wants no requests. */
+		private long pauseMillis;
+
 		/** Whether the target's responses say that it is draining. */
 		private boolean leaving;
 
@@ -108,6 +111,11 @@
 			return this;
 		}
 
+		RecordedExchange withPause(long millis) {
+			this.pauseMillis = millis;
+			return this;
+		}
+
 		RecordedExchange withLeaving() {
 			this.leaving = true;
 			return this;
@@ -159,7 +167,7 @@
 
 		private ResponseHead head(int status, Ran ran, boolean confirmed, boolean eventStream) {
 			return new ResponseHead(status, List.of(), ran, status == 421, confirmed, eventStream, this.requestLimit,
-					this.leaving);
+					this.leaving, this.pauseMillis);
 		}
 
 		@Override
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -174,6 +174,10 @@
 					Optional.ofNullable(key), traits, generation ? 39_000 : 1_500, this.clock.millis()), caller);
 	}
 
+	long now() {
+		return this.clock.millis();
+	}
+
 	void advance(long millis) {
 		this.scheduler.advance(millis);
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -413,4 +413,36 @@
 		}
 	}
 
+	@Test
+	void callerIsRefusedAtOnceWhenAllTargetsWantNoRequests() {
+		pauseAllTargets(3_000);
+		RecordingCallerChannel refused = new RecordingCallerChannel();
+		this.fixture.accept("/order/9", refused);
+		assertThat(refused.failure().code()).isEqualTo(ResultCode.OVERLOADED);
+		assertThat(refused.failure().ran()).isEqualTo(Ran.NO);
+		assertThat(refused.failure().retryAfterMillis()).isBetween(3_000L, 4_400L);
+	}
+
+	@Test
+	void pausedTargetGetsRequestsAgainAfterItsPause() {
+		pauseAllTargets(3_000);
+		int sends = this.fixture.targetClient().sendCount();
+		this.fixture.advance(2_999);
+		this.fixture.accept("/order/8", new RecordingCallerChannel());
+		assertThat(this.fixture.targetClient().sendCount()).isEqualTo(sends);
+		this.fixture.advance(1_000);
+		this.fixture.accept("/order/9", new RecordingCallerChannel());
+		assertThat(this.fixture.targetClient().sendCount()).isGreaterThan(sends);
+	}
+
+	private void pauseAllTargets(long millis) {
+		for (int i = 0; i < 4; i++) {
+			int sends = this.fixture.targetClient().sendCount();
+			this.fixture.accept("/order/" + i, new RecordingCallerChannel());
+			if (this.fixture.targetClient().sendCount() > sends) {
+				this.fixture.targetClient().exchange(sends).withPause(millis).refuse(503);
+			}
+		}
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestRateGateTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestRateGateTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 
 import io.dotterelcrank.common.Clock;
@@ -19,7 +20,8 @@
 
 	private final List<Message.RatePermitRequest> requests = new ArrayList<>();
 
-	private final RequestRateGate gate = new RequestRateGate(this.clock, "p1", this.requests::add);
+	private final RequestRateGate gate = new RequestRateGate(this.clock, "p1", this.requests::add,
+			RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 
 	@Test
 	void lastNamedLimitIsInForce() {
@@ -122,4 +124,16 @@
 		assertThat(this.requests).containsExactly(new Message.RatePermitRequest("p1", false, 0, 0));
 	}
 
+	@Test
+	void pauseEndsAfterItsTimeAndSomeJitter() {
+		this.gate.pause(1_000);
+		this.gate.pause(10);
+		this.clock.advance(999);
+		assertThat(this.gate.allows(3)).isFalse();
+		assertThat(this.gate.pausedMillis()).isPositive();
+		this.clock.advance(1 + (long) (RequestRateGate.PAUSE_JITTER_FRACTION * 1_000));
+		assertThat(this.gate.allows(3)).isTrue();
+		assertThat(this.gate.pausedMillis()).isZero();
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetPoolProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetPoolProperties.java
@@ -53,6 +53,9 @@
 
 		private long bornMillis = 1;
 
+		/** Until when incarnations want no requests. */
+		private final Map<String, Long> pausedUntil = new HashMap<>();
+
 		/** Incarnations that said in a response that they are draining. */
 		private final Set<String> saidLeaving = new HashSet<>();
 
@@ -64,7 +67,8 @@
 			}
 			this.fixture.targetClient()
 				.checkSends((request) -> assertThat(this.fixture.mayGetRequests(request.target())
-						&& !this.saidLeaving.contains(incarnation(request.target())))
+						&& !this.saidLeaving.contains(incarnation(request.target()))
+						&& this.fixture.now() >= this.pausedUntil.getOrDefault(incarnation(request.target()), 0L))
 					.as("send to %s", request.target())
 					.isTrue());
 		}
@@ -156,7 +160,10 @@
 				this.saidLeaving.add(incarnation(exchange.request().target()));
 			}
 			if (choice == 0) {
-				exchange.refuse(503);
+				long pauseMillis = this.random.nextInt(3) * 400;
+				this.pausedUntil.merge(incarnation(exchange.request().target()), this.fixture.now() + pauseMillis,
+						Math::max);
+				exchange.withPause(pauseMillis).refuse(503);
 			}
 			else if (choice == 1) {
 				exchange.fail(Ran.NO);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TrackedTargetTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TrackedTargetTests.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 
+import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 
 import io.dotterelcrank.common.Clock;
@@ -21,7 +22,7 @@
 	private final TrackedTarget target = new TrackedTarget(this.clock,
 			new Target(new TargetRegistration("e", "s", new InetSocketAddress("10.0.0.1", 80), "dc", 4, false, 0, 1, 1),
 					0, true, false),
-			RatePermitClient.Disabled.INSTANCE);
+			RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 
 	private boolean inBackoffAfter(long millis) {
 		this.clock.advance(millis);
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
@@ -56,7 +56,7 @@
 		boolean events = response.headers().get("Content-Type", "").startsWith("text/event-stream");
 		return new TargetClient.ResponseHead(response.status().code(),
 				List.of(new Header("Seal", response.headers().get("Seal", "none"))), ran, false,
-				response.headers().contains("Seal"), events, RequestLimit.NONE, false);
+				response.headers().contains("Seal"), events, RequestLimit.NONE, false, 0);
 	}
 
 	@Override
