--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -197,7 +197,10 @@
 	RETRY_AFTER_OUT_OF_RANGE(845, Level.WARN, "Retry-After of a target unreadable or too long value=\"{}\" max={}"),
 
 	/** A target wants no requests for a time. */
-	TARGET_PAUSED(846, Level.INFO, "target={} wants no requests for millis={}");
+	TARGET_PAUSED(846, Level.INFO, "target={} wants no requests for millis={}"),
+
+	/** The connection to a target was lost while a request was starting there. */
+	LOST_WHILE_STARTING(847, Level.INFO, "request={} target={} lost while starting responseMillis={} parts={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -1,8 +1,13 @@
 package io.dotterelcrank.process.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Optional;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.request.Ran;
@@ -19,6 +24,14 @@
 	/** Backoff of a target after a refusal or the first failed connection. */
 	static final long INITIAL_BACKOFF_MILLIS = 1_000;
 
+	/**
+	 * Age of an event stream, in milliseconds, from which on the start of its request
+	 * counts as successful.
+	 */
+	static final long SETTLED_MILLIS = 1_000;
+
+	private static final Logger logger = LoggerFactory.getLogger(RelayAttempt.class);
+
 	private final RelayedRequest request;
 
 	private final TrackedTarget target;
@@ -206,6 +219,10 @@
 
 	@Override
 	public void failed(Ran ran, String reason) {
+		if (ran == Ran.UNKNOWN && streamAgeMillis() < SETTLED_MILLIS) {
+			LogEvent.LOST_WHILE_STARTING.log(logger, this.request.id(), this.target.id(), streamAgeMillis(),
+					this.request.request().traits().map(GenerationTraits::sharedParts).orElse(List.of()));
+		}
 		detach();
 		if (ran == Ran.NO) {
 			this.target.connectionFailed(INITIAL_BACKOFF_MILLIS);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -167,7 +167,7 @@
 	RelayedRequest accept(String path, String key, RecordingCallerChannel caller) {
 		boolean generation = path.startsWith("/notes/");
 		Optional<GenerationTraits> traits = generation
-				? Optional.of(new GenerationTraits(3_000, 900, OptionalLong.empty())) : Optional.empty();
+				? Optional.of(new GenerationTraits(3_000, 900, OptionalLong.empty(), List.of())) : Optional.empty();
 		this.requestCount++;
 		return this.relayService
 			.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path, List.of(), new byte[0],
