Model check of prompt parts that crash engines

It also counts sound requests with the same first part that begin at the first attempt. Hosts restart, and a third of the engines is reclaimed at times.

--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
@@ -0,0 +1,380 @@
+package io.dotterelcrank.process.relay;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.simple.RandomSource;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.process.membership.Target;
+import io.dotterelcrank.process.membership.TargetRegistration;
+import io.dotterelcrank.request.CallerRequest;
+import io.dotterelcrank.request.GenerationTraits;
+import io.dotterelcrank.request.Ran;
+
+/**
+ * The relay services of several entry hosts on one manual clock, with engines that crash
+ * when they begin to respond to some prompts and are back after seconds.
+ */
+final class CrashFleet {
+
+	/** Time between two steps, in milliseconds. */
+	static final int STEP_MILLIS = 10;
+
+	/** Time after a disruption from which on a host has to keep all bounds. */
+	static final long CONTACT_MILLIS = 3_000;
+
+	private static final int SHARED_FIRST_PARTS = 4;
+
+	private static final int EVENT_MILLIS = 40;
+
+	private static final long LEASE_MILLIS = 2_500;
+
+	private final Random random;
+
+	private final Clock.Manual clock = Clock.manual(100_000);
+
+	private final Scheduler.Manual scheduler = Scheduler.manual(this.clock);
+
+	private final List<RelayService> hosts = new ArrayList<>();
+
+	/** When each host last started, in milliseconds. */
+	private final List<Long> startedMillis = new ArrayList<>();
+
+	private final List<Engine> engines = new ArrayList<>();
+
+	/** All incarnations of engines that are listed, by id. */
+	private final Map<String, Target> listed = new HashMap<>();
+
+	/** Parts that crash each engine that begins to respond to a prompt with them. */
+	private final Set<String> crashingParts = new HashSet<>();
+
+	private final List<Send> sends = new ArrayList<>();
+
+	private final List<Crash> crashes = new ArrayList<>();
+
+	private final List<Arrival> arrivals = new ArrayList<>();
+
+	/** Ids of the requests that began at their first attempt. */
+	private final Set<String> begun = new HashSet<>();
+
+	private int requestCount;
+
+	CrashFleet(int hostCount, int engineCount, Random random) {
+		this.random = random;
+		for (int i = 0; i < engineCount; i++) {
+			this.engines.add(new Engine(i));
+		}
+		for (int i = 0; i < hostCount; i++) {
+			this.hosts.add(createHost(i));
+			this.startedMillis.add(now());
+		}
+		this.engines.forEach(Engine::start);
+	}
+
+	private RelayService createHost(int index) {
+		RelayService host = RelayService.of(this.clock, this.scheduler,
+				RelayClients.of(new CrashingTargetClient(index)),
+				new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000),
+				RandomSource.XO_RO_SHI_RO_128_PP.create(this.random.nextLong()), new MetricRegistry());
+		host.updateEntryHosts(Math.max(1, this.hosts.size()));
+		host.updatePlan(RelayFixture.plan(1));
+		host.updatePlanAge(0);
+		host.updateTargets(List.copyOf(this.listed.values()));
+		host.start();
+		return host;
+	}
+
+	/**
+	 * Replaces a random host by one that has just started; its callers are gone.
+	 */
+	void restartHost() {
+		int index = this.random.nextInt(this.hosts.size());
+		this.engines.forEach((engine) -> engine.open.removeIf((running) -> running.host == index));
+		this.hosts.set(index, createHost(index));
+		this.startedMillis.set(index, now());
+	}
+
+	/**
+	 * Ends a third of the engines without notice within four seconds.
+	 */
+	void reclaim() {
+		for (Engine engine : this.engines) {
+			if (this.random.nextInt(3) == 0) {
+				this.scheduler.schedule(this.random.nextInt(4_000), () -> engine.crash(Optional.empty()));
+			}
+		}
+	}
+
+	private void updateTargets() {
+		List<Target> targets = List.copyOf(this.listed.values());
+		this.hosts.forEach((host) -> host.updateTargets(targets));
+	}
+
+	/**
+	 * Makes a part crash engines from now on.
+	 * @param part id of the part
+	 */
+	void makeCrashing(String part) {
+		this.crashingParts.add(part);
+	}
+
+	/**
+	 * Lets callers send requests to random hosts.
+	 * @param millis duration in milliseconds
+	 * @param soundPerSecond sound requests of all callers a second, on average
+	 * @param crashingPerSecond requests with each part that crashes engines a second
+	 */
+	void play(long millis, double soundPerSecond, double crashingPerSecond) {
+		long endMillis = now() + millis;
+		while (now() < endMillis) {
+			if (occurs(soundPerSecond)) {
+				accept(Optional.empty());
+			}
+			for (String part : this.crashingParts) {
+				if (occurs(crashingPerSecond)) {
+					accept(Optional.of(part));
+				}
+			}
+			this.scheduler.advance(STEP_MILLIS);
+		}
+	}
+
+	private boolean occurs(double perSecond) {
+		return this.random.nextDouble() < perSecond * STEP_MILLIS / 1_000;
+	}
+
+	private void accept(Optional<String> crashingPart) {
+		this.requestCount++;
+		int host = this.random.nextInt(this.hosts.size());
+		String first = "first" + (crashingPart.isPresent() ? Math.floorMod(crashingPart.hashCode(), SHARED_FIRST_PARTS)
+				: this.random.nextInt(SHARED_FIRST_PARTS));
+		List<String> parts = crashingPart.map((part) -> List.of(first, part)).orElse(List.of(first));
+		String id = "attempt-" + this.requestCount;
+		this.arrivals.add(new Arrival(id, parts, crashingPart.isPresent(), now()));
+		this.hosts.get(host)
+			.accept(new CallerRequest(id, "POST", "a.example", "/notes/1", List.of(), id.getBytes(), Optional.of("key"),
+					Optional.of(new GenerationTraits(1_000, 100, OptionalLong.empty(), parts)), 39_000, now()),
+					new RecordingCallerChannel());
+	}
+
+	long now() {
+		return this.clock.millis();
+	}
+
+	/**
+	 * Returns when a part crashed an engine for the nth time.
+	 * @param part id of the part
+	 * @param count number of the crash, from 1
+	 * @return the time, or empty if it has crashed fewer
+	 */
+	OptionalLong crashMillis(String part, int count) {
+		return this.crashes.stream()
+			.filter((crash) -> crash.part().equals(part))
+			.mapToLong(Crash::millis)
+			.skip(count - 1L)
+			.findFirst();
+	}
+
+	/**
+	 * Counts the requests with a part that hosts in contact have sent to engines.
+	 * @param part id of the part
+	 * @param sinceMillis start of the span, in milliseconds
+	 * @return number of requests, retries included
+	 */
+	long sendsSince(String part, long sinceMillis) {
+		return this.sends.stream()
+			.filter((send) -> send.parts().contains(part) && send.millis() > sinceMillis && send.inContact())
+			.count();
+	}
+
+	/**
+	 * Returns how many sound requests with a first part began at the first attempt.
+	 * @param first first part of their prompts
+	 * @param fromMillis start of the span, in milliseconds
+	 * @param toMillis end of the span, in milliseconds
+	 * @return fraction, or 1 if there are fewer than 20
+	 */
+	double begunFraction(String first, long fromMillis, long toMillis) {
+		List<Arrival> counted = this.arrivals.stream()
+			.filter((arrival) -> !arrival.crashing() && arrival.parts().get(0).equals(first)
+					&& arrival.millis() >= fromMillis && arrival.millis() < toMillis)
+			.toList();
+		long begunCount = counted.stream().filter((arrival) -> this.begun.contains(arrival.id())).count();
+		return (counted.size() < 20) ? 1 : (double) begunCount / counted.size();
+	}
+
+	String firstPartBeside(String part) {
+		return "first" + Math.floorMod(Optional.of(part).hashCode(), SHARED_FIRST_PARTS);
+	}
+
+	/**
+	 * A request that reached an engine.
+	 *
+	 * @param parts shared parts of its prompt
+	 * @param millis when it was sent
+	 * @param inContact whether the sending host had run for long enough
+	 */
+	record Send(List<String> parts, long millis, boolean inContact) {
+	}
+
+	/**
+	 * An engine that ended.
+	 *
+	 * @param part part that crashed it; empty text if none did
+	 * @param millis when it ended
+	 */
+	record Crash(String part, long millis) {
+	}
+
+	/**
+	 * A request of a caller.
+	 *
+	 * @param id id of the attempt
+	 * @param parts shared parts of its prompt
+	 * @param crashing whether one of the parts crashes engines
+	 * @param millis when it arrived
+	 */
+	record Arrival(String id, List<String> parts, boolean crashing, long millis) {
+	}
+
+	/**
+	 * A request at an engine.
+	 *
+	 * @param host index of the host that sent it
+	 * @param exchange its response
+	 */
+	private record Running(int host, RecordingTargetClient.RecordedExchange exchange) {
+	}
+
+	/**
+	 * One engine through all its incarnations.
+	 */
+	private final class Engine {
+
+		private final int index;
+
+		private int incarnation;
+
+		private boolean up;
+
+		private final List<Running> open = new ArrayList<>();
+
+		Engine(int index) {
+			this.index = index;
+		}
+
+		String id() {
+			return "e" + this.index + "-" + this.incarnation;
+		}
+
+		void start() {
+			this.incarnation++;
+			this.up = true;
+			InetSocketAddress address = new InetSocketAddress("10.1." + this.index / 250 + "." + (1 + this.index % 250),
+					80);
+			CrashFleet.this.listed.put(id(),
+					new Target(
+							new TargetRegistration(id(), "bench", address, "giza", 24, false, 0, this.incarnation, 1),
+							0, true, false));
+			updateTargets();
+		}
+
+		void crash(Optional<String> part) {
+			if (!this.up) {
+				return;
+			}
+			this.up = false;
+			CrashFleet.this.crashes.add(new Crash(part.orElse(""), now()));
+			List<Running> lost = List.copyOf(this.open);
+			this.open.clear();
+			lost.stream()
+				.filter((running) -> !running.exchange.ended())
+				.forEach((running) -> running.exchange.fail(Ran.UNKNOWN));
+			String endedId = id();
+			CrashFleet.this.scheduler.schedule(LEASE_MILLIS, () -> {
+				CrashFleet.this.listed.remove(endedId);
+				updateTargets();
+			});
+			CrashFleet.this.scheduler.schedule(3_000 + CrashFleet.this.random.nextInt(2_000), this::start);
+		}
+
+	}
+
+	/**
+	 * Engines as one host sees them.
+	 */
+	private final class CrashingTargetClient extends RecordingTargetClient {
+
+		private final int host;
+
+		CrashingTargetClient(int host) {
+			this.host = host;
+		}
+
+		@Override
+		public Exchange send(TargetRequest request, Listener listener) {
+			RecordedExchange exchange = new RecordedExchange(request, listener);
+			Optional<Engine> engine = CrashFleet.this.engines.stream()
+				.filter((candidate) -> candidate.up && candidate.id().equals(request.target().id()))
+				.findFirst();
+			if (engine.isEmpty()) {
+				schedule(2, exchange, () -> exchange.fail(Ran.NO));
+				return exchange;
+			}
+			List<String> parts = request.request().traits().orElseThrow().sharedParts();
+			CrashFleet.this.sends
+				.add(new Send(parts, now(), now() - CrashFleet.this.startedMillis.get(this.host) >= CONTACT_MILLIS));
+			engine.get().open.add(new Running(this.host, exchange));
+			Optional<String> crashingPart = parts.stream().filter(CrashFleet.this.crashingParts::contains).findFirst();
+			if (request.resumeFrom().isPresent() && crashingPart.isPresent()) {
+				schedule(5, exchange, () -> exchange.refuse(503));
+				return exchange;
+			}
+			schedule(50 + CrashFleet.this.random.nextInt(350), exchange, () -> {
+				exchange.startStream();
+				if (crashingPart.isPresent()) {
+					schedule(20 + CrashFleet.this.random.nextInt(70), exchange, () -> engine.get().crash(crashingPart));
+					return;
+				}
+				if (request.resumeFrom().isEmpty()) {
+					CrashFleet.this.begun.add(request.request().id());
+				}
+				int events = 3 + CrashFleet.this.random.nextInt(40);
+				stream(exchange, (int) request.lastEventId().orElse(0) + 1, events);
+			});
+			return exchange;
+		}
+
+		private void stream(RecordedExchange exchange, int id, int remaining) {
+			schedule(EVENT_MILLIS, exchange, () -> {
+				if (remaining == 0) {
+					exchange.complete();
+					return;
+				}
+				exchange.sendEvent(id);
+				stream(exchange, id + 1, remaining - 1);
+			});
+		}
+
+		private void schedule(long millis, RecordedExchange exchange, Runnable task) {
+			CrashFleet.this.scheduler.schedule(millis, () -> {
+				if (!exchange.ended()) {
+					task.run();
+				}
+			});
+		}
+
+	}
+
+}
