Move the state of a graceful shutdown out of RelayService

DrainState holds which requests are refused while draining, RequestPlacement the delay that it suggests to refused callers.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -51,12 +51,6 @@
 	/** Max number of waiting requests; more are refused at once. */
 	static final int MAX_WAITING_REQUESTS = 200;
 
-	/**
-	 * Fraction of the grace period after which new streams are refused; the rest lets
-	 * streams end that a balancer still sends meanwhile.
-	 */
-	static final double DRAIN_STREAM_ACCEPT_FRACTION = 0.3;
-
 	private static final Logger logger = LoggerFactory.getLogger(RelayService.class);
 
 	private final Clock clock;
@@ -106,11 +100,7 @@
 	/** Number of entry hosts, this one included. */
 	private int entryHosts = 1;
 
-	/** When draining started; 0 if it has not. */
-	private long drainStartedMillis;
-
-	/** When new requests start to be refused; 0 if not draining. */
-	private long acceptsUntilMillis;
+	private final DrainState drainState;
 
 	private RelayService(Clock clock, Scheduler trafficThread, RelayClients clients, RelaySettings settings,
 			UniformRandomProvider random, MetricRegistry metrics) {
@@ -121,6 +111,7 @@
 		this.random = random;
 		this.metrics = new RelayMetrics(metrics);
 		this.ratePermitIssuer = new RatePermitIssuer(clock);
+		this.drainState = new DrainState(clock, settings.graceMillis());
 		this.targetPool = new TargetPool(clock, random, this::requestRatePermit);
 		this.overloadControl = new OverloadControl(clock, this.targetPool, random);
 		this.loadSampler = new LoadSampler(clock, trafficThread, clients.engineLoads(), this.targetPool, random);
@@ -236,24 +227,7 @@
 	 * @param acceptMillis how long new requests are still accepted, in milliseconds
 	 */
 	public void startDraining(long acceptMillis) {
-		this.drainStartedMillis = this.clock.millis();
-		this.acceptsUntilMillis = this.drainStartedMillis + acceptMillis;
-	}
-
-	/**
-	 * Returns whether all new requests are refused.
-	 * @return {@code true} late in a graceful shutdown
-	 */
-	boolean refusesRequests() {
-		return this.drainStartedMillis > 0 && this.clock.millis() >= this.acceptsUntilMillis;
-	}
-
-	/**
-	 * Returns whether new streams are refused.
-	 * @return {@code true} in a graceful shutdown, except at its beginning
-	 */
-	boolean refusesStreams() {
-		return drainingMillis() > this.settings.graceMillis() * DRAIN_STREAM_ACCEPT_FRACTION;
+		this.drainState.start(acceptMillis);
 	}
 
 	/**
@@ -269,7 +243,7 @@
 	 * @return {@code true} with a plan and a target, unless draining
 	 */
 	public boolean ready() {
-		return this.plan != null && !this.targetPool.targets().isEmpty() && this.drainStartedMillis == 0;
+		return this.plan != null && !this.targetPool.targets().isEmpty() && !this.drainState.started();
 	}
 
 	/**
@@ -463,12 +437,8 @@
 		return this.entryHosts;
 	}
 
-	/**
-	 * Returns the time since draining started.
-	 * @return time in milliseconds, at least 1; 0 if not draining
-	 */
-	long drainingMillis() {
-		return (this.drainStartedMillis == 0) ? 0 : this.clock.millis() - this.drainStartedMillis + 1;
+	DrainState drainState() {
+		return this.drainState;
 	}
 
 	/**
@@ -482,7 +452,7 @@
 		dump.put("entryHosts", this.entryHosts);
 		dump.put("requestsUnderWay", this.activeRequests.size());
 		dump.put("requestsWaiting", this.waiting.size());
-		dump.put("stoppingMillis", drainingMillis());
+		dump.put("stoppingMillis", this.drainState.millis());
 		dump.put("targets", this.targetPool.targets().stream().map(TrackedTarget::dump).toList());
 		return dump;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -36,12 +36,6 @@
 	 */
 	static final long MIN_RESUMABLE_MILLIS = 500;
 
-	/** Min retry delay suggested to refused callers, in milliseconds. */
-	static final long MIN_RETRY_AFTER_MILLIS = 200;
-
-	/** Max jitter added to the suggested retry delay, in milliseconds. */
-	static final int RETRY_AFTER_JITTER_MILLIS = 800;
-
 	private static final Logger logger = LoggerFactory.getLogger(RelayedRequest.class);
 
 	private final RelayService relayService;
@@ -108,7 +102,8 @@
 	}
 
 	private void startPlacement() {
-		if (this.relayService.refusesRequests() || (streaming() && this.relayService.refusesStreams())) {
+		DrainState drainState = this.relayService.drainState();
+		if (drainState.refusesRequests() || (streaming() && drainState.refusesStreams())) {
 			endWithError(Failure.notRun(ResultCode.ENTRY_LEAVING, "the entry host is shutting down"));
 			return;
 		}
@@ -290,16 +285,12 @@
 	}
 
 	void endWithError(Failure failure) {
-		Failure reported = (failure.ran() == Ran.NO) ? failure.withRetryAfter(retryAfterMillis()) : failure;
+		Failure reported = (failure.ran() == Ran.NO) ? failure.withRetryAfter(this.placement.retryAfterMillis())
+				: failure;
 		end(failure.code().name(), failure.message());
 		this.caller.sendError(reported);
 	}
 
-	private long retryAfterMillis() {
-		return (this.placement.returnDelayMillis() > 0) ? this.placement.returnDelayMillis()
-				: MIN_RETRY_AFTER_MILLIS + this.relayService.random().nextInt(RETRY_AFTER_JITTER_MILLIS);
-	}
-
 	private void end(String outcome, String message) {
 		this.done = true;
 		this.deadlineTimer.cancel();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -39,6 +39,12 @@
 	 */
 	static final double MAX_QUEUE_GOAL_FRACTION = 0.6;
 
+	/** Min retry delay suggested to refused callers, in milliseconds. */
+	private static final long MIN_RETRY_AFTER_MILLIS = 200;
+
+	/** Max jitter added to the suggested retry delay, in milliseconds. */
+	private static final int RETRY_AFTER_JITTER_MILLIS = 800;
+
 	private static final Logger logger = LoggerFactory.getLogger(RequestPlacement.class);
 
 	private final RelayedRequest request;
@@ -116,8 +122,7 @@
 	private boolean refusedForLackOfCapacity() {
 		long pausedMillis = this.relayService.targetPool().pausedMillis(this.request.service());
 		if (pausedMillis > 0 && waitedMillis() + pausedMillis > maxWaitMillis()) {
-			this.returnDelayMillis = pausedMillis
-					+ this.relayService.random().nextInt(RelayedRequest.RETRY_AFTER_JITTER_MILLIS);
+			this.returnDelayMillis = pausedMillis + this.relayService.random().nextInt(RETRY_AFTER_JITTER_MILLIS);
 			this.request.endInFailure(ResultCode.OVERLOADED, "no target of service " + this.request.service().name()
 					+ " wants requests for " + pausedMillis + " ms");
 			return true;
@@ -211,11 +216,12 @@
 	}
 
 	/**
-	 * Returns the delay after which the refused caller may return.
-	 * @return delay in milliseconds; 0 unless the request was refused as overloaded
+	 * Returns the delay after which a refused caller may return.
+	 * @return delay in milliseconds, positive
 	 */
-	long returnDelayMillis() {
-		return this.returnDelayMillis;
+	long retryAfterMillis() {
+		return (this.returnDelayMillis > 0) ? this.returnDelayMillis
+				: MIN_RETRY_AFTER_MILLIS + this.relayService.random().nextInt(RETRY_AFTER_JITTER_MILLIS);
 	}
 
 	boolean awaitsAdmission() {
