Refuse prompts with a part that crashes engines

What callers saw: engines ended one after the other, each while a prompt with one certain part began to stream; all other generations there were cut or resumed.

Cause: what is learned of a failed attempt stays with one request on one host (RequestAttempts, RetryPolicy). A target may be refused a request, but nothing says that a request may go to no target; the next one with the same part is new to every host. Class: a bound on the sum over all hosts, on evidence that is spread over hosts, here for content in place of a target.

Change: a host that loses a target reports the requests that were starting there to the others (gossip, repeated in case messages are lost, given to hosts that start). A target that responds afterwards has not crashed. CulpritFinder blames what the requests at three crashes have in common; a success since then clears a part, one shortly before raises the bound to five crashes. Each crash has one culprit, and a culprit is the whole set of parts that its requests share, so that a first part shared with sound prompts is not refused. RequestPlacement refuses the prompt at once as not run (2009), and RelayedRequest.trySend, which all sends pass, is the gate of retried, hedged and resumed ones.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -200,7 +200,16 @@
 	TARGET_PAUSED(846, Level.INFO, "target={} wants no requests for millis={}"),
 
 	/** The connection to a target was lost while a request was starting there. */
-	LOST_WHILE_STARTING(847, Level.INFO, "request={} target={} lost while starting responseMillis={} parts={}");
+	LOST_WHILE_STARTING(847, Level.INFO, "request={} target={} lost while starting responseMillis={} parts={}"),
+
+	/** Content crashes targets and is not sent on. */
+	CONTENT_QUARANTINED(848, Level.WARN, "parts={} quarantined crashes={}"),
+
+	/** Content is sent again. */
+	QUARANTINE_LIFTED(849, Level.INFO, "parts={} no longer quarantined"),
+
+	/** A request is refused, as its content crashes targets. */
+	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined parts={} crashes={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import io.dotterelcrank.process.quarantine.Clearance;
+import io.dotterelcrank.process.quarantine.CrashReport;
 import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Generation;
@@ -323,4 +325,17 @@
 	record RatePermit(String target, boolean granted, boolean limited, long retryAfterMillis) implements Message {
 	}
 
+	/**
+	 * Evidence of content that crashes targets, or a request for it.
+	 *
+	 * @param crashes losses of targets
+	 * @param clearances content that went well
+	 * @param replyRequested whether the receiver must respond with all its evidence
+	 * @param complete whether the sender has now sent all the evidence of a host that was
+	 * itself informed by another
+	 */
+	record CrashEvidence(List<CrashReport> crashes, List<Clearance> clearances, boolean replyRequested,
+			boolean complete) implements Message {
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -1,7 +1,6 @@
 package io.dotterelcrank.process.relay;
 
 import java.io.ByteArrayOutputStream;
-import java.util.List;
 import java.util.Optional;
 
 import org.slf4j.Logger;
@@ -68,6 +67,12 @@
 	/** When the event stream started; -1 before. */
 	private long streamStartedMillis = -1;
 
+	/** Whether the event stream has brought an event. */
+	private boolean eventReceived;
+
+	/** Whether the event stream has lasted long enough to count as a success. */
+	private boolean settled;
+
 	/** Whether the target may still respond. */
 	private boolean active = true;
 
@@ -149,6 +154,9 @@
 		if (received.leaving() && !received.misdirected()) {
 			this.target.recordLeaving();
 		}
+		if (!received.misdirected()) {
+			this.request.content().recordResponse(this.target, this.sentMillis);
+		}
 		if (received.misdirected() || received.ran() == Ran.NO) {
 			if (!this.resumed) {
 				this.target.backOff(INITIAL_BACKOFF_MILLIS);
@@ -179,6 +187,11 @@
 				if (!this.active || !this.request.forwardEvent(this, event)) {
 					return;
 				}
+				this.eventReceived = true;
+			}
+			if (!this.settled && this.eventReceived && streamAgeMillis() >= SETTLED_MILLIS) {
+				this.settled = true;
+				this.request.content().recordSuccess();
 			}
 			return;
 		}
@@ -195,6 +208,9 @@
 			return;
 		}
 		detach();
+		if (!isEventStream() || this.eventReceived) {
+			this.request.content().recordSuccess();
+		}
 		if (isEventStream()) {
 			this.request.streamCompleted();
 			return;
@@ -219,9 +235,10 @@
 
 	@Override
 	public void failed(Ran ran, String reason) {
-		if (ran == Ran.UNKNOWN && streamAgeMillis() < SETTLED_MILLIS) {
+		if (ran == Ran.UNKNOWN && streamAgeMillis() < SETTLED_MILLIS && !this.target.leavingAsAnnounced()) {
 			LogEvent.LOST_WHILE_STARTING.log(logger, this.request.id(), this.target.id(), streamAgeMillis(),
-					this.request.request().traits().map(GenerationTraits::sharedParts).orElse(List.of()));
+					this.request.content().sharedParts());
+			this.request.content().recordLoss(this.target);
 		}
 		detach();
 		if (ran == Ran.NO) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayClients.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayClients.java
@@ -1,5 +1,7 @@
 package io.dotterelcrank.process.relay;
 
+import io.dotterelcrank.process.quarantine.CrashEvidenceClient;
+
 /**
  * Clients of the other processes that a {@link RelayService} depends on. Immutable.
  *
@@ -8,9 +10,10 @@
  * @param engineLoads reads the load of engines without sidecars
  * @param retryLoans asks other entry hosts for retry permits
  * @param ratePermits asks other entry hosts for permits of targets that name a limit
+ * @param crashEvidence sends evidence of crashes to other entry hosts
  */
 public record RelayClients(TargetClient targets, AdmissionClient admission, EngineLoadReader engineLoads,
-		RetryLoanClient retryLoans, RatePermitClient ratePermits) {
+		RetryLoanClient retryLoans, RatePermitClient ratePermits, CrashEvidenceClient crashEvidence) {
 
 	/**
 	 * Creates clients that reach targets only.
@@ -19,7 +22,8 @@
 	 */
 	public static RelayClients of(TargetClient targets) {
 		return new RelayClients(targets, AdmissionClient.Disabled.INSTANCE, EngineLoadReader.Disabled.INSTANCE,
-				RetryLoanClient.Disabled.INSTANCE, RatePermitClient.Disabled.INSTANCE);
+				RetryLoanClient.Disabled.INSTANCE, RatePermitClient.Disabled.INSTANCE,
+				CrashEvidenceClient.Disabled.INSTANCE);
 	}
 
 	/**
@@ -28,7 +32,8 @@
 	 * @return the changed copy
 	 */
 	public RelayClients withAdmission(AdmissionClient client) {
-		return new RelayClients(this.targets, client, this.engineLoads, this.retryLoans, this.ratePermits);
+		return new RelayClients(this.targets, client, this.engineLoads, this.retryLoans, this.ratePermits,
+				this.crashEvidence);
 	}
 
 	/**
@@ -37,7 +42,8 @@
 	 * @return the changed copy
 	 */
 	public RelayClients withEngineLoads(EngineLoadReader reader) {
-		return new RelayClients(this.targets, this.admission, reader, this.retryLoans, this.ratePermits);
+		return new RelayClients(this.targets, this.admission, reader, this.retryLoans, this.ratePermits,
+				this.crashEvidence);
 	}
 
 	/**
@@ -46,7 +52,8 @@
 	 * @return the changed copy
 	 */
 	public RelayClients withRetryLoans(RetryLoanClient client) {
-		return new RelayClients(this.targets, this.admission, this.engineLoads, client, this.ratePermits);
+		return new RelayClients(this.targets, this.admission, this.engineLoads, client, this.ratePermits,
+				this.crashEvidence);
 	}
 
 	/**
@@ -55,7 +62,18 @@
 	 * @return the changed copy
 	 */
 	public RelayClients withRatePermits(RatePermitClient client) {
-		return new RelayClients(this.targets, this.admission, this.engineLoads, this.retryLoans, client);
+		return new RelayClients(this.targets, this.admission, this.engineLoads, this.retryLoans, client,
+				this.crashEvidence);
+	}
+
+	/**
+	 * Returns a copy with another client for evidence of crashes.
+	 * @param client sends the evidence
+	 * @return the changed copy
+	 */
+	public RelayClients withCrashEvidence(CrashEvidenceClient client) {
+		return new RelayClients(this.targets, this.admission, this.engineLoads, this.retryLoans, this.ratePermits,
+				client);
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
@@ -40,6 +40,14 @@
 		this.registry.counter("rooms.refused").inc();
 	}
 
+	void recordQuarantined() {
+		this.registry.counter("quarantine.refused").inc();
+	}
+
+	void recordLoss() {
+		this.registry.counter("quarantine.suspects").inc();
+	}
+
 	void recordWait(long millis) {
 		this.registry.timer("queue.millis").update(millis, TimeUnit.MILLISECONDS);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -21,6 +21,7 @@
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.overload.WaitingOrder;
+import io.dotterelcrank.process.quarantine.Quarantine;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.version.plan.ServingPlan;
 
@@ -73,6 +74,8 @@
 
 	private final RatePermitIssuer ratePermitIssuer;
 
+	private final Quarantine quarantine;
+
 	private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
 
 	private final Set<RelayedRequest> activeRequests = new LinkedHashSet<>();
@@ -112,6 +115,7 @@
 		this.metrics = new RelayMetrics(metrics);
 		this.ratePermitIssuer = new RatePermitIssuer(clock);
 		this.drainState = new DrainState(clock, settings.graceMillis());
+		this.quarantine = Quarantine.of(clock, clients.crashEvidence(), random);
 		this.targetPool = new TargetPool(clock, random, this::requestRatePermit);
 		this.overloadControl = new OverloadControl(clock, this.targetPool, random);
 		this.loadSampler = new LoadSampler(clock, trafficThread, clients.engineLoads(), this.targetPool, random);
@@ -141,6 +145,7 @@
 	}
 
 	private void poll() {
+		this.quarantine.poll();
 		this.activeRequests.stream()
 			.sorted(Comparator.comparingDouble(RelayedRequest::copyPriority).reversed())
 			.toList()
@@ -389,6 +394,14 @@
 		return this.plan;
 	}
 
+	/**
+	 * Returns the quarantine of content that crashes targets.
+	 * @return the quarantine, which is confined to the traffic thread too
+	 */
+	public Quarantine quarantine() {
+		return this.quarantine;
+	}
+
 	OverloadControl overloadControl() {
 		return this.overloadControl;
 	}
@@ -453,6 +466,7 @@
 		dump.put("requestsUnderWay", this.activeRequests.size());
 		dump.put("requestsWaiting", this.waiting.size());
 		dump.put("stoppingMillis", this.drainState.millis());
+		dump.put("quarantined", this.quarantine.culprits());
 		dump.put("targets", this.targetPool.targets().stream().map(TrackedTarget::dump).toList());
 		return dump;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -50,6 +50,8 @@
 
 	private final RequestPlacement placement;
 
+	private final RequestContent content;
+
 	private final StreamProgress progress;
 
 	private Route route;
@@ -75,6 +77,7 @@
 		this.progress = new StreamProgress(request.arrivedAtMillis());
 		this.attempts = new RequestAttempts(this, relayService);
 		this.placement = new RequestPlacement(this, relayService);
+		this.content = new RequestContent(request, relayService);
 		this.resumer = new GenerationResumer(this, relayService);
 	}
 
@@ -182,10 +185,12 @@
 	 * @param chosen target to send to
 	 * @param resumeFrom copy of the KV cache to resume from; empty for a new execution
 	 * @param cause reason of the send, for logs and metrics
-	 * @return {@code false} if the target does not accept the request any more
+	 * @return {@code false} if the target does not accept the request any more, or the
+	 * request's content is known to crash targets
 	 */
 	boolean trySend(TrackedTarget chosen, Optional<TargetRequest.KvCopy> resumeFrom, String cause) {
-		if (!this.relayService.targetPool().allowsSend(chosen, this.service, this.relayService.entryHosts())) {
+		if (this.content.culprit().isPresent()
+				|| !this.relayService.targetPool().allowsSend(chosen, this.service, this.relayService.entryHosts())) {
 			return false;
 		}
 		Optional<TrackedTarget> backupHolder = resumable() ? this.resumer.chooseBackupHolder(chosen) : Optional.empty();
@@ -471,6 +476,10 @@
 		return this.workspace;
 	}
 
+	RequestContent content() {
+		return this.content;
+	}
+
 	RequestAttempts attempts() {
 		return this.attempts;
 	}
--- /dev/null
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestContent.java
@@ -0,0 +1,65 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.dotterelcrank.process.quarantine.CrashSuspect;
+import io.dotterelcrank.process.quarantine.Culprit;
+import io.dotterelcrank.request.CallerRequest;
+import io.dotterelcrank.request.GenerationTraits;
+
+/**
+ * What is known of the content of one request, and learned from its attempts: whether it
+ * crashes targets. Confined to the traffic thread.
+ */
+final class RequestContent {
+
+	private final CallerRequest request;
+
+	private final RelayService relayService;
+
+	RequestContent(CallerRequest request, RelayService relayService) {
+		this.request = request;
+		this.relayService = relayService;
+	}
+
+	/**
+	 * Returns what crashes targets in the request.
+	 * @return the culprit, or empty if the request may be sent
+	 */
+	Optional<Culprit> culprit() {
+		return this.relayService.quarantine().find(sharedParts());
+	}
+
+	List<String> sharedParts() {
+		return this.request.traits().map(GenerationTraits::sharedParts).orElse(List.of());
+	}
+
+	/**
+	 * Records that a target was lost while the request started there.
+	 * @param target the target
+	 */
+	void recordLoss(TrackedTarget target) {
+		this.relayService.metrics().recordLoss();
+		this.relayService.quarantine()
+			.recordLoss(target.incarnation(), new CrashSuspect(this.request.id(), sharedParts()));
+	}
+
+	/**
+	 * Records that a target has responded, whatever it said.
+	 * @param target the target
+	 * @param sentMillis when it was sent the request
+	 */
+	void recordResponse(TrackedTarget target, long sentMillis) {
+		this.relayService.quarantine().recordResponse(target.incarnation(), sentMillis);
+	}
+
+	/**
+	 * Records that an attempt has completed, or has streamed for long enough to show that
+	 * the content does not crash targets.
+	 */
+	void recordSuccess() {
+		this.relayService.quarantine().recordSuccess(sharedParts());
+	}
+
+}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -7,6 +7,7 @@
 
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.process.overload.RefusalPolicy;
+import io.dotterelcrank.process.quarantine.Culprit;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.ResultCode;
 
@@ -59,7 +60,8 @@
 	private boolean awaitsLoads;
 
 	/**
-	 * Delay after which the refused caller may return; 0 unless refused as overloaded.
+	 * Delay after which the refused caller may return; 0 unless refused as overloaded or
+	 * quarantined.
 	 */
 	private long returnDelayMillis;
 
@@ -91,6 +93,9 @@
 	 * @return {@code false} if it has to wait
 	 */
 	boolean tryPlace() {
+		if (refusedForItsContent()) {
+			return true;
+		}
 		if (startsOrAwaitsLoadSample()) {
 			return false;
 		}
@@ -115,6 +120,18 @@
 		return refusedForLackOfCapacity();
 	}
 
+	private boolean refusedForItsContent() {
+		Optional<Culprit> culprit = this.request.content().culprit();
+		culprit.ifPresent((found) -> {
+			LogEvent.REQUEST_QUARANTINED.log(logger, this.request.id(), found.parts(), found.crashes());
+			this.relayService.metrics().recordQuarantined();
+			this.returnDelayMillis = this.relayService.quarantine().remainingMillis(found);
+			this.request.endInFailure(ResultCode.QUARANTINED,
+					"prompts with the parts " + found.parts() + " have crashed " + found.crashes() + " targets");
+		});
+		return culprit.isPresent();
+	}
+
 	/**
 	 * Ends a request that no target can take now, if it would start too late.
 	 * @return {@code false} if it waits
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -164,6 +164,23 @@
 		return this.membership.acceptsNewWork() && !leaving();
 	}
 
+	/**
+	 * Returns whether the end of the target is expected.
+	 * @return {@code true} if it is draining, no longer listed, or its data centre is
+	 * taken out of service
+	 */
+	boolean leavingAsAnnounced() {
+		return !acceptsNewWork() || !this.membership.listed();
+	}
+
+	/**
+	 * Returns the name of the target's incarnation.
+	 * @return id and start time, since a restarted target may keep its id
+	 */
+	String incarnation() {
+		return id() + '@' + this.membership.registration().bornMillis();
+	}
+
 	/**
 	 * Reserves the engine for a KV copy. Engines send copies one at a time, so a second
 	 * copy would only delay the first.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
@@ -57,6 +57,9 @@
 	/** The log did not confirm a claim on the idempotency key in time. */
 	CLAIM_UNCONFIRMED(2008, 503, "Try again with the same key."),
 
+	/** Content of the request crashes targets. */
+	QUARANTINED(2009, 503, "Change the request; its content crashes targets."),
+
 	/** A request with the same idempotency key is running. */
 	KEY_IN_PROGRESS(3001, 409, "Try again later with the same key."),
 
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/quarantine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the quarantine of content that crashes targets.
+ */
+package io.dotterelcrank.process.quarantine;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,14 +11,17 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.simple.RandomSource;
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
+import io.dotterelcrank.process.quarantine.Culprit;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.request.Ran;
@@ -38,6 +42,11 @@
 
 	private static final int EVENT_MILLIS = 40;
 
+	private static final int MAX_LINK_MILLIS = 30;
+
+	/** One of so many messages between hosts is lost. */
+	private static final int LOST_MESSAGES = 10;
+
 	private static final long LEASE_MILLIS = 2_500;
 
 	private final Random random;
@@ -68,6 +77,8 @@
 	/** Ids of the requests that began at their first attempt. */
 	private final Set<String> begun = new HashSet<>();
 
+	private final Set<Set<String>> wronglyBlamed = new HashSet<>();
+
 	private int requestCount;
 
 	CrashFleet(int hostCount, int engineCount, Random random) {
@@ -84,7 +95,8 @@
 
 	private RelayService createHost(int index) {
 		RelayService host = RelayService.of(this.clock, this.scheduler,
-				RelayClients.of(new CrashingTargetClient(index)),
+				RelayClients.of(new CrashingTargetClient(index))
+					.withCrashEvidence((evidence, count) -> sendEvidence(index, evidence, count)),
 				new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000),
 				RandomSource.XO_RO_SHI_RO_128_PP.create(this.random.nextLong()), new MetricRegistry());
 		host.updateEntryHosts(Math.max(1, this.hosts.size()));
@@ -95,6 +107,24 @@
 		return host;
 	}
 
+	private void sendEvidence(int from, Message.CrashEvidence evidence, int count) {
+		List<Integer> others = new ArrayList<>(IntStream.range(0, this.hosts.size()).boxed().toList());
+		others.remove(Integer.valueOf(from));
+		Collections.shuffle(others, this.random);
+		others.stream().limit(count).forEach((to) -> deliver(from, to, evidence));
+	}
+
+	private void deliver(int from, int to, Message.CrashEvidence evidence) {
+		if (this.random.nextInt(LOST_MESSAGES) == 0) {
+			return;
+		}
+		this.scheduler.schedule(1 + this.random.nextInt(MAX_LINK_MILLIS),
+				() -> this.hosts.get(to)
+					.quarantine()
+					.handle(evidence)
+					.forEach((response) -> deliver(to, from, response)));
+	}
+
 	/**
 	 * Replaces a random host by one that has just started; its callers are gone.
 	 */
@@ -147,6 +177,7 @@
 				}
 			}
 			this.scheduler.advance(STEP_MILLIS);
+			recordWronglyBlamed();
 		}
 	}
 
@@ -214,6 +245,22 @@
 		return (counted.size() < 20) ? 1 : (double) begunCount / counted.size();
 	}
 
+	/**
+	 * Returns the content that some host has refused although it crashes nothing.
+	 * @return culprits without a part that crashes engines
+	 */
+	Set<Set<String>> wronglyBlamed() {
+		return this.wronglyBlamed;
+	}
+
+	private void recordWronglyBlamed() {
+		this.hosts.stream()
+			.flatMap((host) -> host.quarantine().culprits().stream())
+			.map(Culprit::parts)
+			.filter((parts) -> parts.stream().noneMatch(this.crashingParts::contains))
+			.forEach(this.wronglyBlamed::add);
+	}
+
 	String firstPartBeside(String part) {
 		return "first" + Math.floorMod(Optional.of(part).hashCode(), SHARED_FIRST_PARTS);
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashingPromptPartProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashingPromptPartProperties.java
@@ -56,6 +56,7 @@
 			}
 			fleet.play(5_000, soundPerSecond, 0.2 + random.nextDouble());
 		}
+		assertThat(fleet.wronglyBlamed()).as("sound content that is refused").isEmpty();
 		for (String part : parts) {
 			OptionalLong lastFree = fleet.crashMillis(part, CRASHES);
 			if (lastFree.isPresent()) {
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/QuarantinedRequestTests.java
@@ -0,0 +1,130 @@
+package io.dotterelcrank.process.relay;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.ResultCode;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of what requests tell the quarantine and of those that it refuses.
+ */
+class QuarantinedRequestTests {
+
+	private static final List<String> CRASHING = List.of("first", "bad");
+
+	private final RelayFixture fixture = new RelayFixture();
+
+	private final RecordingCallerChannel caller = new RecordingCallerChannel();
+
+	private RecordingTargetClient.RecordedExchange accept(List<String> parts, RecordingCallerChannel channel) {
+		this.fixture.acceptGeneration(parts, channel);
+		return lastExchange();
+	}
+
+	private RecordingTargetClient.RecordedExchange lastExchange() {
+		return this.fixture.targetClient().exchange(this.fixture.targetClient().sendCount() - 1);
+	}
+
+	/**
+	 * Loses engines to requests with the same parts.
+	 */
+	private void crashEngines(int count) {
+		for (int i = 0; i < count; i++) {
+			RecordingCallerChannel channel = new RecordingCallerChannel();
+			RelayedRequest request = this.fixture.acceptGeneration(CRASHING, channel);
+			RecordingTargetClient.RecordedExchange exchange = lastExchange();
+			String id = exchange.request().target().id();
+			exchange.startStream();
+			exchange.fail(Ran.UNKNOWN);
+			request.callerDisconnected();
+			this.fixture.listTarget(id, "bench", false, 2 + i, false);
+			this.fixture.advance(1_500);
+			reportLoads();
+		}
+	}
+
+	private void reportLoads() {
+		for (String id : new String[] { "e1", "e2", "e3" }) {
+			this.fixture.reportLoad(id, 0, 0);
+		}
+	}
+
+	@Test
+	void requestWhoseContentCrashesEnginesIsRefusedAtOnceAsNotRun() {
+		crashEngines(3);
+		int sends = this.fixture.targetClient().sendCount();
+		this.fixture.acceptGeneration(CRASHING, this.caller);
+		assertThat(this.fixture.targetClient().sendCount()).isEqualTo(sends);
+		assertThat(this.caller.failure().code()).isEqualTo(ResultCode.QUARANTINED);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
+		assertThat(this.caller.failure().retryAfterMillis()).isGreaterThan(60_000);
+	}
+
+	@Test
+	void soundRequestWithTheSameFirstPartIsServed() {
+		crashEngines(3);
+		RecordingTargetClient.RecordedExchange exchange = accept(List.of("first"), this.caller);
+		exchange.startStream();
+		exchange.sendEvent(1);
+		exchange.complete();
+		assertThat(this.caller.eventIds()).isEqualTo("1");
+	}
+
+	@Test
+	void engineThatSaidItWasLeavingHasNotCrashed() {
+		for (int i = 0; i < 3; i++) {
+			RecordingTargetClient.RecordedExchange exchange = accept(CRASHING, new RecordingCallerChannel());
+			String id = exchange.request().target().id();
+			this.fixture.listTarget(id, "bench", true);
+			exchange.fail(Ran.UNKNOWN);
+			this.fixture.listTarget(id, "bench", false, 2 + i, false);
+		}
+		assertThat(this.fixture.relayService().quarantine().culprits()).isEmpty();
+	}
+
+	@Test
+	void engineThatRespondsAfterABrokenConnectionHasNotCrashed() {
+		for (int i = 0; i < 6; i++) {
+			accept(CRASHING, new RecordingCallerChannel()).fail(Ran.UNKNOWN);
+			this.fixture.advance(10);
+			RecordingCallerChannel other = new RecordingCallerChannel();
+			for (int j = 0; j < 6; j++) {
+				accept(List.of(), other).startStream();
+			}
+			this.fixture.advance(2_500);
+		}
+		assertThat(this.fixture.relayService().quarantine().culprits()).isEmpty();
+	}
+
+	@Test
+	void streamThatHasRunForASecondIsNoSuspect() {
+		for (int i = 0; i < 3; i++) {
+			RecordingTargetClient.RecordedExchange exchange = accept(List.of("sound"), new RecordingCallerChannel());
+			exchange.startStream();
+			exchange.sendEvent(1);
+			this.fixture.advance(RelayAttempt.SETTLED_MILLIS);
+			exchange.sendEvent(2);
+			exchange.fail(Ran.UNKNOWN);
+		}
+		assertThat(this.fixture.relayService().quarantine().culprits()).isEmpty();
+	}
+
+	@Test
+	void emptyStreamClearsNothing() {
+		RelayedRequest request = this.fixture.acceptGeneration(CRASHING, new RecordingCallerChannel());
+		lastExchange().fail(Ran.UNKNOWN);
+		request.callerDisconnected();
+		this.fixture.advance(1_500);
+		reportLoads();
+		RecordingTargetClient.RecordedExchange empty = accept(CRASHING, new RecordingCallerChannel());
+		empty.startStream();
+		empty.complete();
+		crashEngines(2);
+		assertThat(this.fixture.relayService().quarantine().culprits()).hasSize(1);
+	}
+
+}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -151,9 +151,9 @@
 			.filter((candidate) -> candidate.id().equals(id))
 			.findFirst()
 			.orElseThrow();
-		this.relayService.updateLoad(
-				new EngineLoad(id, "bench", "giza", registration.address().getAddress().getHostAddress() + ":80", 1,
-						running, 0, pendingPrefillTokens, memoryUsed, MEMORY_TOKENS, false, -1, 0));
+		this.relayService.updateLoad(new EngineLoad(id, "bench", "giza",
+				registration.address().getAddress().getHostAddress() + ":80", registration.bornMillis(), running, 0,
+				pendingPrefillTokens, memoryUsed, MEMORY_TOKENS, false, -1, 0));
 	}
 
 	String engineAddress(String id) {
@@ -174,6 +174,15 @@
 					Optional.ofNullable(key), traits, generation ? 39_000 : 1_500, this.clock.millis()), caller);
 	}
 
+	RelayedRequest acceptGeneration(List<String> sharedParts, RecordingCallerChannel caller) {
+		this.requestCount++;
+		return this.relayService.accept(
+				new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", "/notes/1", List.of(),
+						new byte[0], Optional.of("key"),
+						Optional.of(new GenerationTraits(100, 100, OptionalLong.empty(), sharedParts)), 39_000, now()),
+				caller);
+	}
+
 	long now() {
 		return this.clock.millis();
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -144,7 +144,10 @@
 					RandomSource.XO_RO_SHI_RO_128_PP.create()))
 			.withRatePermits(new PeerRatePermitClient(this.runtime.transport(), this.runtime.controlScheduler(),
 					this.runtime.clock(), settings.common().name(), this.runtime::members, this::issueOwnRatePermit,
-					this::handleRatePermit));
+					this::handleRatePermit))
+			.withCrashEvidence(new PeerCrashEvidenceClient(this.runtime.transport(), this.runtime.controlScheduler(),
+					this.runtime::peers, (evidence) -> handleCrashEvidence(evidence, (ignored) -> {
+					}), RandomSource.XO_RO_SHI_RO_128_PP.create()));
 		this.service = RelayService.of(this.runtime.clock(), new EventLoopScheduler(this.runtime.trafficLoop()),
 				clients, settings.relay(), RandomSource.XO_RO_SHI_RO_128_PP.create(), this.runtime.metrics());
 		this.self = new Member(settings.common().name(), settings.peerAddress(), settings.common().dataCentre());
@@ -302,6 +305,10 @@
 		this.runtime.trafficLoop().execute(() -> this.service.handleRatePermit(permit));
 	}
 
+	private void handleCrashEvidence(Message.CrashEvidence evidence, Consumer<Message> responses) {
+		this.runtime.trafficLoop().execute(() -> this.service.quarantine().handle(evidence).forEach(responses));
+	}
+
 	/**
 	 * Passes the state kept on the control thread to the traffic thread, in one task: a
 	 * plan must not be used with targets from before the changes that came with it.
@@ -361,7 +368,8 @@
 
 	/**
 	 * Handles records that peers push, their requests for records, retry permits and rate
-	 * permits, and load reports and admission responses of sidecars.
+	 * permits, their evidence of crashes, and load reports and admission responses of
+	 * sidecars.
 	 */
 	private final class PeerListener implements Link.Listener {
 
@@ -397,6 +405,9 @@
 				RelayEntryDaemon.this.runtime.trafficLoop()
 					.execute(() -> link.send(RelayEntryDaemon.this.service.issueRatePermit(request)));
 			}
+			else if (message instanceof Message.CrashEvidence evidence) {
+				handleCrashEvidence(evidence, link::send);
+			}
 			else if (message instanceof Message.AdmissionResponse response) {
 				RelayEntryDaemon.this.runtime.trafficLoop()
 					.execute(() -> RelayEntryDaemon.this.service.handleAdmissionResponse(response));
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -16,6 +17,9 @@
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.process.quarantine.Clearance;
+import io.dotterelcrank.process.quarantine.CrashReport;
+import io.dotterelcrank.process.quarantine.CrashSuspect;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -87,6 +91,15 @@
 			.isEqualTo(new Message.RatePermit("t", false, true, 2_000));
 	}
 
+	@Test
+	void evidenceOfCrashesIsSentToHostsThatAsk() throws Exception {
+		CrashReport report = new CrashReport("t", 10, -1, List.of(new CrashSuspect("r", List.of("first", "bad"))));
+		this.link.send(new Message.CrashEvidence(List.of(report), List.of(new Clearance("first", 5)), true, false));
+		Message.CrashEvidence reply = (Message.CrashEvidence) this.received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+		assertThat(reply.crashes()).extracting(CrashReport::suspects).containsExactly(report.suspects());
+		assertThat(reply.clearances()).extracting(Clearance::part).containsExactly("first");
+	}
+
 	/**
 	 * Collects the messages of the daemon.
 	 */
