--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -200,7 +200,8 @@
 	TARGET_PAUSED(846, Level.INFO, "target={} wants no requests for millis={}"),
 
 	/** The connection to a target was lost while a request was starting there. */
-	LOST_WHILE_STARTING(847, Level.INFO, "request={} target={} lost while starting responseMillis={} parts={}"),
+	LOST_WHILE_STARTING(847, Level.INFO,
+			"request={} target={} lost while starting responseMillis={} parts={} fingerprint={}"),
 
 	/** Content crashes targets and is not sent on. */
 	CONTENT_QUARANTINED(848, Level.WARN, "parts={} quarantined crashes={}"),
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -237,7 +237,7 @@
 	public void failed(Ran ran, String reason) {
 		if (ran == Ran.UNKNOWN && streamAgeMillis() < SETTLED_MILLIS && !this.target.leavingAsAnnounced()) {
 			LogEvent.LOST_WHILE_STARTING.log(logger, this.request.id(), this.target.id(), streamAgeMillis(),
-					this.request.content().sharedParts());
+					this.request.content().sharedParts(), this.request.content().fingerprint());
 			this.request.content().recordLoss(this.target);
 		}
 		detach();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestContent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestContent.java
@@ -1,8 +1,13 @@
 package io.dotterelcrank.process.relay;
 
+import java.security.MessageDigest;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 
+import org.apache.commons.codec.binary.Hex;
+import org.apache.commons.codec.digest.DigestUtils;
+
 import io.dotterelcrank.process.quarantine.CrashSuspect;
 import io.dotterelcrank.process.quarantine.Culprit;
 import io.dotterelcrank.request.CallerRequest;
@@ -14,10 +19,15 @@
  */
 final class RequestContent {
 
+	private static final int FINGERPRINT_BYTES = 12;
+
 	private final CallerRequest request;
 
 	private final RelayService relayService;
 
+	/** {@code null} until it is first used. */
+	private String fingerprint;
+
 	RequestContent(CallerRequest request, RelayService relayService) {
 		this.request = request;
 		this.relayService = relayService;
@@ -31,6 +41,21 @@
 		return this.relayService.quarantine().find(sharedParts());
 	}
 
+	/**
+	 * Returns the fingerprint of the request, which is computed on first use.
+	 * @return hash of caller, method, host, path with query, and body, in hexadecimal
+	 */
+	String fingerprint() {
+		if (this.fingerprint == null) {
+			MessageDigest digest = DigestUtils.getSha256Digest();
+			List.of(this.request.apiKey().orElse(""), this.request.method(), this.request.host(), this.request.uri())
+				.forEach((text) -> DigestUtils.updateDigest(digest, text + '\0'));
+			digest.update(this.request.body());
+			this.fingerprint = Hex.encodeHexString(Arrays.copyOf(digest.digest(), FINGERPRINT_BYTES));
+		}
+		return this.fingerprint;
+	}
+
 	List<String> sharedParts() {
 		return this.request.traits().map(GenerationTraits::sharedParts).orElse(List.of());
 	}
