Model check of repeated requests that crash targets

Plain targets join the fleet of the model check of prompt parts, which still passes; a third of the sound lookups repeat one of five.

--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
@@ -1,10 +1,12 @@
 package io.dotterelcrank.process.relay;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,8 +29,8 @@
 import io.dotterelcrank.request.Ran;
 
 /**
- * The relay services of several entry hosts on one manual clock, with engines that crash
- * when they begin to respond to some prompts and are back after seconds.
+ * The relay services of several entry hosts on one manual clock, with engines and targets
+ * of a plain service that crash under some requests and are back after seconds.
  */
 final class CrashFleet {
 
@@ -60,14 +62,17 @@
 	/** When each host last started, in milliseconds. */
 	private final List<Long> startedMillis = new ArrayList<>();
 
-	private final List<Engine> engines = new ArrayList<>();
+	private final List<SimulatedTarget> targets = new ArrayList<>();
 
-	/** All incarnations of engines that are listed, by id. */
+	/** All incarnations of targets that are listed, by id. */
 	private final Map<String, Target> listed = new HashMap<>();
 
 	/** Parts that crash each engine that begins to respond to a prompt with them. */
 	private final Set<String> crashingParts = new HashSet<>();
 
+	/** Path of each body that crashes each target that begins to run it. */
+	private final Map<String, String> crashingBodies = new LinkedHashMap<>();
+
 	private final List<Send> sends = new ArrayList<>();
 
 	private final List<Crash> crashes = new ArrayList<>();
@@ -81,16 +86,19 @@
 
 	private int requestCount;
 
-	CrashFleet(int hostCount, int engineCount, Random random) {
+	CrashFleet(int hostCount, int engineCount, int plainCount, Random random) {
 		this.random = random;
 		for (int i = 0; i < engineCount; i++) {
-			this.engines.add(new Engine(i));
+			this.targets.add(new SimulatedTarget("bench", i));
+		}
+		for (int i = 0; i < plainCount; i++) {
+			this.targets.add(new SimulatedTarget("desk", engineCount + i));
 		}
 		for (int i = 0; i < hostCount; i++) {
 			this.hosts.add(createHost(i));
 			this.startedMillis.add(now());
 		}
-		this.engines.forEach(Engine::start);
+		this.targets.forEach(SimulatedTarget::start);
 	}
 
 	private RelayService createHost(int index) {
@@ -130,25 +138,25 @@
 	 */
 	void restartHost() {
 		int index = this.random.nextInt(this.hosts.size());
-		this.engines.forEach((engine) -> engine.open.removeIf((running) -> running.host == index));
+		this.targets.forEach((target) -> target.open.removeIf((running) -> running.host == index));
 		this.hosts.set(index, createHost(index));
 		this.startedMillis.set(index, now());
 	}
 
 	/**
-	 * Ends a third of the engines without notice within four seconds.
+	 * Ends a third of the targets without notice within four seconds.
 	 */
 	void reclaim() {
-		for (Engine engine : this.engines) {
+		for (SimulatedTarget target : this.targets) {
 			if (this.random.nextInt(3) == 0) {
-				this.scheduler.schedule(this.random.nextInt(4_000), () -> engine.crash(Optional.empty()));
+				this.scheduler.schedule(this.random.nextInt(4_000), () -> target.crash(Optional.empty()));
 			}
 		}
 	}
 
 	private void updateTargets() {
-		List<Target> targets = List.copyOf(this.listed.values());
-		this.hosts.forEach((host) -> host.updateTargets(targets));
+		List<Target> listedTargets = List.copyOf(this.listed.values());
+		this.hosts.forEach((host) -> host.updateTargets(listedTargets));
 	}
 
 	/**
@@ -159,23 +167,41 @@
 		this.crashingParts.add(part);
 	}
 
+	/**
+	 * Makes a request crash targets from now on, whenever it comes.
+	 * @param path path of the request
+	 * @param body body of the request
+	 */
+	void makeCrashing(String path, String body) {
+		this.crashingBodies.put(body, path);
+	}
+
 	/**
 	 * Lets callers send requests to random hosts.
 	 * @param millis duration in milliseconds
-	 * @param soundPerSecond sound requests of all callers a second, on average
-	 * @param crashingPerSecond requests with each part that crashes engines a second
+	 * @param soundPerSecond sound requests of each kind a second, on average
+	 * @param crashingPerSecond requests with each content that crashes targets a second
 	 */
 	void play(long millis, double soundPerSecond, double crashingPerSecond) {
 		long endMillis = now() + millis;
 		while (now() < endMillis) {
 			if (occurs(soundPerSecond)) {
-				accept(Optional.empty());
+				acceptGeneration(Optional.empty());
+			}
+			if (occurs(soundPerSecond)) {
+				String body = "sound" + ((this.random.nextInt(3) == 0) ? this.random.nextInt(5) : this.requestCount);
+				accept("/lookup/", body, List.of());
 			}
 			for (String part : this.crashingParts) {
 				if (occurs(crashingPerSecond)) {
-					accept(Optional.of(part));
+					acceptGeneration(Optional.of(part));
 				}
 			}
+			this.crashingBodies.forEach((body, path) -> {
+				if (occurs(crashingPerSecond)) {
+					accept(path, body, path.equals("/notes/") ? List.of("first0") : List.of());
+				}
+			});
 			this.scheduler.advance(STEP_MILLIS);
 			recordWronglyBlamed();
 		}
@@ -185,18 +211,22 @@
 		return this.random.nextDouble() < perSecond * STEP_MILLIS / 1_000;
 	}
 
-	private void accept(Optional<String> crashingPart) {
-		this.requestCount++;
-		int host = this.random.nextInt(this.hosts.size());
+	private void acceptGeneration(Optional<String> crashingPart) {
 		String first = "first" + (crashingPart.isPresent() ? Math.floorMod(crashingPart.hashCode(), SHARED_FIRST_PARTS)
 				: this.random.nextInt(SHARED_FIRST_PARTS));
 		List<String> parts = crashingPart.map((part) -> List.of(first, part)).orElse(List.of(first));
-		String id = "attempt-" + this.requestCount;
-		this.arrivals.add(new Arrival(id, parts, crashingPart.isPresent(), now()));
-		this.hosts.get(host)
-			.accept(new CallerRequest(id, "POST", "a.example", "/notes/1", List.of(), id.getBytes(), Optional.of("key"),
-					Optional.of(new GenerationTraits(1_000, 100, OptionalLong.empty(), parts)), 39_000, now()),
-					new RecordingCallerChannel());
+		this.arrivals.add(new Arrival("attempt-" + (this.requestCount + 1), parts, crashingPart.isPresent(), now()));
+		accept("/notes/", "prompt" + this.requestCount, parts);
+	}
+
+	private void accept(String path, String body, List<String> parts) {
+		this.requestCount++;
+		Optional<GenerationTraits> traits = path.equals("/notes/")
+				? Optional.of(new GenerationTraits(1_000, 100, OptionalLong.empty(), parts)) : Optional.empty();
+		this.hosts.get(this.random.nextInt(this.hosts.size()))
+			.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path, List.of(),
+					body.getBytes(StandardCharsets.UTF_8), Optional.of("key"), traits,
+					traits.isPresent() ? 39_000 : 1_500, now()), new RecordingCallerChannel());
 	}
 
 	long now() {
@@ -204,28 +234,28 @@
 	}
 
 	/**
-	 * Returns when a part crashed an engine for the nth time.
-	 * @param part id of the part
+	 * Returns when a part or body crashed a target for the nth time.
+	 * @param content id of the part, or the body
 	 * @param count number of the crash, from 1
 	 * @return the time, or empty if it has crashed fewer
 	 */
-	OptionalLong crashMillis(String part, int count) {
+	OptionalLong crashMillis(String content, int count) {
 		return this.crashes.stream()
-			.filter((crash) -> crash.part().equals(part))
+			.filter((crash) -> crash.content().equals(content))
 			.mapToLong(Crash::millis)
 			.skip(count - 1L)
 			.findFirst();
 	}
 
 	/**
-	 * Counts the requests with a part that hosts in contact have sent to engines.
-	 * @param part id of the part
+	 * Counts the requests with a part or body that hosts in contact have sent to targets.
+	 * @param content id of the part, or the body
 	 * @param sinceMillis start of the span, in milliseconds
 	 * @return number of requests, retries included
 	 */
-	long sendsSince(String part, long sinceMillis) {
+	long sendsSince(String content, long sinceMillis) {
 		return this.sends.stream()
-			.filter((send) -> send.parts().contains(part) && send.millis() > sinceMillis && send.inContact())
+			.filter((send) -> send.contents().contains(content) && send.millis() > sinceMillis && send.inContact())
 			.count();
 	}
 
@@ -266,26 +296,26 @@
 	}
 
 	/**
-	 * A request that reached an engine.
+	 * A request that reached a target.
 	 *
-	 * @param parts shared parts of its prompt
+	 * @param contents shared parts of its prompt, and its body
 	 * @param millis when it was sent
 	 * @param inContact whether the sending host had run for long enough
 	 */
-	record Send(List<String> parts, long millis, boolean inContact) {
+	record Send(List<String> contents, long millis, boolean inContact) {
 	}
 
 	/**
-	 * An engine that ended.
+	 * A target that ended.
 	 *
-	 * @param part part that crashed it; empty text if none did
+	 * @param content part or body that crashed it; empty text if none did
 	 * @param millis when it ended
 	 */
-	record Crash(String part, long millis) {
+	record Crash(String content, long millis) {
 	}
 
 	/**
-	 * A request of a caller.
+	 * A generation that a caller asked for.
 	 *
 	 * @param id id of the attempt
 	 * @param parts shared parts of its prompt
@@ -296,7 +326,7 @@
 	}
 
 	/**
-	 * A request at an engine.
+	 * A request at a target.
 	 *
 	 * @param host index of the host that sent it
 	 * @param exchange its response
@@ -305,9 +335,11 @@
 	}
 
 	/**
-	 * One engine through all its incarnations.
+	 * One target through all its incarnations.
 	 */
-	private final class Engine {
+	private final class SimulatedTarget {
+
+		private final String service;
 
 		private final int index;
 
@@ -317,12 +349,13 @@
 
 		private final List<Running> open = new ArrayList<>();
 
-		Engine(int index) {
+		SimulatedTarget(String service, int index) {
+			this.service = service;
 			this.index = index;
 		}
 
 		String id() {
-			return "e" + this.index + "-" + this.incarnation;
+			return this.service + this.index + "-" + this.incarnation;
 		}
 
 		void start() {
@@ -330,19 +363,18 @@
 			this.up = true;
 			InetSocketAddress address = new InetSocketAddress("10.1." + this.index / 250 + "." + (1 + this.index % 250),
 					80);
-			CrashFleet.this.listed.put(id(),
-					new Target(
-							new TargetRegistration(id(), "bench", address, "giza", 24, false, 0, this.incarnation, 1),
-							0, true, false));
+			CrashFleet.this.listed.put(id(), new Target(
+					new TargetRegistration(id(), this.service, address, "giza", 24, false, 0, this.incarnation, 1), 0,
+					true, false));
 			updateTargets();
 		}
 
-		void crash(Optional<String> part) {
+		void crash(Optional<String> content) {
 			if (!this.up) {
 				return;
 			}
 			this.up = false;
-			CrashFleet.this.crashes.add(new Crash(part.orElse(""), now()));
+			CrashFleet.this.crashes.add(new Crash(content.orElse(""), now()));
 			List<Running> lost = List.copyOf(this.open);
 			this.open.clear();
 			lost.stream()
@@ -359,7 +391,7 @@
 	}
 
 	/**
-	 * Engines as one host sees them.
+	 * Targets as one host sees them.
 	 */
 	private final class CrashingTargetClient extends RecordingTargetClient {
 
@@ -372,26 +404,46 @@
 		@Override
 		public Exchange send(TargetRequest request, Listener listener) {
 			RecordedExchange exchange = new RecordedExchange(request, listener);
-			Optional<Engine> engine = CrashFleet.this.engines.stream()
+			Optional<SimulatedTarget> reached = CrashFleet.this.targets.stream()
 				.filter((candidate) -> candidate.up && candidate.id().equals(request.target().id()))
 				.findFirst();
-			if (engine.isEmpty()) {
+			if (reached.isEmpty()) {
 				schedule(2, exchange, () -> exchange.fail(Ran.NO));
 				return exchange;
 			}
-			List<String> parts = request.request().traits().orElseThrow().sharedParts();
+			SimulatedTarget target = reached.get();
+			List<String> contents = new ArrayList<>(
+					request.request().traits().map(GenerationTraits::sharedParts).orElse(List.of()));
+			contents.add(new String(request.request().body(), StandardCharsets.UTF_8));
 			CrashFleet.this.sends
-				.add(new Send(parts, now(), now() - CrashFleet.this.startedMillis.get(this.host) >= CONTACT_MILLIS));
-			engine.get().open.add(new Running(this.host, exchange));
-			Optional<String> crashingPart = parts.stream().filter(CrashFleet.this.crashingParts::contains).findFirst();
-			if (request.resumeFrom().isPresent() && crashingPart.isPresent()) {
+				.add(new Send(contents, now(), now() - CrashFleet.this.startedMillis.get(this.host) >= CONTACT_MILLIS));
+			target.open.add(new Running(this.host, exchange));
+			Optional<String> crashing = contents.stream()
+				.filter((content) -> CrashFleet.this.crashingParts.contains(content)
+						|| CrashFleet.this.crashingBodies.containsKey(content))
+				.findFirst();
+			if (target.service.equals("bench")) {
+				generate(target, request, exchange, crashing);
+			}
+			else if (crashing.isPresent()) {
+				schedule(60 + CrashFleet.this.random.nextInt(60), exchange, () -> target.crash(crashing));
+			}
+			else {
+				schedule(5 + CrashFleet.this.random.nextInt(60), exchange, () -> exchange.respond(200, ""));
+			}
+			return exchange;
+		}
+
+		private void generate(SimulatedTarget engine, TargetRequest request, RecordedExchange exchange,
+				Optional<String> crashing) {
+			if (request.resumeFrom().isPresent() && crashing.isPresent()) {
 				schedule(5, exchange, () -> exchange.refuse(503));
-				return exchange;
+				return;
 			}
 			schedule(50 + CrashFleet.this.random.nextInt(350), exchange, () -> {
 				exchange.startStream();
-				if (crashingPart.isPresent()) {
-					schedule(20 + CrashFleet.this.random.nextInt(70), exchange, () -> engine.get().crash(crashingPart));
+				if (crashing.isPresent()) {
+					schedule(20 + CrashFleet.this.random.nextInt(70), exchange, () -> engine.crash(crashing));
 					return;
 				}
 				if (request.resumeFrom().isEmpty()) {
@@ -400,7 +452,6 @@
 				int events = 3 + CrashFleet.this.random.nextInt(40);
 				stream(exchange, (int) request.lastEventId().orElse(0) + 1, events);
 			});
-			return exchange;
 		}
 
 		private void stream(RecordedExchange exchange, int id, int remaining) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashingPromptPartProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashingPromptPartProperties.java
@@ -40,7 +40,7 @@
 
 	private static void check(int hosts, int engines, int seed, double soundPerSecond) {
 		Random random = new Random(seed);
-		CrashFleet fleet = new CrashFleet(hosts, engines, random);
+		CrashFleet fleet = new CrashFleet(hosts, engines, 3 + engines / 4, random);
 		List<String> parts = IntStream.rangeClosed(1, 1 + random.nextInt(2))
 			.mapToObj((index) -> "bad" + index)
 			.toList();
