Refuse requests that crash targets and come again

Cause: the same as for prompt parts (nothing learned of a failed attempt outlives its request), with the whole request as the content to blame: callers repeat it under new ids at any host. Hedges and retries add to it, but it goes on without them.

Change: the fingerprint of a request (hash of caller, method, host, path and body) is a second kind of key of the quarantine. Culprit has two implementations, ForRequest and ForParts. Three crashes blame a request; one that went well within the last minute is only blamed if they are two seconds apart, and last, so that a sound request repeated by many is not blamed for a data centre that is lost, or beside a culprit. A crash that a repeated request explains no longer speaks against the parts of its prompt.

Ids of prompt parts are now checked, so that none can pass for a fingerprint. A loss after a response of the target is another loss, also with the same suspect.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -204,13 +204,13 @@
 			"request={} target={} lost while starting responseMillis={} parts={} fingerprint={}"),
 
 	/** Content crashes targets and is not sent on. */
-	CONTENT_QUARANTINED(848, Level.WARN, "parts={} quarantined crashes={}"),
+	CONTENT_QUARANTINED(848, Level.WARN, "content={} quarantined crashes={}"),
 
 	/** Content is sent again. */
-	QUARANTINE_LIFTED(849, Level.INFO, "parts={} no longer quarantined"),
+	QUARANTINE_LIFTED(849, Level.INFO, "content={} no longer quarantined"),
 
 	/** A request is refused, as its content crashes targets. */
-	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined parts={} crashes={}");
+	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/quarantine/Clearance.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/quarantine/Clearance.java
@@ -1,10 +1,10 @@
 package io.dotterelcrank.process.quarantine;
 
 /**
- * A prompt part with which a request went well. Immutable.
+ * Content with which a request went well. Immutable.
  *
- * @param part id of the part
+ * @param key fingerprint of a request, or id of a prompt part
  * @param ageMillis time since then, in milliseconds
  */
-public record Clearance(String part, long ageMillis) {
+public record Clearance(String key, long ageMillis) {
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/quarantine/CrashLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/quarantine/CrashLedger.java
@@ -22,8 +22,8 @@
 	/** Number of suspects of a target; more are ignored. */
 	static final int MAX_SUSPECTS = 32;
 
-	/** Number of parts that went well; the one used least recently is dropped. */
-	static final int MAX_SUCCESSES = 4_096;
+	/** Number of keys that went well; the one used least recently is dropped. */
+	static final int MAX_SUCCESSES = 8_192;
 
 	/** Time for which a loss is kept, in milliseconds. */
 	static final long RETENTION_MILLIS = 300_000;
@@ -54,7 +54,7 @@
 
 	};
 
-	/** When a request with a part last went well. */
+	/** When a request with a fingerprint or a part last went well. */
 	private final Map<String, Long> successes = new LinkedHashMap<>(16, 0.75f, true) {
 
 		private static final long serialVersionUID = 1L;
@@ -108,21 +108,21 @@
 	}
 
 	/**
-	 * Records that a request with a part went well.
-	 * @param part id of the part
+	 * Records that a request went well.
+	 * @param key its fingerprint, or a part of its prompt
 	 * @param millis when it did
 	 * @return when one last had before, if known
 	 */
-	OptionalLong recordSuccess(String part, long millis) {
-		Long before = this.successes.get(part);
+	OptionalLong recordSuccess(String key, long millis) {
+		Long before = this.successes.get(key);
 		if (before == null || before < millis) {
-			this.successes.put(part, millis);
+			this.successes.put(key, millis);
 		}
 		return (before != null) ? OptionalLong.of(before) : OptionalLong.empty();
 	}
 
-	OptionalLong lastSuccessMillis(String part) {
-		Long millis = this.successes.get(part);
+	OptionalLong lastSuccessMillis(String key) {
+		Long millis = this.successes.get(key);
 		return (millis != null) ? OptionalLong.of(millis) : OptionalLong.empty();
 	}
 
@@ -179,7 +179,7 @@
 		/** When a request was sent that the target responded to. */
 		private long aliveMillis = Long.MIN_VALUE;
 
-		/** By request. */
+		/** By fingerprint. */
 		private final Map<String, CrashSuspect> suspects = new LinkedHashMap<>();
 
 		Crash(long lostMillis) {
@@ -199,19 +199,22 @@
 		 * @param millis when the target was lost by the report, which is later than in
 		 * truth if the message was delayed
 		 * @param report the report
-		 * @return {@code true} if both came at about the same time or have a request in
-		 * common
+		 * @return {@code false} if the target responded in between, or if both came at
+		 * different times and have no suspect in common
 		 */
 		private boolean isSameLoss(long millis, CrashReport report) {
+			if (this.aliveMillis >= this.lostMillis) {
+				return millis <= this.aliveMillis;
+			}
 			return Math.abs(millis - this.lostMillis) <= SAME_LOSS_MILLIS
-					|| report.suspects().stream().map(CrashSuspect::request).anyMatch(this.suspects::containsKey);
+					|| report.suspects().stream().map(CrashSuspect::fingerprint).anyMatch(this.suspects::containsKey);
 		}
 
 		private boolean mergeSuspects(List<CrashSuspect> reported) {
 			boolean changed = false;
 			for (CrashSuspect suspect : reported) {
 				if (this.suspects.size() < MAX_SUSPECTS) {
-					changed |= this.suspects.putIfAbsent(suspect.request(), suspect) == null;
+					changed |= this.suspects.putIfAbsent(suspect.fingerprint(), suspect) == null;
 				}
 			}
 			return changed;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/quarantine/CulpritFinder.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/quarantine/CulpritFinder.java
@@ -27,10 +27,9 @@
 	static final int CRASHES_TO_BLAME = 3;
 
 	/**
-	 * Number of targets that crash before content is blamed that went well shortly
-	 * before.
+	 * Number of targets that crash before a part is blamed that went well shortly before.
 	 */
-	static final int CRASHES_TO_BLAME_PROVEN = 5;
+	static final int CRASHES_TO_BLAME_PROVEN_PART = 5;
 
 	/**
 	 * Time before the first crash within which content must have gone well to count as
@@ -44,14 +43,15 @@
 	 */
 	static final long PROVEN_SPAN_MILLIS = 2 * Quarantine.SHARE_AGAIN_MILLIS;
 
-	/** Number of different requests with a part that is blamed. */
+	/** Number of different requests with a part before it is blamed. */
 	private static final int MIN_REQUESTS = 2;
 
 	private static final Comparator<Candidate> MOST_LIKELY_FIRST = Comparator
 		.comparing((Candidate candidate) -> candidate.proven)
 		.thenComparing((candidate) -> -candidate.crashes.size())
+		.thenComparing((candidate) -> !candidate.wholeRequest())
 		.thenComparing((candidate) -> -candidate.commonParts.size())
-		.thenComparing((candidate) -> candidate.part);
+		.thenComparing((candidate) -> candidate.key);
 
 	private CulpritFinder() {
 	}
@@ -59,7 +59,8 @@
 	/**
 	 * Finds the culprits.
 	 * @param crashes crashes of targets, with the requests that were starting there
-	 * @param lastSuccess when a request with a part last went well, if known
+	 * @param lastSuccess when a request with a fingerprint or part last went well, if
+	 * known
 	 * @return the culprits, the most likely one first
 	 */
 	static List<Culprit> find(Collection<CrashLedger.Crash> crashes, Function<String, OptionalLong> lastSuccess) {
@@ -69,8 +70,7 @@
 		while (next.isPresent()) {
 			Culprit culprit = next.get();
 			culprits.add(culprit);
-			unexplained
-				.removeIf((crash) -> crash.suspects().stream().anyMatch((suspect) -> culprit.matches(suspect.parts())));
+			unexplained.removeIf((crash) -> crash.suspects().stream().anyMatch(culprit::matches));
 			next = findNext(unexplained, lastSuccess);
 		}
 		return culprits;
@@ -78,16 +78,16 @@
 
 	private static Optional<Culprit> findNext(List<CrashLedger.Crash> unexplained,
 			Function<String, OptionalLong> lastSuccess) {
-		Map<String, List<CrashLedger.Crash>> crashesByPart = new LinkedHashMap<>();
+		Map<String, List<CrashLedger.Crash>> crashesByKey = new LinkedHashMap<>();
 		for (CrashLedger.Crash crash : unexplained) {
 			crash.suspects()
 				.stream()
-				.flatMap((suspect) -> suspect.parts().stream())
+				.flatMap(Content::keys)
 				.distinct()
-				.filter((part) -> lastSuccess.apply(part).orElse(Long.MIN_VALUE) < crash.lostMillis())
-				.forEach((part) -> crashesByPart.computeIfAbsent(part, (key) -> new ArrayList<>()).add(crash));
+				.filter((key) -> lastSuccess.apply(key).orElse(Long.MIN_VALUE) < crash.lostMillis())
+				.forEach((key) -> crashesByKey.computeIfAbsent(key, (added) -> new ArrayList<>()).add(crash));
 		}
-		return crashesByPart.entrySet()
+		return crashesByKey.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue().size() >= CRASHES_TO_BLAME)
 			.map((entry) -> Candidate.of(entry.getKey(), entry.getValue(), lastSuccess.apply(entry.getKey())))
@@ -97,36 +97,40 @@
 	}
 
 	/**
-	 * A part that was in the prompts of requests at several crashes. Immutable.
+	 * A request or a prompt part that was at several crashes. Immutable.
 	 *
-	 * @param part id of the part
-	 * @param crashes crashes since a request with the part last went well
-	 * @param requests requests with the part at these crashes
+	 * @param key fingerprint of the request, or id of the part
+	 * @param crashes crashes since a request with the key last went well
+	 * @param fingerprints fingerprints of the requests with the key at these crashes
 	 * @param commonParts parts that all these requests have
-	 * @param proven whether a request with the part went well shortly before
+	 * @param proven whether a request with the key went well shortly before
 	 */
-	private record Candidate(String part, List<CrashLedger.Crash> crashes, Set<String> requests,
+	private record Candidate(String key, List<CrashLedger.Crash> crashes, Set<String> fingerprints,
 			Set<String> commonParts, boolean proven) {
 
-		static Candidate of(String part, List<CrashLedger.Crash> crashes, OptionalLong lastSuccess) {
+		static Candidate of(String key, List<CrashLedger.Crash> crashes, OptionalLong lastSuccess) {
 			List<CrashSuspect> suspects = crashes.stream()
 				.flatMap((crash) -> crash.suspects().stream())
-				.filter((suspect) -> suspect.parts().contains(part))
+				.filter((suspect) -> suspect.keys().anyMatch(key::equals))
 				.toList();
-			Set<String> common = new HashSet<>(suspects.get(0).parts());
-			suspects.forEach((suspect) -> common.retainAll(suspect.parts()));
+			Set<String> common = new HashSet<>(suspects.get(0).sharedParts());
+			suspects.forEach((suspect) -> common.retainAll(suspect.sharedParts()));
 			long firstMillis = crashes.stream().mapToLong(CrashLedger.Crash::lostMillis).min().orElseThrow();
-			return new Candidate(part, crashes,
-					suspects.stream().map(CrashSuspect::request).collect(Collectors.toUnmodifiableSet()),
+			return new Candidate(key, crashes,
+					suspects.stream().map(CrashSuspect::fingerprint).collect(Collectors.toUnmodifiableSet()),
 					Set.copyOf(common), lastSuccess.orElse(Long.MIN_VALUE) > firstMillis - PROVEN_MILLIS);
 		}
 
+		boolean wholeRequest() {
+			return this.fingerprints.contains(this.key);
+		}
+
 		boolean blamed() {
-			if (this.requests.size() < MIN_REQUESTS) {
+			if (this.proven && spanMillis() < PROVEN_SPAN_MILLIS) {
 				return false;
 			}
-			return this.proven ? this.crashes.size() >= CRASHES_TO_BLAME_PROVEN && spanMillis() >= PROVEN_SPAN_MILLIS
-					: this.crashes.size() >= CRASHES_TO_BLAME;
+			return wholeRequest() || (this.fingerprints.size() >= MIN_REQUESTS
+					&& this.crashes.size() >= (this.proven ? CRASHES_TO_BLAME_PROVEN_PART : CRASHES_TO_BLAME));
 		}
 
 		private long spanMillis() {
@@ -137,8 +141,9 @@
 		}
 
 		Culprit toCulprit() {
-			return new Culprit(this.commonParts, this.crashes.size(),
-					this.crashes.stream().mapToLong(CrashLedger.Crash::lostMillis).max().orElseThrow());
+			long lastMillis = this.crashes.stream().mapToLong(CrashLedger.Crash::lostMillis).max().orElseThrow();
+			return wholeRequest() ? new Culprit.ForRequest(this.key, this.crashes.size(), lastMillis)
+					: new Culprit.ForParts(this.commonParts, this.crashes.size(), lastMillis);
 		}
 
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/quarantine/Quarantine.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/quarantine/Quarantine.java
@@ -67,17 +67,17 @@
 
 	private final long startedMillis;
 
-	/** Content of suspects that other hosts may know to be sound. */
-	private final Set<String> suspectedParts = new LinkedHashSet<>();
+	/** Keys of suspects, which other hosts may know to be sound. */
+	private final Set<String> suspectedKeys = new LinkedHashSet<>();
 
-	/** When this host last sent or received the success of a part. */
+	/** When this host last sent or received the success of a key. */
 	private final Map<String, Long> sharedMillis = new HashMap<>();
 
 	/** Targets whose reports are to be passed on. */
 	private final Set<String> pendingTargets = new LinkedHashSet<>();
 
-	/** Parts whose successes are to be passed on. */
-	private final Set<String> pendingParts = new LinkedHashSet<>();
+	/** Keys whose successes are to be passed on. */
+	private final Set<String> pendingKeys = new LinkedHashSet<>();
 
 	private List<Culprit> culprits = List.of();
 
@@ -112,11 +112,11 @@
 
 	/**
 	 * Returns what crashes targets in a request.
-	 * @param parts ids of the shared parts of its prompt
+	 * @param content content of the request
 	 * @return the culprit, or empty if the request may be sent
 	 */
-	public Optional<Culprit> find(Collection<String> parts) {
-		return culprits().stream().filter((culprit) -> culprit.matches(parts)).findFirst();
+	public Optional<Culprit> find(Content content) {
+		return culprits().stream().filter((culprit) -> culprit.matches(content)).findFirst();
 	}
 
 	/**
@@ -134,14 +134,14 @@
 	}
 
 	private void logChanges(List<Culprit> found) {
-		Set<Set<String>> before = this.culprits.stream().map(Culprit::parts).collect(Collectors.toSet());
-		Set<Set<String>> after = found.stream().map(Culprit::parts).collect(Collectors.toSet());
+		Set<Set<String>> before = this.culprits.stream().map(Culprit::keys).collect(Collectors.toSet());
+		Set<Set<String>> after = found.stream().map(Culprit::keys).collect(Collectors.toSet());
 		found.stream()
-			.filter((culprit) -> !before.contains(culprit.parts()))
-			.forEach((culprit) -> LogEvent.CONTENT_QUARANTINED.log(logger, culprit.parts(), culprit.crashes()));
+			.filter((culprit) -> !before.contains(culprit.keys()))
+			.forEach((culprit) -> LogEvent.CONTENT_QUARANTINED.log(logger, culprit.keys(), culprit.crashes()));
 		before.stream()
-			.filter((parts) -> !after.contains(parts))
-			.forEach((parts) -> LogEvent.QUARANTINE_LIFTED.log(logger, parts));
+			.filter((keys) -> !after.contains(keys))
+			.forEach((keys) -> LogEvent.QUARANTINE_LIFTED.log(logger, keys));
 	}
 
 	/**
@@ -176,24 +176,24 @@
 
 	/**
 	 * Records that a request went well.
-	 * @param parts ids of the shared parts of its prompt
+	 * @param content content of the request
 	 */
-	public void recordSuccess(Collection<String> parts) {
-		for (String part : parts) {
-			this.ledger.recordSuccess(part, this.clock.millis());
-			if (this.suspectedParts.contains(part)) {
+	public void recordSuccess(Content content) {
+		content.keys().forEach((key) -> {
+			this.ledger.recordSuccess(key, this.clock.millis());
+			if (this.suspectedKeys.contains(key)) {
 				this.stale = true;
-				shareSuccess(part);
+				shareSuccess(key);
 			}
-		}
+		});
 	}
 
-	private void shareSuccess(String part) {
+	private void shareSuccess(String key) {
 		long nowMillis = this.clock.millis();
-		Long shared = this.sharedMillis.get(part);
+		Long shared = this.sharedMillis.get(key);
 		if (shared == null || nowMillis - shared >= SHARE_AGAIN_MILLIS) {
-			this.sharedMillis.put(part, nowMillis);
-			this.pendingParts.add(part);
+			this.sharedMillis.put(key, nowMillis);
+			this.pendingKeys.add(key);
 		}
 	}
 
@@ -211,10 +211,10 @@
 
 	private void merge(Clearance clearance) {
 		long millis = this.clock.millis() - Math.max(0, clearance.ageMillis());
-		OptionalLong before = this.ledger.recordSuccess(clearance.part(), millis);
+		OptionalLong before = this.ledger.recordSuccess(clearance.key(), millis);
 		if (before.isEmpty() || millis - before.getAsLong() >= SHARE_AGAIN_MILLIS) {
-			this.sharedMillis.put(clearance.part(), this.clock.millis());
-			this.pendingParts.add(clearance.part());
+			this.sharedMillis.put(clearance.key(), this.clock.millis());
+			this.pendingKeys.add(clearance.key());
 			this.stale = true;
 		}
 	}
@@ -223,16 +223,16 @@
 		if (this.ledger.merge(report)) {
 			this.pendingTargets.add(report.target());
 			this.stale = true;
-			report.suspects().stream().flatMap((suspect) -> suspect.parts().stream()).distinct().forEach(this::suspect);
+			report.suspects().stream().flatMap(Content::keys).distinct().forEach(this::suspect);
 		}
 	}
 
-	private void suspect(String part) {
-		this.suspectedParts.add(part);
-		boolean proven = this.ledger.lastSuccessMillis(part).orElse(Long.MIN_VALUE) > this.clock.millis()
+	private void suspect(String key) {
+		this.suspectedKeys.add(key);
+		boolean proven = this.ledger.lastSuccessMillis(key).orElse(Long.MIN_VALUE) > this.clock.millis()
 				- CulpritFinder.PROVEN_MILLIS;
 		if (proven) {
-			shareSuccess(part);
+			shareSuccess(key);
 		}
 	}
 
@@ -241,7 +241,7 @@
 		List<Message.CrashEvidence> messages = new ArrayList<>();
 		for (int from = 0; from < targets.size(); from += MAX_REPORTS) {
 			List<String> next = targets.subList(from, Math.min(targets.size(), from + MAX_REPORTS));
-			messages.add(evidence(next, suspectedParts(next)));
+			messages.add(evidence(next, suspectedKeys(next)));
 		}
 		messages.add(new Message.CrashEvidence(List.of(), List.of(), false, this.informed));
 		return messages;
@@ -257,11 +257,11 @@
 			forgetUnsuspected();
 		}
 		this.pendingTargets.removeIf((target) -> !this.ledger.contains(target));
-		if (!this.pendingTargets.isEmpty() || !this.pendingParts.isEmpty()) {
+		if (!this.pendingTargets.isEmpty() || !this.pendingKeys.isEmpty()) {
 			List<String> targets = this.pendingTargets.stream().limit(MAX_REPORTS).toList();
-			this.client.send(evidence(targets, this.pendingParts), FAN_OUT);
+			this.client.send(evidence(targets, this.pendingKeys), FAN_OUT);
 			targets.forEach(this.pendingTargets::remove);
-			this.pendingParts.clear();
+			this.pendingKeys.clear();
 		}
 		if (nowMillis >= this.nextRepeatMillis && !this.ledger.targets().isEmpty()) {
 			this.nextRepeatMillis = nowMillis + REPEAT_MILLIS;
@@ -276,8 +276,8 @@
 	}
 
 	private void forgetUnsuspected() {
-		Set<String> remaining = suspectedParts(this.ledger.targets());
-		this.suspectedParts.retainAll(remaining);
+		Set<String> remaining = suspectedKeys(this.ledger.targets());
+		this.suspectedKeys.retainAll(remaining);
 		this.sharedMillis.keySet().retainAll(remaining);
 	}
 
@@ -286,22 +286,22 @@
 		while (targets.size() > REPEATED_REPORTS) {
 			targets.remove(this.random.nextInt(targets.size()));
 		}
-		this.client.send(evidence(targets, suspectedParts(targets)), 1);
+		this.client.send(evidence(targets, suspectedKeys(targets)), 1);
 	}
 
-	private Set<String> suspectedParts(Collection<String> targets) {
+	private Set<String> suspectedKeys(Collection<String> targets) {
 		return targets.stream()
 			.flatMap((target) -> this.ledger.report(target).suspects().stream())
-			.flatMap((suspect) -> suspect.parts().stream())
+			.flatMap(Content::keys)
 			.collect(Collectors.toCollection(LinkedHashSet::new));
 	}
 
-	private Message.CrashEvidence evidence(List<String> targets, Collection<String> parts) {
+	private Message.CrashEvidence evidence(List<String> targets, Collection<String> keys) {
 		long nowMillis = this.clock.millis();
 		List<Clearance> clearances = new ArrayList<>();
-		for (String part : parts) {
-			this.ledger.lastSuccessMillis(part)
-				.ifPresent((millis) -> clearances.add(new Clearance(part, nowMillis - millis)));
+		for (String key : keys) {
+			this.ledger.lastSuccessMillis(key)
+				.ifPresent((millis) -> clearances.add(new Clearance(key, nowMillis - millis)));
 		}
 		return new Message.CrashEvidence(targets.stream().map(this.ledger::report).toList(), clearances, false, false);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestContent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestContent.java
@@ -8,6 +8,7 @@
 import org.apache.commons.codec.binary.Hex;
 import org.apache.commons.codec.digest.DigestUtils;
 
+import io.dotterelcrank.process.quarantine.Content;
 import io.dotterelcrank.process.quarantine.CrashSuspect;
 import io.dotterelcrank.process.quarantine.Culprit;
 import io.dotterelcrank.request.CallerRequest;
@@ -17,7 +18,10 @@
  * What is known of the content of one request, and learned from its attempts: whether it
  * crashes targets. Confined to the traffic thread.
  */
-final class RequestContent {
+final class RequestContent implements Content {
+
+	/** Has a character that is in no id of a prompt part. */
+	private static final String FINGERPRINT_PREFIX = "request:";
 
 	private static final int FINGERPRINT_BYTES = 12;
 
@@ -38,25 +42,30 @@
 	 * @return the culprit, or empty if the request may be sent
 	 */
 	Optional<Culprit> culprit() {
-		return this.relayService.quarantine().find(sharedParts());
+		return this.relayService.quarantine().find(this);
 	}
 
 	/**
-	 * Returns the fingerprint of the request, which is computed on first use.
-	 * @return hash of caller, method, host, path with query, and body, in hexadecimal
+	 * {@inheritDoc}
+	 * <p>
+	 * It is a hash of caller, method, host, path with query, and body, computed on first
+	 * use.
 	 */
-	String fingerprint() {
+	@Override
+	public String fingerprint() {
 		if (this.fingerprint == null) {
 			MessageDigest digest = DigestUtils.getSha256Digest();
 			List.of(this.request.apiKey().orElse(""), this.request.method(), this.request.host(), this.request.uri())
 				.forEach((text) -> DigestUtils.updateDigest(digest, text + '\0'));
 			digest.update(this.request.body());
-			this.fingerprint = Hex.encodeHexString(Arrays.copyOf(digest.digest(), FINGERPRINT_BYTES));
+			this.fingerprint = FINGERPRINT_PREFIX
+					+ Hex.encodeHexString(Arrays.copyOf(digest.digest(), FINGERPRINT_BYTES));
 		}
 		return this.fingerprint;
 	}
 
-	List<String> sharedParts() {
+	@Override
+	public List<String> sharedParts() {
 		return this.request.traits().map(GenerationTraits::sharedParts).orElse(List.of());
 	}
 
@@ -66,8 +75,7 @@
 	 */
 	void recordLoss(TrackedTarget target) {
 		this.relayService.metrics().recordLoss();
-		this.relayService.quarantine()
-			.recordLoss(target.incarnation(), new CrashSuspect(this.request.id(), sharedParts()));
+		this.relayService.quarantine().recordLoss(target.incarnation(), CrashSuspect.of(this));
 	}
 
 	/**
@@ -84,7 +92,7 @@
 	 * the content does not crash targets.
 	 */
 	void recordSuccess() {
-		this.relayService.quarantine().recordSuccess(sharedParts());
+		this.relayService.quarantine().recordSuccess(this);
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -123,11 +123,11 @@
 	private boolean refusedForItsContent() {
 		Optional<Culprit> culprit = this.request.content().culprit();
 		culprit.ifPresent((found) -> {
-			LogEvent.REQUEST_QUARANTINED.log(logger, this.request.id(), found.parts(), found.crashes());
+			LogEvent.REQUEST_QUARANTINED.log(logger, this.request.id(), found.keys(), found.crashes());
 			this.relayService.metrics().recordQuarantined();
 			this.returnDelayMillis = this.relayService.quarantine().remainingMillis(found);
 			this.request.endInFailure(ResultCode.QUARANTINED,
-					"prompts with the parts " + found.parts() + " have crashed " + found.crashes() + " targets");
+					"requests with " + found.keys() + " have crashed " + found.crashes() + " targets");
 		});
 		return culprit.isPresent();
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/quarantine/CrashLedgerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/quarantine/CrashLedgerTests.java
@@ -31,7 +31,7 @@
 		assertThat(this.ledger.merge(report("t", 400, "r2"))).isTrue();
 		assertThat(this.ledger.merge(report("t", 400, "r2"))).isFalse();
 		assertThat(this.ledger.crashes()).hasSize(1);
-		assertThat(crash().suspects()).extracting(CrashSuspect::request).containsExactly("r1", "r2");
+		assertThat(crash().suspects()).extracting(CrashSuspect::fingerprint).containsExactly("r1", "r2");
 		assertThat(crash().lostMillis()).isEqualTo(this.clock.millis() - 500);
 	}
 
@@ -46,7 +46,7 @@
 	void laterLossReplacesOneThatWasNotTheEndOfTheTarget() {
 		this.ledger.merge(report("t", 10_000, "r1"));
 		this.ledger.merge(report("t", 0, "r2"));
-		assertThat(crash().suspects()).extracting(CrashSuspect::request).containsExactly("r2");
+		assertThat(crash().suspects()).extracting(CrashSuspect::fingerprint).containsExactly("r2");
 		assertThat(this.ledger.merge(report("t", 10_000, "r3"))).isFalse();
 	}
 
@@ -60,6 +60,15 @@
 		assertThat(this.ledger.report("t").aliveAgeMillis()).isEqualTo(100);
 	}
 
+	@Test
+	void lossAfterAResponseIsAnotherOne() {
+		this.ledger.merge(report("t", 1_000, "r1"));
+		this.ledger.recordAlive("t", this.clock.millis() - 900);
+		this.ledger.merge(report("t", 0, "r1"));
+		assertThat(crash().lostMillis()).isEqualTo(this.clock.millis());
+		assertThat(this.ledger.merge(report("t", 1_000, "r1"))).isFalse();
+	}
+
 	@Test
 	void responseOfAnotherHostRefutesALoss() {
 		this.ledger.merge(report("t", 100, "r1"));
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/quarantine/CulpritFinderTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/quarantine/CulpritFinderTests.java
@@ -42,7 +42,7 @@
 		crash("t2", List.of(List.of("b", "bad")));
 		assertThat(find()).isEmpty();
 		crash("t3", List.of(List.of("c", "bad")));
-		assertThat(find()).containsExactly(new Culprit(Set.of("bad"), 3, this.clock.millis()));
+		assertThat(find()).containsExactly(new Culprit.ForParts(Set.of("bad"), 3, this.clock.millis()));
 	}
 
 	@Test
@@ -50,9 +50,9 @@
 		crash("t1", List.of(List.of("a", "bad"), List.of("a")));
 		crash("t2", List.of(List.of("a", "bad"), List.of("a")));
 		crash("t3", List.of(List.of("a", "bad"), List.of("a")));
-		assertThat(find()).extracting(Culprit::parts).containsExactly(Set.of("a", "bad"));
-		assertThat(find().get(0).matches(List.of("a", "other"))).isFalse();
-		assertThat(find().get(0).matches(List.of("a", "bad", "other"))).isTrue();
+		assertThat(find()).extracting(Culprit::keys).containsExactly(Set.of("a", "bad"));
+		assertThat(find().get(0).matches(new CrashSuspect("r", List.of("a", "other")))).isFalse();
+		assertThat(find().get(0).matches(new CrashSuspect("r", List.of("a", "bad", "other")))).isTrue();
 	}
 
 	@Test
@@ -61,7 +61,7 @@
 			crash(target, List.of(List.of("a", "bad")));
 		}
 		crash("t4", List.of(List.of("b", "bad")));
-		assertThat(find()).extracting(Culprit::parts).containsExactly(Set.of("bad"));
+		assertThat(find()).extracting(Culprit::keys).containsExactly(Set.of("bad"));
 	}
 
 	@Test
@@ -69,7 +69,7 @@
 		crash("t1", List.of(List.of("x", "bad"), List.of("y")));
 		crash("t2", List.of(List.of("z", "bad"), List.of("y")));
 		crash("t3", List.of(List.of("x", "bad"), List.of("y")));
-		assertThat(find()).extracting(Culprit::parts).containsExactly(Set.of("bad"));
+		assertThat(find()).extracting(Culprit::keys).containsExactly(Set.of("bad"));
 	}
 
 	@Test
@@ -78,7 +78,7 @@
 			crash("t" + i, List.of(List.of("a" + i, "bad1")));
 			crash("u" + i, List.of(List.of("a" + i, "bad2")));
 		}
-		assertThat(find()).extracting(Culprit::parts).containsExactlyInAnyOrder(Set.of("bad1"), Set.of("bad2"));
+		assertThat(find()).extracting(Culprit::keys).containsExactlyInAnyOrder(Set.of("bad1"), Set.of("bad2"));
 	}
 
 	@Test
@@ -98,7 +98,7 @@
 		}
 		assertThat(find()).isEmpty();
 		crash("t5", List.of(List.of("a")));
-		assertThat(find()).extracting(Culprit::parts).containsExactly(Set.of("a"));
+		assertThat(find()).extracting(Culprit::keys).containsExactly(Set.of("a"));
 	}
 
 	@Test
@@ -112,11 +112,48 @@
 		assertThat(find()).isEmpty();
 	}
 
+	private void crashUnder(String target, String... fingerprints) {
+		this.clock.advance(1_000);
+		for (String fingerprint : fingerprints) {
+			this.ledger.merge(new CrashReport(target, 0, -1, List.of(new CrashSuspect(fingerprint, List.of("a")))));
+		}
+	}
+
+	@Test
+	void repeatedRequestIsBlamedAndNotItsParts() {
+		crashUnder("t1", "r");
+		crashUnder("t2", "r", "sound");
+		assertThat(find()).isEmpty();
+		crashUnder("t3", "r");
+		assertThat(find()).containsExactly(new Culprit.ForRequest("r", 3, this.clock.millis()));
+		assertThat(find().get(0).matches(new CrashSuspect("r", List.of()))).isTrue();
+		assertThat(find().get(0).matches(new CrashSuspect("other", List.of("a")))).isFalse();
+	}
+
 	@Test
-	void oneRequestBlamesNoPart() {
-		for (int i = 0; i < 5; i++) {
-			this.clock.advance(1_000);
-			this.ledger.merge(new CrashReport("t" + i, 0, -1, List.of(new CrashSuspect("r", List.of("a")))));
+	void requestThatWentWellShortlyBeforeIsNotBlamedBesideOneThatDidNot() {
+		this.successes.put("hot", this.clock.millis());
+		for (int i = 0; i < 4; i++) {
+			crashUnder("t" + i, "hot", "r");
+		}
+		assertThat(find()).extracting(Culprit::keys).containsExactly(Set.of("r"));
+	}
+
+	@Test
+	void requestThatIsAtMoreCrashesExplainsThoseOfOthers() {
+		crashUnder("t1", "beside", "r");
+		crashUnder("t2", "beside", "r");
+		crashUnder("t3", "beside", "r");
+		crashUnder("t4", "r");
+		assertThat(find()).extracting(Culprit::keys).containsExactly(Set.of("r"));
+	}
+
+	@Test
+	void manyLossesAtOnceDoNotBlameAProvenRequest() {
+		this.successes.put("hot", this.clock.millis());
+		for (int i = 0; i < 50; i++) {
+			this.clock.advance(20);
+			this.ledger.merge(new CrashReport("t" + i, 0, -1, List.of(new CrashSuspect("hot", List.of()))));
 		}
 		assertThat(find()).isEmpty();
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/quarantine/QuarantineTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/quarantine/QuarantineTests.java
@@ -33,6 +33,10 @@
 		this.clock.advance(100);
 	}
 
+	private static Content content(String... parts) {
+		return new CrashSuspect("request", List.of(parts));
+	}
+
 	private void crashThreeTargets() {
 		crash("t1");
 		crash("t2");
@@ -42,13 +46,13 @@
 	@Test
 	void contentOfThreeCrashesIsRefusedUntilTheEvidenceExpires() {
 		crashThreeTargets();
-		assertThat(this.quarantine.find(List.of("first", "bad", "x"))).isPresent();
-		assertThat(this.quarantine.find(List.of("first", "x"))).isEmpty();
+		assertThat(this.quarantine.find(content("first", "bad", "x"))).isPresent();
+		assertThat(this.quarantine.find(content("first", "x"))).isEmpty();
 		assertThat(this.quarantine.remainingMillis(this.quarantine.culprits().get(0)))
 			.isEqualTo(CrashLedger.RETENTION_MILLIS - 100);
 		this.clock.advance(CrashLedger.RETENTION_MILLIS);
 		this.quarantine.poll();
-		assertThat(this.quarantine.find(List.of("first", "bad"))).isEmpty();
+		assertThat(this.quarantine.find(content("first", "bad"))).isEmpty();
 	}
 
 	@Test
@@ -70,7 +74,7 @@
 		crashThreeTargets();
 		this.quarantine.poll();
 		this.sent.forEach(other::handle);
-		assertThat(other.find(List.of("first", "bad"))).isPresent();
+		assertThat(other.find(content("first", "bad"))).isPresent();
 		other.poll();
 		assertThat(sentByOther).anyMatch((evidence) -> evidence.crashes().size() == 3);
 	}
@@ -103,7 +107,7 @@
 		for (int i = 0; i < 3 * Quarantine.MAX_REPORTS; i++) {
 			crash("t" + i);
 		}
-		this.quarantine.recordSuccess(List.of("first"));
+		this.quarantine.recordSuccess(content("first"));
 		this.clock.advance(Quarantine.MAX_ASK_MILLIS);
 		this.quarantine.poll();
 		List<Message.CrashEvidence> reply = this.quarantine
@@ -111,7 +115,7 @@
 		assertThat(reply).allMatch((evidence) -> evidence.crashes().size() <= Quarantine.MAX_REPORTS);
 		assertThat(reply.stream().mapToInt((evidence) -> evidence.crashes().size()).sum())
 			.isEqualTo(3 * Quarantine.MAX_REPORTS);
-		assertThat(reply.get(0).clearances()).extracting(Clearance::part).containsExactly("first");
+		assertThat(reply.get(0).clearances()).extracting(Clearance::key).containsExactly("first");
 		assertThat(reply.get(reply.size() - 1).complete()).isTrue();
 	}
 
@@ -120,14 +124,14 @@
 		crash("t1");
 		this.quarantine.poll();
 		this.sent.clear();
-		this.quarantine.recordSuccess(List.of("first", "unrelated"));
+		this.quarantine.recordSuccess(content("first", "unrelated"));
 		this.quarantine.poll();
-		assertThat(this.sent.get(0).clearances()).extracting(Clearance::part).containsExactly("first");
+		assertThat(this.sent.get(0).clearances()).extracting(Clearance::key).containsExactly("first");
 	}
 
 	@Test
 	void successBeforeTheSuspicionIsPassedOn() {
-		this.quarantine.recordSuccess(List.of("first"));
+		this.quarantine.recordSuccess(content("first"));
 		this.clock.advance(10_000);
 		crash("t1");
 		this.quarantine.poll();
@@ -143,10 +147,19 @@
 		assertThat(this.sent.get(0).crashes().get(2).aliveAgeMillis()).isZero();
 	}
 
+	@Test
+	void repeatedRequestIsRefusedAlsoWithoutParts() {
+		for (String target : new String[] { "t1", "t2", "t3" }) {
+			this.quarantine.recordLoss(target, new CrashSuspect("request", List.of()));
+		}
+		assertThat(this.quarantine.find(content())).isPresent();
+		assertThat(this.quarantine.find(new CrashSuspect("other", List.of()))).isEmpty();
+	}
+
 	@Test
 	void culpritIsNamedWithAllPartsOfItsRequests() {
 		crashThreeTargets();
-		assertThat(this.quarantine.culprits()).extracting(Culprit::parts).containsExactly(Set.of("first", "bad"));
+		assertThat(this.quarantine.culprits()).extracting(Culprit::keys).containsExactly(Set.of("first", "bad"));
 	}
 
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
@@ -82,6 +82,9 @@
 	/** Ids of the requests that began at their first attempt. */
 	private final Set<String> begun = new HashSet<>();
 
+	/** Parts that crash engines, and fingerprints of requests that crash targets. */
+	private final Set<String> crashingKeys = new HashSet<>();
+
 	private final Set<Set<String>> wronglyBlamed = new HashSet<>();
 
 	private int requestCount;
@@ -165,6 +168,7 @@
 	 */
 	void makeCrashing(String part) {
 		this.crashingParts.add(part);
+		this.crashingKeys.add(part);
 	}
 
 	/**
@@ -223,10 +227,14 @@
 		this.requestCount++;
 		Optional<GenerationTraits> traits = path.equals("/notes/")
 				? Optional.of(new GenerationTraits(1_000, 100, OptionalLong.empty(), parts)) : Optional.empty();
-		this.hosts.get(this.random.nextInt(this.hosts.size()))
-			.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path, List.of(),
-					body.getBytes(StandardCharsets.UTF_8), Optional.of("key"), traits,
-					traits.isPresent() ? 39_000 : 1_500, now()), new RecordingCallerChannel());
+		RelayService host = this.hosts.get(this.random.nextInt(this.hosts.size()));
+		CallerRequest request = new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path, List.of(),
+				body.getBytes(StandardCharsets.UTF_8), Optional.of("key"), traits, traits.isPresent() ? 39_000 : 1_500,
+				now());
+		if (this.crashingBodies.containsKey(body) || parts.stream().anyMatch(this.crashingParts::contains)) {
+			this.crashingKeys.add(new RequestContent(request, host).fingerprint());
+		}
+		host.accept(request, new RecordingCallerChannel());
 	}
 
 	long now() {
@@ -277,7 +285,7 @@
 
 	/**
 	 * Returns the content that some host has refused although it crashes nothing.
-	 * @return culprits without a part that crashes engines
+	 * @return keys of culprits without a key that crashes targets
 	 */
 	Set<Set<String>> wronglyBlamed() {
 		return this.wronglyBlamed;
@@ -286,8 +294,8 @@
 	private void recordWronglyBlamed() {
 		this.hosts.stream()
 			.flatMap((host) -> host.quarantine().culprits().stream())
-			.map(Culprit::parts)
-			.filter((parts) -> parts.stream().noneMatch(this.crashingParts::contains))
+			.map(Culprit::keys)
+			.filter((keys) -> keys.stream().noneMatch(this.crashingKeys::contains))
 			.forEach(this.wronglyBlamed::add);
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/QuarantinedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/QuarantinedRequestTests.java
@@ -64,6 +64,38 @@
 		assertThat(this.caller.failure().retryAfterMillis()).isGreaterThan(60_000);
 	}
 
+	@Test
+	void repeatedCallThatCrashesTargetsIsRefusedAtOnceAsNotRun() {
+		for (int i = 0; i < 3; i++) {
+			RelayedRequest request = this.fixture.accept("/order/1", new RecordingCallerChannel());
+			String id = lastExchange().request().target().id();
+			lastExchange().fail(Ran.UNKNOWN);
+			request.callerDisconnected();
+			this.fixture.listTarget(id, "desk", false, 2 + i, false);
+			this.fixture.advance(1_500);
+		}
+		this.fixture.accept("/order/1", this.caller);
+		assertThat(this.caller.failure().code()).isEqualTo(ResultCode.QUARANTINED);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
+		int sends = this.fixture.targetClient().sendCount();
+		this.fixture.accept("/order/2", new RecordingCallerChannel());
+		assertThat(this.fixture.targetClient().sendCount()).isEqualTo(sends + 1);
+	}
+
+	@Test
+	void retryOfARequestThatMayHaveRunIsNotRefusedAsNotRun() {
+		for (int i = 0; i < 2; i++) {
+			this.fixture.accept("/order/1", new RecordingCallerChannel());
+			String id = lastExchange().request().target().id();
+			lastExchange().fail(Ran.UNKNOWN);
+			this.fixture.listTarget(id, "desk", false, 2 + i, false);
+			this.fixture.advance(1_500);
+		}
+		this.fixture.accept("/order/1", this.caller);
+		lastExchange().fail(Ran.UNKNOWN);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.UNKNOWN);
+	}
+
 	@Test
 	void soundRequestWithTheSameFirstPartIsServed() {
 		crashEngines(3);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -1,6 +1,7 @@
 package io.dotterelcrank.process.relay;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -178,7 +179,7 @@
 		this.requestCount++;
 		return this.relayService.accept(
 				new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", "/notes/1", List.of(),
-						new byte[0], Optional.of("key"),
+						("prompt " + this.requestCount).getBytes(StandardCharsets.UTF_8), Optional.of("key"),
 						Optional.of(new GenerationTraits(100, 100, OptionalLong.empty(), sharedParts)), 39_000, now()),
 				caller);
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
@@ -97,7 +97,7 @@
 		this.link.send(new Message.CrashEvidence(List.of(report), List.of(new Clearance("first", 5)), true, false));
 		Message.CrashEvidence reply = (Message.CrashEvidence) this.received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
 		assertThat(reply.crashes()).extracting(CrashReport::suspects).containsExactly(report.suspects());
-		assertThat(reply.clearances()).extracting(Clearance::part).containsExactly("first");
+		assertThat(reply.clearances()).extracting(Clearance::key).containsExactly("first");
 	}
 
 	/**
