Treat a stream that ends with its connection before its first event as broken off

What callers would see: a target that crashes as it begins a stream without length or chunks left its caller with an empty stream that looked complete, and the crash was not seen as one.

HttpTargetClient fails such a stream if nothing of it has arrived; a resumed stream is no exception, since its target has the rest to send. RelayAttempt reports a stream that ends inside an event to the quarantine as well, however it is framed.

CallerServerTests and QuarantinedRequestTests failed before on one case each (empty stream passed on as complete; three engines lost inside an event, nothing blamed). The model checks look for wrongly blamed content once per poll instead of five times.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -204,6 +204,7 @@
 	@Override
 	public void complete() {
 		if (isEventStream() && this.framer.remainingBytes() > 0) {
+			recordLossWhileStarting();
 			rejectResponse("stream ended inside an event");
 			return;
 		}
@@ -235,10 +236,8 @@
 
 	@Override
 	public void failed(Ran ran, String reason) {
-		if (ran == Ran.UNKNOWN && streamAgeMillis() < SETTLED_MILLIS && !this.target.leavingAsAnnounced()) {
-			LogEvent.LOST_WHILE_STARTING.log(logger, this.request.id(), this.target.id(), streamAgeMillis(),
-					this.request.content().sharedParts(), this.request.content().fingerprint());
-			this.request.content().recordLoss(this.target);
+		if (ran == Ran.UNKNOWN) {
+			recordLossWhileStarting();
 		}
 		detach();
 		if (ran == Ran.NO) {
@@ -248,4 +247,12 @@
 		this.request.attemptFailed(this, ran, reason);
 	}
 
+	private void recordLossWhileStarting() {
+		if (streamAgeMillis() < SETTLED_MILLIS && !this.target.leavingAsAnnounced()) {
+			LogEvent.LOST_WHILE_STARTING.log(logger, this.request.id(), this.target.id(), streamAgeMillis(),
+					this.request.content().sharedParts(), this.request.content().fingerprint());
+			this.request.content().recordLoss(this.target);
+		}
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
@@ -207,7 +207,9 @@
 				}
 			});
 			this.scheduler.advance(STEP_MILLIS);
-			recordWronglyBlamed();
+			if (now() % RelayService.POLL_MILLIS == 0) {
+				recordWronglyBlamed();
+			}
 		}
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/QuarantinedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/QuarantinedRequestTests.java
@@ -106,6 +106,22 @@
 		assertThat(this.caller.eventIds()).isEqualTo("1");
 	}
 
+	@Test
+	void streamThatEndsInsideItsFirstEventIsALoss() {
+		for (int i = 0; i < 3; i++) {
+			RelayedRequest request = this.fixture.acceptGeneration(CRASHING, new RecordingCallerChannel());
+			RecordingTargetClient.RecordedExchange exchange = lastExchange();
+			exchange.startStream();
+			exchange.sendBytes("id: 1\nda");
+			exchange.complete();
+			request.callerDisconnected();
+			this.fixture.listTarget(exchange.request().target().id(), "bench", false, 2 + i, false);
+			this.fixture.advance(1_500);
+			reportLoads();
+		}
+		assertThat(this.fixture.relayService().quarantine().culprits()).hasSize(1);
+	}
+
 	@Test
 	void engineThatSaidItWasLeavingHasNotCrashed() {
 		for (int i = 0; i < 3; i++) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
@@ -5,6 +5,7 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -82,6 +83,12 @@
 
 		private final Listener listener;
 
+		/**
+		 * Whether the body is a stream of events that ends with the connection, of which
+		 * nothing has arrived.
+		 */
+		private boolean awaitsFirstEvent;
+
 		/** Set right after construction, before any call of this listener. */
 		private PooledHttpClient.RequestHandle handle;
 
@@ -101,16 +108,23 @@
 				this.listener.failed(Ran.UNKNOWN, ex.getMessage());
 				return;
 			}
+			this.awaitsFirstEvent = head.eventStream() && !HttpUtil.isContentLengthSet(response)
+					&& !HttpUtil.isTransferEncodingChunked(response);
 			this.listener.head(head);
 		}
 
 		@Override
 		public void body(byte[] chunk) {
+			this.awaitsFirstEvent = false;
 			this.listener.body(chunk);
 		}
 
 		@Override
 		public void complete() {
+			if (this.awaitsFirstEvent) {
+				this.listener.failed(Ran.UNKNOWN, "stream ended with its connection before its first event");
+				return;
+			}
 			this.listener.complete();
 		}
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -202,6 +202,22 @@
 		assertThat(sendAndReadAll(post("/stream/x", "b"))).contains(event).doesNotContain("\r\n0\r\n");
 	}
 
+	@Test
+	void streamThatEndsWithItsConnectionIsComplete() throws IOException {
+		String event = "id: 1\ndata: x\n\n";
+		this.target
+			.respondWith(CONFIRMED_HEAD + "Content-Type: text/event-stream\r\n\r\n" + event + ScriptedTarget.CLOSE);
+		assertThat(sendAndReadAll(post("/stream/x", "b"))).contains(event).endsWith("\r\n0\r\n\r\n");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "id: 1\nda" })
+	void streamThatEndsWithItsConnectionBeforeOrInsideAnEventIsNotComplete(String events) throws IOException {
+		this.target
+			.respondWith(CONFIRMED_HEAD + "Content-Type: text/event-stream\r\n\r\n" + events + ScriptedTarget.CLOSE);
+		assertThat(sendAndReadAll(post("/stream/x", "b"))).doesNotContain("\r\n0\r\n");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 			"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "Content-Length: -1\r\n\r\n",
