--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
@@ -139,7 +139,7 @@
 	/**
 	 * Replaces a random host by one that has just started; its callers are gone.
 	 */
-	void restartHost() {
+	private void restartHost() {
 		int index = this.random.nextInt(this.hosts.size());
 		this.targets.forEach((target) -> target.open.removeIf((running) -> running.host == index));
 		this.hosts.set(index, createHost(index));
@@ -149,7 +149,7 @@
 	/**
 	 * Ends a third of the targets without notice within four seconds.
 	 */
-	void reclaim() {
+	private void reclaim() {
 		for (SimulatedTarget target : this.targets) {
 			if (this.random.nextInt(3) == 0) {
 				this.scheduler.schedule(this.random.nextInt(4_000), () -> target.crash(Optional.empty()));
@@ -213,6 +213,23 @@
 		}
 	}
 
+	/**
+	 * Plays 40 seconds in which hosts restart and a third of the targets is reclaimed, at
+	 * random.
+	 * @param soundPerSecond sound requests of each kind a second, on average
+	 */
+	void playWithFaults(double soundPerSecond) {
+		for (int i = 0; i < 8; i++) {
+			if (this.random.nextInt(4) == 0) {
+				restartHost();
+			}
+			if (this.random.nextInt(8) == 0) {
+				reclaim();
+			}
+			play(5_000, soundPerSecond, 0.2 + this.random.nextDouble());
+		}
+	}
+
 	private boolean occurs(double perSecond) {
 		return this.random.nextDouble() < perSecond * STEP_MILLIS / 1_000;
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashingPromptPartProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashingPromptPartProperties.java
@@ -47,15 +47,7 @@
 		fleet.play(20_000, soundPerSecond, 0);
 		parts.forEach(fleet::makeCrashing);
 		long beganMillis = fleet.now();
-		for (int i = 0; i < 8; i++) {
-			if (random.nextInt(4) == 0) {
-				fleet.restartHost();
-			}
-			if (random.nextInt(8) == 0) {
-				fleet.reclaim();
-			}
-			fleet.play(5_000, soundPerSecond, 0.2 + random.nextDouble());
-		}
+		fleet.playWithFaults(soundPerSecond);
 		assertThat(fleet.wronglyBlamed()).as("sound content that is refused").isEmpty();
 		for (String part : parts) {
 			OptionalLong lastFree = fleet.crashMillis(part, CRASHES);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashingRequestProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashingRequestProperties.java
@@ -48,15 +48,7 @@
 		if (random.nextInt(3) == 0) {
 			fleet.makeCrashing("bad");
 		}
-		for (int i = 0; i < 8; i++) {
-			if (random.nextInt(4) == 0) {
-				fleet.restartHost();
-			}
-			if (random.nextInt(8) == 0) {
-				fleet.reclaim();
-			}
-			fleet.play(5_000, soundPerSecond, 0.2 + random.nextDouble());
-		}
+		fleet.playWithFaults(soundPerSecond);
 		assertThat(fleet.wronglyBlamed()).as("sound content that is refused").isEmpty();
 		for (String body : List.of("crashing lookup", "crashing prompt")) {
 			OptionalLong lastFree = fleet.crashMillis(body, CRASHES);
