--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Transport.java
@@ -48,7 +48,7 @@
 	 * Returns whether a message is a control message and not part of a request.
 	 * @param message message of any type
 	 * @return {@code true} for handshakes, heartbeats, load reports, records,
-	 * configurations, retry loans and rate permits
+	 * configurations, retry loans, rate permits and evidence of crashes
 	 */
 	static boolean isControl(Message message) {
 		return message instanceof Message.Hello || message instanceof Message.Welcome
@@ -58,7 +58,7 @@
 				|| message instanceof Message.EngineLoadAck || message instanceof Message.RetryLoanRequest
 				|| message instanceof Message.RetryLoan || message instanceof Message.RecordsPush
 				|| message instanceof Message.RecordsPushAck || message instanceof Message.RatePermitRequest
-				|| message instanceof Message.RatePermit;
+				|| message instanceof Message.RatePermit || message instanceof Message.CrashEvidence;
 	}
 
 	/**
