Replace two tests of the quarantine that could not fail

engineThatRespondsAfterABrokenConnectionHasNotCrashed passed with the refutation of losses taken out, and streamThatHasRunForASecondIsNoSuspect with the age of the stream ignored, since a success or other requests cleared the suspect anyway. The replacements are stricter: one engine at a time with and without a response, and the evidence that is sent at 999 and 1,000 ms.

--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/QuarantinedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/QuarantinedRequestTests.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.ResultCode;
@@ -134,33 +136,54 @@
 		assertThat(this.fixture.relayService().quarantine().culprits()).isEmpty();
 	}
 
-	@Test
-	void engineThatRespondsAfterABrokenConnectionHasNotCrashed() {
-		for (int i = 0; i < 6; i++) {
-			accept(CRASHING, new RecordingCallerChannel()).fail(Ran.UNKNOWN);
+	/**
+	 * Breaks a connection to each of the engines in turn.
+	 * @param respond whether the engine responds to the next request
+	 */
+	private void breakConnections(boolean respond) {
+		List<String> engines = List.of("e1", "e2", "e3");
+		for (String engine : engines) {
+			engines.forEach((id) -> this.fixture.listTarget(id, "bench", !id.equals(engine)));
+			RelayedRequest broken = this.fixture.acceptGeneration(CRASHING, new RecordingCallerChannel());
+			lastExchange().fail(Ran.UNKNOWN);
+			broken.callerDisconnected();
 			this.fixture.advance(10);
-			RecordingCallerChannel other = new RecordingCallerChannel();
-			for (int j = 0; j < 6; j++) {
-				accept(List.of(), other).startStream();
+			if (respond) {
+				RelayedRequest next = this.fixture.acceptGeneration(List.of(), new RecordingCallerChannel());
+				assertThat(lastExchange().request().target().id()).isEqualTo(engine);
+				lastExchange().startStream();
+				next.callerDisconnected();
 			}
-			this.fixture.advance(2_500);
+			this.fixture.advance(1_500);
+			reportLoads();
 		}
-		assertThat(this.fixture.relayService().quarantine().culprits()).isEmpty();
 	}
 
 	@Test
-	void streamThatHasRunForASecondIsNoSuspect() {
-		for (int i = 0; i < 3; i++) {
-			RecordingTargetClient.RecordedExchange exchange = accept(List.of("sound"), new RecordingCallerChannel());
-			exchange.startStream();
-			exchange.sendEvent(1);
-			this.fixture.advance(RelayAttempt.SETTLED_MILLIS);
-			exchange.sendEvent(2);
-			exchange.fail(Ran.UNKNOWN);
-		}
+	void engineThatRespondsAfterABrokenConnectionHasNotCrashed() {
+		breakConnections(true);
 		assertThat(this.fixture.relayService().quarantine().culprits()).isEmpty();
 	}
 
+	@Test
+	void engineThatStaysSilentAfterABrokenConnectionHasCrashed() {
+		breakConnections(false);
+		assertThat(this.fixture.relayService().quarantine().culprits()).hasSize(1);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "999, true", "1000, false" })
+	void streamIsASuspectUntilItHasRunForASecond(long millis, boolean suspected) {
+		RecordingTargetClient.RecordedExchange exchange = accept(List.of("sound"), new RecordingCallerChannel());
+		exchange.startStream();
+		exchange.sendEvent(1);
+		this.fixture.advance(millis);
+		exchange.fail(Ran.UNKNOWN);
+		this.fixture.advance(RelayService.POLL_MILLIS);
+		assertThat(this.fixture.crashEvidence().stream().anyMatch((evidence) -> !evidence.crashes().isEmpty()))
+			.isEqualTo(suspected);
+	}
+
 	@Test
 	void emptyStreamClearsNothing() {
 		RelayedRequest request = this.fixture.acceptGeneration(CRASHING, new RecordingCallerChannel());
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -14,6 +14,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.CallerRequest;
@@ -50,11 +51,15 @@
 	/** Services for which a retry permit was requested, in order. */
 	private final List<String> retryLoanRequests = new ArrayList<>();
 
+	/** Evidence sent to other hosts, in order. */
+	private final List<Message.CrashEvidence> crashEvidence = new ArrayList<>();
+
 	private final RelayService relayService = RelayService.of(this.clock, this.scheduler,
 			RelayClients.of(this.targetClient)
 				.withAdmission(this.admissionClient)
 				.withEngineLoads(this.loadReader)
-				.withRetryLoans(this.retryLoanRequests::add),
+				.withRetryLoans(this.retryLoanRequests::add)
+				.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence)),
 			new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(5),
 			new MetricRegistry());
 
@@ -204,6 +209,10 @@
 		return this.retryLoanRequests;
 	}
 
+	List<Message.CrashEvidence> crashEvidence() {
+		return this.crashEvidence;
+	}
+
 	RecordingAdmissionClient admissionClient() {
 		return this.admissionClient;
 	}
