Move the limits that all hosts keep to in sum out of process.relay

Cause: process.relay had 39 classes; the limits of rates and retries are used by the relay but know nothing of it, except for one argument of the retry budget. Change: package process.limit with RequestRateGate, RatePermitIssuer, PermitIssuerChoice, TargetRateLimiter, WindowedRetryBudget, their clients and tests. Constructors became static factories; the budget takes its three figures instead of RelaySettings. No behaviour changes.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PermitIssuerChoice.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/PermitIssuerChoice.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import java.util.Collection;
 import java.util.HashMap;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RatePermitClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RatePermitClient.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import io.dotterelcrank.connection.Message;
 
@@ -9,8 +9,7 @@
 public interface RatePermitClient {
 
 	/**
-	 * Sends a request. The response, if any, is passed to
-	 * {@link RelayService#handleRatePermit}, after this call has returned.
+	 * Sends a request. The response, if any, arrives after this call has returned.
 	 * @param request the request
 	 */
 	void send(Message.RatePermitRequest request);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RatePermitIssuer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RatePermitIssuer.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -13,7 +13,7 @@
  * a target stay within its rate plus a burst of half a second's requests, at least one.
  * Confined to the traffic thread.
  */
-final class RatePermitIssuer {
+public final class RatePermitIssuer {
 
 	/** Number of targets; beyond that, the one that was added first is forgotten. */
 	static final int MAX_TARGETS = 1_000;
@@ -27,10 +27,11 @@
 	/** Requests for a permit that are welcome for each permit that is issued. */
 	static final double REQUESTS_PER_PERMIT = 4;
 
-	/** Bounds of the time after which a host may ask again, in milliseconds. */
+	/** Shortest time after which a host may ask again, in milliseconds. */
 	static final long MIN_RETRY_MILLIS = 20;
 
-	static final long MAX_RETRY_MILLIS = 10_000;
+	/** Longest time after which a host may ask again, in milliseconds. */
+	public static final long MAX_RETRY_MILLIS = 10_000;
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -48,16 +49,25 @@
 
 	};
 
-	RatePermitIssuer(Clock clock) {
+	private RatePermitIssuer(Clock clock) {
 		this.clock = clock;
 	}
 
+	/**
+	 * Creates an issuer that knows no target.
+	 * @param clock clock of the process
+	 * @return a new issuer
+	 */
+	public static RatePermitIssuer of(Clock clock) {
+		return new RatePermitIssuer(clock);
+	}
+
 	/**
 	 * Responds to a host.
 	 * @param request request for a permit, or the news that a limit is lifted
 	 * @return the permit, a time to ask again, or the news that the limit is lifted
 	 */
-	Message.RatePermit issue(Message.RatePermitRequest request) {
+	public Message.RatePermit issue(Message.RatePermitRequest request) {
 		IssuedTarget target = this.targets.computeIfAbsent(request.target(), (id) -> new IssuedTarget(this.clock));
 		long knownSinceMillis = this.clock.millis() - Math.max(0, request.knownForMillis());
 		if (!request.limited()) {
@@ -96,7 +106,7 @@
 
 		IssuedTarget(Clock clock) {
 			this.clock = clock;
-			this.permits = new TargetRateLimiter(clock);
+			this.permits = TargetRateLimiter.of(clock);
 		}
 
 		/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestLimit.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RequestLimit.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 /**
  * Request rate that a target names in a response, for all hosts together. Immutable.
@@ -33,7 +33,7 @@
 	 * Returns whether the rate could be read.
 	 * @return {@code false} without a rate
 	 */
-	boolean readable() {
+	public boolean readable() {
 		return !Double.isNaN(this.requestsPerSecond);
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestRateGate.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RequestRateGate.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
@@ -16,7 +16,7 @@
  * at least a request in half a second, of that share; a limit stays in force until a
  * later response lifts it. Confined to the traffic thread.
  */
-final class RequestRateGate {
+public final class RequestRateGate {
 
 	/** Time within which a permit has to be used, in milliseconds. */
 	static final long PERMIT_MILLIS = 500;
@@ -57,12 +57,25 @@
 	/** Until when the target wants no requests from this host. */
 	private long pausedUntilMillis;
 
-	RequestRateGate(Clock clock, String targetId, RatePermitClient permits, UniformRandomProvider random) {
+	private RequestRateGate(Clock clock, String targetId, RatePermitClient permits, UniformRandomProvider random) {
 		this.clock = clock;
 		this.targetId = targetId;
 		this.permits = permits;
 		this.random = random;
-		this.share = new TargetRateLimiter(clock);
+		this.share = TargetRateLimiter.of(clock);
+	}
+
+	/**
+	 * Creates a gate without a limit.
+	 * @param clock clock of the process
+	 * @param targetId id of the target's incarnation
+	 * @param permits asks for permits
+	 * @param random source of jitter
+	 * @return a gate that allows any number of requests
+	 */
+	public static RequestRateGate of(Clock clock, String targetId, RatePermitClient permits,
+			UniformRandomProvider random) {
+		return new RequestRateGate(clock, targetId, permits, random);
 	}
 
 	/**
@@ -72,7 +85,7 @@
 	 * @param answered limit that the response names
 	 * @param sentMillis when the request of the response was sent
 	 */
-	void update(RequestLimit answered, long sentMillis) {
+	public void update(RequestLimit answered, long sentMillis) {
 		long nowMillis = this.clock.millis();
 		if (answered.named()) {
 			RequestLimit readable = answered.readable() ? answered : this.limit;
@@ -100,7 +113,7 @@
 	 * Sends nothing for a time, after the target has refused a request.
 	 * @param millis time that the target asks for, in milliseconds; 0 for none
 	 */
-	void pause(long millis) {
+	public void pause(long millis) {
 		if (millis > 0) {
 			LogEvent.TARGET_PAUSED.log(logger, this.targetId, millis);
 			long jitterMillis = (long) (this.random.nextDouble() * PAUSE_JITTER_FRACTION * millis);
@@ -112,7 +125,7 @@
 	 * Returns the time until the target may get requests again.
 	 * @return time in milliseconds; 0 if it may get them now
 	 */
-	long pausedMillis() {
+	public long pausedMillis() {
 		return Math.max(0, this.pausedUntilMillis - this.clock.millis());
 	}
 
@@ -120,7 +133,7 @@
 	 * Handles the response of the host that issues the permits.
 	 * @param permit permit, refusal, or the news that the limit is lifted
 	 */
-	void handlePermit(Message.RatePermit permit) {
+	public void handlePermit(Message.RatePermit permit) {
 		if (!permit.limited()) {
 			change(RequestLimit.NONE);
 		}
@@ -137,7 +150,7 @@
 	 * @return {@code true} without a limit or with a permit, unless the target wants no
 	 * requests
 	 */
-	boolean allows(int entryHosts) {
+	public boolean allows(int entryHosts) {
 		if (pausedMillis() > 0) {
 			return false;
 		}
@@ -171,7 +184,7 @@
 	/**
 	 * Takes the permit for a request that is sent.
 	 */
-	void recordSend() {
+	public void recordSend() {
 		if (this.limit.named()) {
 			this.share.recordSend();
 			this.permitUntilMillis = 0;
@@ -182,7 +195,7 @@
 	 * Returns the limit that is in force.
 	 * @return the limit that was last named and not lifted
 	 */
-	RequestLimit limit() {
+	public RequestLimit limit() {
 		return this.limit;
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RetryLoanClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RetryLoanClient.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 /**
  * Asks other entry hosts for unused permits of their retry budgets. Confined to the
@@ -7,8 +7,7 @@
 public interface RetryLoanClient {
 
 	/**
-	 * Asks for a permit. Each permit that is granted is passed to
-	 * {@link RelayService#addRetryLoan}.
+	 * Asks for a permit, which may be granted later.
 	 * @param service name of the service whose requests are to be retried
 	 */
 	void requestLoan(String service);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetRateLimiter.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/TargetRateLimiter.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import io.dotterelcrank.common.Clock;
 
@@ -10,7 +10,7 @@
  * a second's requests, at least one; the fractions of all hosts add up to the rate. Not
  * thread-safe.
  */
-final class TargetRateLimiter {
+public final class TargetRateLimiter {
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -21,18 +21,27 @@
 	/** When {@link #availablePermits} was last refilled. */
 	private long updatedMillis;
 
-	TargetRateLimiter(Clock clock) {
+	private TargetRateLimiter(Clock clock) {
 		this.clock = clock;
 		this.updatedMillis = clock.millis();
 	}
 
+	/**
+	 * Creates a limiter with one permit.
+	 * @param clock clock of the process
+	 * @return a new limiter
+	 */
+	public static TargetRateLimiter of(Clock clock) {
+		return new TargetRateLimiter(clock);
+	}
+
 	/**
 	 * Returns whether a request may be sent now. Takes no permit.
 	 * @param requestsPerSecond max rate that the target sustains, from all hosts
 	 * @param entryHosts number of hosts that share the rate
 	 * @return {@code true} if a permit is available
 	 */
-	boolean allows(double requestsPerSecond, int entryHosts) {
+	public boolean allows(double requestsPerSecond, int entryHosts) {
 		long nowMillis = this.clock.millis();
 		double hostRate = requestsPerSecond / Math.max(1, entryHosts);
 		this.availablePermits = Math.min(Math.max(1, hostRate / 2),
@@ -44,7 +53,7 @@
 	/**
 	 * Takes a permit for a request that is sent, even if none is available.
 	 */
-	void recordSend() {
+	public void recordSend() {
 		this.availablePermits--;
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/WindowedRetryBudget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/WindowedRetryBudget.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -14,7 +14,7 @@
  * ratio of this host's requests plus its fraction of the slack plus the permits borrowed.
  * Not thread-safe.
  */
-final class WindowedRetryBudget {
+public final class WindowedRetryBudget {
 
 	/** Number of buckets per window. */
 	private static final int WINDOW_BUCKETS = 10;
@@ -63,18 +63,19 @@
 	/**
 	 * Creates an empty budget.
 	 * @param clock clock of the process
-	 * @param settings ratio, slack and window
+	 * @param ratio retries allowed per request
+	 * @param slack additional retries allowed per window; shared by all hosts
+	 * @param windowMillis length of the window, in milliseconds
 	 * @return a budget without recorded requests, so that only the slack is available
 	 */
-	static WindowedRetryBudget of(Clock clock, RelaySettings settings) {
-		return new WindowedRetryBudget(clock, settings.retryRatio(), settings.retrySlack(),
-				settings.retryWindowMillis());
+	public static WindowedRetryBudget of(Clock clock, double ratio, double slack, long windowMillis) {
+		return new WindowedRetryBudget(clock, ratio, slack, windowMillis);
 	}
 
 	/**
 	 * Records a new request, whether or not it is sent.
 	 */
-	void recordRequest() {
+	public void recordRequest() {
 		this.requests[advanceToCurrentBucket()]++;
 	}
 
@@ -82,7 +83,7 @@
 	 * Records a retry or hedged request, whether within the budget or not. Uses a
 	 * borrowed permit if there is one.
 	 */
-	void recordRetry() {
+	public void recordRetry() {
 		int bucket = advanceToCurrentBucket();
 		if (this.borrowedUntilMillis.poll() == null) {
 			this.retries[bucket]++;
@@ -95,7 +96,7 @@
 	 * @param entryHosts number of hosts that share the budget
 	 * @return {@code false} if this host has used half of its fraction
 	 */
-	boolean tryLend(int entryHosts) {
+	public boolean tryLend(int entryHosts) {
 		int bucket = advanceToCurrentBucket();
 		boolean spare = sum(this.retries) + 1 <= MAX_LENT_FRACTION * allowedRetries(entryHosts);
 		if (spare) {
@@ -108,7 +109,7 @@
 	 * Adds a permit that another host has lent. It expires with the lender's bucket, as
 	 * it is counted there for one window only.
 	 */
-	void addBorrowed() {
+	public void addBorrowed() {
 		advanceToCurrentBucket();
 		this.borrowedUntilMillis.add(this.clock.millis() + this.bucketMillis);
 	}
@@ -118,7 +119,7 @@
 	 * @param entryHosts number of hosts that share the budget
 	 * @return {@code true} if it may be sent
 	 */
-	boolean allowsRetry(int entryHosts) {
+	public boolean allowsRetry(int entryHosts) {
 		advanceToCurrentBucket();
 		return !this.borrowedUntilMillis.isEmpty() || sum(this.retries) + 1 <= allowedRetries(entryHosts);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayClients.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayClients.java
@@ -1,5 +1,7 @@
 package io.dotterelcrank.process.relay;
 
+import io.dotterelcrank.process.limit.RatePermitClient;
+import io.dotterelcrank.process.limit.RetryLoanClient;
 import io.dotterelcrank.process.quarantine.CrashEvidenceClient;
 
 /**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -19,6 +19,8 @@
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.process.limit.RatePermitIssuer;
+import io.dotterelcrank.process.limit.WindowedRetryBudget;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.overload.WaitingOrder;
 import io.dotterelcrank.process.quarantine.Quarantine;
@@ -113,7 +115,7 @@
 		this.settings = settings;
 		this.random = random;
 		this.metrics = new RelayMetrics(metrics);
-		this.ratePermitIssuer = new RatePermitIssuer(clock);
+		this.ratePermitIssuer = RatePermitIssuer.of(clock);
 		this.drainState = new DrainState(clock, settings.graceMillis());
 		this.quarantine = Quarantine.of(clock, clients.crashEvidence(), random);
 		this.targetPool = new TargetPool(clock, random, this::requestRatePermit);
@@ -305,7 +307,8 @@
 	}
 
 	WindowedRetryBudget retryBudget(String service) {
-		return this.retryBudgets.computeIfAbsent(service, (name) -> WindowedRetryBudget.of(this.clock, this.settings));
+		return this.retryBudgets.computeIfAbsent(service, (name) -> WindowedRetryBudget.of(this.clock,
+				this.settings.retryRatio(), this.settings.retrySlack(), this.settings.retryWindowMillis()));
 	}
 
 	boolean retryBudgetAllows(String service) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.dotterelcrank.process.limit.RequestLimit;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.Header;
 import io.dotterelcrank.request.Ran;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -12,6 +12,7 @@
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.process.limit.RatePermitClient;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.process.overload.ConnectionShare;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -13,6 +13,9 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.process.limit.RatePermitClient;
+import io.dotterelcrank.process.limit.RequestRateGate;
+import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.membership.Target;
 
 /**
@@ -87,8 +90,8 @@
 	TrackedTarget(Clock clock, Target target, RatePermitClient permits, UniformRandomProvider random) {
 		this.clock = clock;
 		this.membership = target;
-		this.coldRateLimiter = new TargetRateLimiter(clock);
-		this.rateGate = new RequestRateGate(clock, target.registration().id(), permits, random);
+		this.coldRateLimiter = TargetRateLimiter.of(clock);
+		this.rateGate = RequestRateGate.of(clock, target.registration().id(), permits, random);
 	}
 
 	void update(Target updated) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RatePermitIssuerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/RatePermitIssuerTests.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import org.junit.jupiter.api.Test;
 
@@ -14,7 +14,7 @@
 
 	private final Clock.Manual clock = Clock.manual(10_000);
 
-	private final RatePermitIssuer issuer = new RatePermitIssuer(this.clock);
+	private final RatePermitIssuer issuer = RatePermitIssuer.of(this.clock);
 
 	private Message.RatePermit ask(double requestsPerSecond) {
 		return this.issuer.issue(new Message.RatePermitRequest("p1", true, requestsPerSecond, 100));
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestRateGateTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/RequestRateGateTests.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +20,7 @@
 
 	private final List<Message.RatePermitRequest> requests = new ArrayList<>();
 
-	private final RequestRateGate gate = new RequestRateGate(this.clock, "p1", this.requests::add,
+	private final RequestRateGate gate = RequestRateGate.of(this.clock, "p1", this.requests::add,
 			RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 
 	@Test
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TargetRateLimiterProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/TargetRateLimiterProperties.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -33,7 +33,7 @@
 		List<TargetRateLimiter> limiters = new ArrayList<>();
 		for (int i = 0; i < hosts; i++) {
 			clocks.add(Clock.manual(0));
-			limiters.add(new TargetRateLimiter(clocks.get(i)));
+			limiters.add(TargetRateLimiter.of(clocks.get(i)));
 		}
 		List<Long> sends = new ArrayList<>();
 		for (long nowMillis = 0; nowMillis < 4_000; nowMillis += 20) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WindowedRetryBudgetProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/WindowedRetryBudgetProperties.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -33,8 +33,7 @@
 		List<WindowedRetryBudget> budgets = new ArrayList<>();
 		for (int i = 0; i < HOSTS; i++) {
 			clocks.add(Clock.manual(random.nextInt(5_000)));
-			budgets.add(WindowedRetryBudget.of(clocks.get(i),
-					new RelaySettings("giza", RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS, 2_000, 8_000)));
+			budgets.add(WindowedRetryBudget.of(clocks.get(i), RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS));
 		}
 		List<long[]> sends = new ArrayList<>();
 		long nowMillis = 0;
@@ -71,8 +70,7 @@
 		List<WindowedRetryBudget> budgets = new ArrayList<>();
 		for (int i = 0; i < HOSTS; i++) {
 			clocks.add(Clock.manual(random.nextInt(5_000)));
-			budgets.add(WindowedRetryBudget.of(clocks.get(i),
-					new RelaySettings("giza", RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS, 2_000, 8_000)));
+			budgets.add(WindowedRetryBudget.of(clocks.get(i), RETRY_RATIO, RETRY_SLACK, WINDOW_MILLIS));
 		}
 		int busyHost = random.nextInt(HOSTS);
 		List<long[]> sends = new ArrayList<>();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WindowedRetryBudgetTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/WindowedRetryBudgetTests.java
@@ -1,4 +1,4 @@
-package io.dotterelcrank.process.relay;
+package io.dotterelcrank.process.limit;
 
 import org.junit.jupiter.api.Test;
 
@@ -22,7 +22,7 @@
 	private final WindowedRetryBudget idle = budget();
 
 	private WindowedRetryBudget budget() {
-		return WindowedRetryBudget.of(this.clock, new RelaySettings("giza", 0.2, 100, WINDOW_MILLIS, 2_000, 8_000));
+		return WindowedRetryBudget.of(this.clock, 0.2, 100, WINDOW_MILLIS);
 	}
 
 	private void useUp(WindowedRetryBudget budget) {
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the limits that all entry hosts keep to in sum.
+ */
+package io.dotterelcrank.process.limit;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -8,6 +8,7 @@
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.process.limit.RatePermitClient;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.dotterelcrank.process.limit.RequestLimit;
 import io.dotterelcrank.request.Ran;
 
 /**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFleet.java
@@ -14,6 +14,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.Message;
+import io.dotterelcrank.process.limit.RequestLimit;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.CallerRequest;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.dotterelcrank.process.limit.RequestLimit;
 import io.dotterelcrank.process.overload.ConnectionShare;
 import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.ResultCode;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestLimitProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestLimitProperties.java
@@ -7,6 +7,9 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 
+import io.dotterelcrank.process.limit.RatePermitIssuer;
+import io.dotterelcrank.process.limit.RequestLimit;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRatePermitClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRatePermitClient.java
@@ -12,9 +12,9 @@
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.connection.Transport;
+import io.dotterelcrank.process.limit.PermitIssuerChoice;
+import io.dotterelcrank.process.limit.RatePermitClient;
 import io.dotterelcrank.process.membership.Member;
-import io.dotterelcrank.process.relay.PermitIssuerChoice;
-import io.dotterelcrank.process.relay.RatePermitClient;
 
 /**
  * Asks the entry host that issues the permits of a target, which may be this one. State
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRetryLoanClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRetryLoanClient.java
@@ -16,7 +16,7 @@
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.connection.Transport;
-import io.dotterelcrank.process.relay.RetryLoanClient;
+import io.dotterelcrank.process.limit.RetryLoanClient;
 
 /**
  * Asks random peers for retry permits. Invariant: at most one request per service is sent
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 
-import io.dotterelcrank.process.relay.RequestLimit;
+import io.dotterelcrank.process.limit.RequestLimit;
 import io.dotterelcrank.process.relay.TargetClient;
 import io.dotterelcrank.process.relay.TargetRequest;
 import io.dotterelcrank.request.CallerRequest;
