Add the interfaces of staged roll-outs

Cause: the operators' order to move a service to another version has no counterpart here. The parts that decide and those that read and write records are built side by side, so their interfaces come first. Measured: nothing, no behaviour changes.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -5,6 +5,7 @@
 import io.dotterelcrank.process.quarantine.Clearance;
 import io.dotterelcrank.process.quarantine.CrashReport;
 import io.dotterelcrank.process.replica.KeyedRecord;
+import io.dotterelcrank.process.rollout.VersionCounts;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Generation;
 import io.dotterelcrank.request.Priority;
@@ -338,4 +339,21 @@
 			boolean complete) implements Message {
 	}
 
+	/**
+	 * Outcomes that the sender has seen since the beginning of a roll-out.
+	 *
+	 * @param sender name of the sending host
+	 * @param incarnation start time of the sending process; counts begin anew with it
+	 * @param service name of the service
+	 * @param orderOffset offset of the order in the operators' table
+	 * @param orderAgeMillis time since the order, as far as the sender knows, in
+	 * milliseconds
+	 * @param knownStage ordinal of the stage that the sender knows
+	 * @param outstanding number of the sender's requests that the old version still runs
+	 * @param counts counts by route, data centre and version
+	 */
+	record RolloutEvidence(String sender, long incarnation, String service, long orderOffset, long orderAgeMillis,
+			int knownStage, int outstanding, List<VersionCounts> counts) implements Message {
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
@@ -29,7 +29,7 @@
 			Message.EngineLoadReport.class, Message.EngineLoadAck.class, Message.AdmissionRequest.class,
 			Message.AdmissionResponse.class, Message.RetryLoanRequest.class, Message.RetryLoan.class,
 			Message.RecordsPush.class, Message.RecordsPushAck.class, Message.RatePermitRequest.class,
-			Message.RatePermit.class, Message.CrashEvidence.class);
+			Message.RatePermit.class, Message.CrashEvidence.class, Message.RolloutEvidence.class);
 
 	/** Maps records to arrays. */
 	private final ObjectMapper mapper;
