Do not take a stream for stalled while its caller does not read

Cause: a caller that reads slowly makes the host stop reading from the engine, and the time without an event went on. Ruled out: an engine that sends bytes but completes no event is resumed already, since only complete events count; a test now says so. Change: StreamProgress knows when reading is paused; the silence of an engine is counted from the last event or the end of the pause. Before and after: streamOfACallerThatReadsSlowlyIsNotTakenForAStalledOne failed (a second send after 2.5 s) and passes. Conclusion: slow but sound streams could be moved here, not cut; mended.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -170,7 +170,7 @@
 			this.relayService.loadSampler().refresh(this.source.target());
 		}
 		boolean leaving = this.source.target().leaving() || !this.source.target().membership().listed();
-		boolean stalled = this.request.millisSinceLastEvent() > stallTimeoutMillis();
+		boolean stalled = this.request.silentMillis() > stallTimeoutMillis();
 		if (!leaving && !stalled) {
 			return;
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -323,6 +323,7 @@
 	 * @param writable whether the caller's connection accepts more bytes
 	 */
 	public void callerWritabilityChanged(boolean writable) {
+		this.progress.recordReadPaused(!writable, now());
 		this.attempts.setReadEnabled(writable);
 	}
 
@@ -383,7 +384,7 @@
 		else {
 			this.relayService.metrics().recordResume("done");
 			LogEvent.RESUME_COMPLETED.log(logger, this.request.id(), attempt.target().id(), lastEventId(),
-					millisSinceLastEvent());
+					silentMillis());
 		}
 	}
 
@@ -408,6 +409,7 @@
 		}
 		this.caller.write(event.bytes());
 		if (!this.caller.writable()) {
+			this.progress.recordReadPaused(true, now());
 			attempt.setReadEnabled(false);
 		}
 		return true;
@@ -453,11 +455,11 @@
 	}
 
 	/**
-	 * Returns the time since the last event was sent to the caller.
+	 * Returns for how long the engine has sent no event although events were read.
 	 * @return time in milliseconds; 0 before the response has started
 	 */
-	long millisSinceLastEvent() {
-		return this.responseStarted ? this.progress.millisSinceLastEvent(now()) : 0;
+	long silentMillis() {
+		return this.responseStarted ? this.progress.silentMillis(now()) : 0;
 	}
 
 	String id() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/StreamProgress.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/StreamProgress.java
@@ -19,6 +19,12 @@
 	/** When the last event was sent to the caller; the start of the response before. */
 	private long lastEventAtMillis;
 
+	/** Whether no events are read, as the caller's connection accepts no more bytes. */
+	private boolean readPaused;
+
+	/** When events were last read again after a pause. */
+	private long readResumedMillis;
+
 	/** Max time between two events. */
 	private long maxEventGapMillis;
 
@@ -95,8 +101,25 @@
 		return this.lastEventAtMillis - this.arrivedAtMillis - this.firstEventMillis;
 	}
 
-	long millisSinceLastEvent(long nowMillis) {
-		return nowMillis - this.lastEventAtMillis;
+	/**
+	 * Records that events are no longer read, or are read again.
+	 * @param paused whether the caller's connection accepts no more bytes
+	 * @param nowMillis time in milliseconds
+	 */
+	void recordReadPaused(boolean paused, long nowMillis) {
+		if (this.readPaused && !paused) {
+			this.readResumedMillis = nowMillis;
+		}
+		this.readPaused = paused;
+	}
+
+	/**
+	 * Returns for how long no event has come although events were read.
+	 * @param nowMillis time in milliseconds
+	 * @return time since the last event or the end of the last pause; 0 during a pause
+	 */
+	long silentMillis(long nowMillis) {
+		return this.readPaused ? 0 : nowMillis - Math.max(this.lastEventAtMillis, this.readResumedMillis);
 	}
 
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/GenerationResumerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/GenerationResumerTests.java
@@ -185,6 +185,36 @@
 		assertThat(exchange(1).request().lastEventId()).hasValue(1);
 	}
 
+	@Test
+	void streamOfACallerThatReadsSlowlyIsNotTakenForAStalledOne() {
+		RelayedRequest relayed = this.fixture.accept("/notes/1", this.caller);
+		exchange(0).startStream();
+		this.caller.setWritable(false);
+		exchange(0).sendEvent(1);
+		this.fixture.advance(2 * GenerationResumer.STALL_GAPS * 180);
+		assertThat(sendCount()).isOne();
+		this.caller.setWritable(true);
+		relayed.callerWritabilityChanged(true);
+		this.fixture.advance(RelayService.POLL_MILLIS);
+		assertThat(sendCount()).isOne();
+		exchange(0).sendEvent(2);
+		exchange(0).complete();
+		assertThat(this.caller.eventIds()).isEqualTo("1 2");
+	}
+
+	@Test
+	void streamThatSendsBytesButNoEventsResumesFromItsKvBackup() {
+		this.fixture.accept("/notes/1", this.caller);
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		exchange(0).sendBytes("id: 2\ndata: ");
+		for (int i = 0; i < 30; i++) {
+			this.fixture.advance(RelayService.POLL_MILLIS);
+			exchange(0).sendBytes("x");
+		}
+		assertThat(exchange(1).request().lastEventId()).hasValue(1);
+	}
+
 	@Test
 	void generationsOfOneEngineAreCopiedOneAtATime() {
 		loadEnginesBeyondBackupLimit();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingCallerChannel.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingCallerChannel.java
@@ -24,6 +24,8 @@
 	/** Whether the response was ended as incomplete. */
 	private boolean aborted;
 
+	private boolean writable = true;
+
 	@Override
 	public void sendResponse(int responseStatus, List<Header> headers, byte[] bytes) {
 		this.status = responseStatus;
@@ -61,7 +63,11 @@
 
 	@Override
 	public boolean writable() {
-		return true;
+		return this.writable;
+	}
+
+	void setWritable(boolean accepted) {
+		this.writable = accepted;
 	}
 
 	int status() {
