End a request that meets a defect instead of stopping all others

Cause: an exception in the poll of one request ended the poll of all that came after it and the placement of waiting ones, each 50 ms anew; an exception at the arrival left the request among the active ones for good, its caller without an answer. Ruled out: the process itself, its threads and its timers survive exceptions (Scheduler, EventLoopScheduler and Netty log them and go on). Change: RelayService runs the steps of a request one by one; a request that meets a defect ends with INTERNAL, or as possibly run if its send failed (DC880). Conclusion: one unexpected error could stop a whole process from serving.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -210,7 +210,10 @@
 	QUARANTINE_LIFTED(849, Level.INFO, "content={} no longer quarantined"),
 
 	/** A request is refused, as its content crashes targets. */
-	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}");
+	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
+
+	/** A request has met a defect and is ended; the others go on. */
+	REQUEST_DEFECT(880, Level.ERROR, "request={} ended after an unexpected error: {}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -59,7 +59,7 @@
 	/** Body of a response that is no event stream. */
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-	private TargetClient.Exchange exchange;
+	private TargetClient.Exchange exchange = TargetClient.Exchange.NotStarted.INSTANCE;
 
 	/** {@code null} before the response has started. */
 	private TargetClient.ResponseHead head;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -25,6 +25,7 @@
 import io.dotterelcrank.process.overload.WaitingOrder;
 import io.dotterelcrank.process.quarantine.Quarantine;
 import io.dotterelcrank.request.CallerRequest;
+import io.dotterelcrank.request.ResultCode;
 import io.dotterelcrank.version.plan.ServingPlan;
 
 /**
@@ -151,7 +152,7 @@
 		this.activeRequests.stream()
 			.sorted(Comparator.comparingDouble(RelayedRequest::copyPriority).reversed())
 			.toList()
-			.forEach(RelayedRequest::poll);
+			.forEach((request) -> run(request, request::poll));
 		placeWaiting();
 	}
 
@@ -262,10 +263,27 @@
 	public RelayedRequest accept(CallerRequest request, CallerChannel caller) {
 		RelayedRequest relayed = new RelayedRequest(this, request, caller);
 		this.activeRequests.add(relayed);
-		relayed.start();
+		run(relayed, relayed::start);
 		return relayed;
 	}
 
+	/**
+	 * Runs a step of a request. A request that meets a defect is ended, so that it does
+	 * not keep others from being served.
+	 * @param request the request
+	 * @param step what to run
+	 */
+	private void run(RelayedRequest request, Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException ex) {
+			LogEvent.REQUEST_DEFECT.log(logger, request.id(), ex.toString(), ex);
+			remove(request);
+			request.endInFailure(ResultCode.INTERNAL, "internal error");
+		}
+	}
+
 	void remove(RelayedRequest request) {
 		this.activeRequests.remove(request);
 		this.waiting.remove(request);
@@ -295,9 +313,11 @@
 	void placeWaiting() {
 		this.waiting.sort(WaitingOrder.COMPARATOR);
 		for (RelayedRequest request : List.copyOf(this.waiting)) {
-			if (request.tryPlace()) {
-				this.waiting.remove(request);
-			}
+			run(request, () -> {
+				if (request.tryPlace()) {
+					this.waiting.remove(request);
+				}
+			});
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -95,6 +95,32 @@
 		 */
 		boolean writeStarted();
 
+		/**
+		 * An exchange that is being started. If that fails unexpectedly, nobody knows
+		 * whether the target has received the request.
+		 */
+		enum NotStarted implements Exchange {
+
+			/** Stateless; shared by all attempts. */
+			INSTANCE;
+
+			@Override
+			public void cancel() {
+				// There is no connection to close.
+			}
+
+			@Override
+			public void setReadEnabled(boolean enabled) {
+				// There is nothing to read.
+			}
+
+			@Override
+			public boolean writeStarted() {
+				return true;
+			}
+
+		}
+
 	}
 
 	/**
