Ask for each KV copy on a connection of its own

Cause: the response to a request for a KV copy names no generation, and the connection to the engine was used again. A second copy of the response before, sent late, was taken for this one, so that a generation could have been resumed from the KV cache of another. Ruled out: requests of callers. Their responses name the attempt, one that does not match fails the attempt, and what is not idempotent never gets a used connection. A late copy of an engine's report or id is followed by surplus bytes, which close the connection; it is stale by one report at worst. Change: PooledHttpClient.Request.onNewConnection for KV copies.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
@@ -209,6 +209,23 @@
 			return new Request(address, method, uri, headers, body, true, Integer.MAX_VALUE, connectTimeoutMillis);
 		}
 
+		/**
+		 * Creates a request that has a connection of its own, for a response that does
+		 * not name its request: on a connection that is used again, a late copy of
+		 * another response could be taken for it.
+		 * @param address address of the server
+		 * @param method method of the request
+		 * @param uri path and query
+		 * @param headers headers
+		 * @param body body
+		 * @param connectTimeoutMillis connection timeout, in milliseconds
+		 * @return request that uses a new connection, which is closed after the response
+		 */
+		public static Request onNewConnection(InetSocketAddress address, HttpMethod method, String uri,
+				HttpHeaders headers, byte[] body, int connectTimeoutMillis) {
+			return new Request(address, method, uri, headers, body, false, 0, connectTimeoutMillis);
+		}
+
 		DefaultFullHttpRequest toNettyRequest() {
 			DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.method, this.uri,
 					Unpooled.wrappedBuffer(this.body), this.headers, EmptyHttpHeaders.INSTANCE);
