Skip messages of a type that is not known instead of closing the link

Cause: a host of a newer build sends types that an older one lacks; the older closed the link on each, so that a mixed fleet lost what else passes on it. Change: UnknownTypeException; the frame is skipped and logged (DC207). Malformed frames close their link as before. Before and after: skipsMessagesOfATypeThatItDoesNotKnow failed (the link closed) and passes. Conclusion: holds for builds from this one on; the build before still closes.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -42,6 +42,9 @@
 	 */
 	SESSION_FENCED(206, Level.INFO, "session or message {} of {} rejected: fenced by a newer session"),
 
+	/** A peer of a newer build has sent a type of message that this build lacks. */
+	FRAME_SKIPPED(207, Level.INFO, "frame from {} skipped: {}"),
+
 	/** A newer configuration has come into force. */
 	CONFIGURATION_IN_FORCE(301, Level.INFO, "configuration version {} in force, received from {}"),
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
@@ -70,6 +70,7 @@
 	 * Decodes a frame's content.
 	 * @param content content without the length field
 	 * @return the message and the version of its sender
+	 * @throws UnknownTypeException if a newer build has sent a type that this one lacks
 	 * @throws IOException if the content is malformed
 	 */
 	public Envelope decode(byte[] content) throws IOException {
@@ -77,8 +78,11 @@
 			int type = unpacker.unpackInt();
 			long version = unpacker.unpackLong();
 			int start = Math.toIntExact(unpacker.getTotalReadBytes());
-			if (type < 0 || type >= TYPES.size()) {
-				throw new IOException("unknown message type " + type);
+			if (type < 0) {
+				throw new IOException("message type " + type + " is negative");
+			}
+			if (type >= TYPES.size()) {
+				throw new UnknownTypeException(type);
 			}
 			Message message = this.mapper.readValue(content, start, content.length - start, TYPES.get(type));
 			return new Envelope(version, message);
@@ -88,6 +92,19 @@
 		}
 	}
 
+	/**
+	 * Signals a frame whose type is not known, which can be skipped.
+	 */
+	public static final class UnknownTypeException extends IOException {
+
+		private static final long serialVersionUID = 1L;
+
+		UnknownTypeException(int type) {
+			super("unknown message type " + type);
+		}
+
+	}
+
 	/**
 	 * A message together with its sender's configuration version. Immutable.
 	 *
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
@@ -237,6 +237,10 @@
 			try {
 				envelope = NettyTransport.this.codec.decode(content);
 			}
+			catch (MessageCodec.UnknownTypeException ex) {
+				LogEvent.FRAME_SKIPPED.log(logger, peerAddress(), ex.getMessage());
+				return;
+			}
 			catch (IOException ex) {
 				LogEvent.FRAME_MALFORMED.log(logger, peerAddress(), ex.getMessage());
 				context.close();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/NettyTransportTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/NettyTransportTests.java
@@ -74,6 +74,21 @@
 		assertStillAccepts();
 	}
 
+	@Test
+	void skipsMessagesOfATypeThatItDoesNotKnow() throws Exception {
+		byte[] unknown = { 0, 0, 0, 3, 0x7f, 5, (byte) 0x90 };
+		byte[] known = MessageCodec.create().encode(new Message.Cancel("a"), 5);
+		byte[] frames = ByteBuffer.allocate(unknown.length + 4 + known.length)
+			.put(unknown)
+			.putInt(known.length)
+			.put(known)
+			.array();
+		try (Socket socket = new Socket(this.address.getAddress(), this.address.getPort())) {
+			socket.getOutputStream().write(frames);
+			assertThat(this.accepted.nextEvent()).isEqualTo("received 5 Cancel[id=a]");
+		}
+	}
+
 	private void sendRaw(byte[] bytes) throws IOException {
 		try (Socket socket = new Socket(this.address.getAddress(), this.address.getPort())) {
 			OutputStream out = socket.getOutputStream();
