Bound the memory of responses without end

Cause: a buffered response was read up to 8 MB, an incomplete event and the response to a call of this system's own (reports, ids, store) without any bound; 200 connections whose targets send without end took the whole heap of a small host, and with it the process. The attempt fails as possibly run, its connection is closed (DC881). Heads were bounded already. Conclusion: open is the store's own response in many tables at once (4 MB each).

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -216,7 +216,10 @@
 	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
 
 	/** A request has met a defect and is ended; the others go on. */
-	REQUEST_DEFECT(880, Level.ERROR, "request={} ended after an unexpected error: {}");
+	REQUEST_DEFECT(880, Level.ERROR, "request={} ended after an unexpected error: {}"),
+
+	/** A response is given up, as it is too large or many large ones come at once. */
+	RESPONSE_TOO_LARGE(881, Level.WARN, "request={} target={} response too large bytes={} heldByAll={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -17,7 +17,7 @@
  */
 final class RelayAttempt implements TargetClient.Listener {
 
-	/** Max size of a response body that is buffered, in bytes. */
+	/** Max size of a response body or an event that is buffered, in bytes. */
 	static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
 	/** Backoff of a target after a refusal or the first failed connection. */
@@ -56,6 +56,11 @@
 	/** Used only for event streams. */
 	private final EventFramer framer = new EventFramer();
 
+	private final ResponseMemory responseMemory;
+
+	/** Bytes of the response that are buffered. */
+	private int heldBytes;
+
 	/** Body of a response that is no event stream. */
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
@@ -76,11 +81,13 @@
 	/** Whether the target may still respond. */
 	private boolean active = true;
 
-	RelayAttempt(RelayedRequest request, TrackedTarget target, Optional<TrackedTarget> backupHolder, boolean resumed) {
+	RelayAttempt(RelayedRequest request, TrackedTarget target, Optional<TrackedTarget> backupHolder, boolean resumed,
+			ResponseMemory responseMemory) {
 		this.request = request;
 		this.target = target;
 		this.backupHolder = backupHolder;
 		this.resumed = resumed;
+		this.responseMemory = responseMemory;
 		this.sentMillis = request.now();
 		long expectedTotalTokens = request.request().traits().map(GenerationTraits::expectedTotalTokens).orElse(0L);
 		long promptTokens = request.request().traits().map(GenerationTraits::promptTokens).orElse(0L);
@@ -139,6 +146,8 @@
 
 	private void detach() {
 		this.active = false;
+		this.responseMemory.resize(this.heldBytes, 0);
+		this.heldBytes = 0;
 		this.target.recordEnd(this.outstandingRequest);
 		this.backupHolder.ifPresent((holder) -> holder.recordBackupEnd(this));
 		this.request.attempts().remove(this);
@@ -189,6 +198,7 @@
 				}
 				this.eventReceived = true;
 			}
+			hold(this.framer.remainingBytes());
 			if (!this.settled && this.eventReceived && streamAgeMillis() >= SETTLED_MILLIS) {
 				this.settled = true;
 				this.request.content().recordSuccess();
@@ -196,8 +206,16 @@
 			return;
 		}
 		this.body.writeBytes(piece);
-		if (this.body.size() > MAX_RESPONSE_BYTES) {
-			rejectResponse("response larger than " + MAX_RESPONSE_BYTES + " bytes");
+		hold(this.body.size());
+	}
+
+	private void hold(int bytes) {
+		boolean withinLimit = this.responseMemory.resize(this.heldBytes, bytes);
+		this.heldBytes = bytes;
+		if (!withinLimit || bytes > MAX_RESPONSE_BYTES) {
+			LogEvent.RESPONSE_TOO_LARGE.log(logger, this.request.id(), this.target.id(), bytes,
+					this.responseMemory.heldBytes());
+			rejectResponse("response too large: " + bytes + " bytes");
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
@@ -60,7 +60,8 @@
 			target.coldRateLimiter().recordSend();
 		}
 		this.triedTargetIds.add(target.id());
-		RelayAttempt attempt = new RelayAttempt(this.request, target, backupHolder, resumeFrom.isPresent());
+		RelayAttempt attempt = new RelayAttempt(this.request, target, backupHolder, resumeFrom.isPresent(),
+				this.relayService.targetPool().responseMemory());
 		this.active.add(attempt);
 		LogEvent.REQUEST_SENT.log(logger, this.request.id(), target.id(), this.request.service().name(), this.sendCount,
 				cause, backupHolder.map(TrackedTarget::id).orElse("-"), this.relayService.plan().version(),
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -23,6 +23,11 @@
  */
 final class TargetPool {
 
+	/**
+	 * The fraction of the heap that incomplete responses may hold is one in this number.
+	 */
+	static final int RESPONSE_MEMORY_DIVISOR = 8;
+
 	/** Max number of former targets that are remembered. */
 	private static final int MAX_FORMER_TARGETS = 1_000;
 
@@ -35,6 +40,9 @@
 	/** Statistics of the generations by service. */
 	private final Map<String, GenerationStatistics> statistics = new HashMap<>();
 
+	private final ResponseMemory responseMemory = ResponseMemory
+		.of(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR);
+
 	/** Targets by id. */
 	private final Map<String, TrackedTarget> targets = new HashMap<>();
 
@@ -219,6 +227,14 @@
 		return this.statistics.computeIfAbsent(service.name(), (name) -> new GenerationStatistics());
 	}
 
+	/**
+	 * Returns the memory that incomplete responses hold.
+	 * @return memory that all attempts share
+	 */
+	ResponseMemory responseMemory() {
+		return this.responseMemory;
+	}
+
 	/**
 	 * Returns all targets.
 	 * @return live view of the targets, in no order
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
@@ -142,6 +142,10 @@
 			this.listener.head(head(200, Ran.YES, true, true));
 		}
 
+		void startResponse(boolean eventStream) {
+			this.listener.head(head(200, Ran.YES, true, eventStream));
+		}
+
 		void sendEvent(int id) {
 			if (!this.cancelled) {
 				this.listener.body(("id: " + id + "\ndata: t\n\n").getBytes(StandardCharsets.UTF_8));
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/BufferedResponse.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/BufferedResponse.java
@@ -19,6 +19,9 @@
  */
 public record BufferedResponse(int status, HttpHeaders headers, byte[] body) {
 
+	/** Max size of a body, in bytes; larger ones are given up while they are read. */
+	static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
 	/**
 	 * Checks the status.
 	 * @param expected the only accepted status
@@ -42,6 +45,7 @@
 		ResponseCollector collector = new ResponseCollector();
 		client.loop().execute(() -> {
 			PooledHttpClient.RequestHandle handle = client.send(request, collector);
+			collector.handle = handle;
 			client.loop().schedule(() -> {
 				if (!collector.isDone()) {
 					handle.cancel();
@@ -61,6 +65,9 @@
 
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+		/** Set before any call of this listener. */
+		private PooledHttpClient.RequestHandle handle;
+
 		private int status;
 
 		private HttpHeaders headers;
@@ -73,6 +80,11 @@
 
 		@Override
 		public void body(byte[] chunk) {
+			if (this.body.size() + chunk.length > MAX_BODY_BYTES) {
+				this.handle.cancel();
+				completeExceptionally(new PlatformException("response larger than " + MAX_BODY_BYTES + " bytes"));
+				return;
+			}
 			this.body.writeBytes(chunk);
 		}
 
