Do not cut off responses and requests at the end of a planned stop

Cause: the connections without a request were closed although the last bytes of a response were still in the process's buffers, since a response counted as ended once it was written there; a slow caller lost the rest. The check whether requests are active and the end of the process were two steps, with the server still accepting: a request that arrived in between was cut off. An idle timeout could cut a response in the same way. Change: a connection is idle once its last response is sent to the last byte; CallerServer.closeIfIdle closes what is idle and, in the same task of the traffic thread, stops accepting when nothing is left; the daemon ends only then, or at the end of the grace time as before. Before and after: responseThatIsBeingSentIsNotCutOffByAPlannedStop failed (the rest of 6 MB missing) and passes; the second test pins the request that is being read, the race itself has no test over sockets.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -83,6 +84,9 @@
 	/** Whether bytes have arrived since the last request was dispatched. */
 	private boolean receivingRequest;
 
+	/** Completed once all bytes of the responses so far are sent. */
+	private ChannelFuture lastWrite;
+
 	/** Exchange whose response has not ended, or {@code null}. */
 	private CallerExchange currentExchange;
 
@@ -94,6 +98,7 @@
 		this.server = server;
 		this.channel = channel;
 		this.idleSinceMillis = server.clock().millis();
+		this.lastWrite = channel.newSucceededFuture();
 	}
 
 	/**
@@ -221,9 +226,10 @@
 		}
 	}
 
-	private void responseEnded(boolean keepAlive) {
+	private void responseEnded(boolean keepAlive, ChannelFuture write) {
 		this.currentExchange = null;
-		this.idleSinceMillis = this.server.clock().millis();
+		this.lastWrite = write;
+		write.addListener((sent) -> this.idleSinceMillis = this.server.clock().millis());
 		if (!keepAlive) {
 			this.discardsInput = true;
 			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -240,8 +246,8 @@
 	}
 
 	/**
-	 * Closes the connection if it exceeds the idle timeout or the timeout for request
-	 * headers.
+	 * Closes the connection if it exceeds the idle timeout, the timeout for request
+	 * headers or, before its body is complete, the deadline of the request.
 	 */
 	void closeIfTimedOut() {
 		if (this.currentExchange != null || this.discardsInput) {
@@ -250,7 +256,7 @@
 		long nowMillis = this.server.clock().millis();
 		boolean headersLate = this.receivingRequest && this.requestHead == null
 				&& nowMillis - this.arrivedMillis > this.server.limits().headerTimeoutMillis();
-		boolean idle = !this.receivingRequest
+		boolean idle = !this.receivingRequest && this.lastWrite.isDone()
 				&& nowMillis - this.idleSinceMillis > this.server.limits().idleTimeoutMillis();
 		if (headersLate || idle) {
 			this.channel.close();
@@ -258,10 +264,11 @@
 	}
 
 	/**
-	 * Closes the connection unless a request is being read or served.
+	 * Closes the connection unless a request is being read or served, or a response is
+	 * not yet sent to its last byte.
 	 */
 	void closeIfIdle() {
-		if (this.currentExchange == null && !this.receivingRequest) {
+		if (this.currentExchange == null && !this.receivingRequest && this.lastWrite.isDone()) {
 			this.channel.close();
 		}
 	}
@@ -321,8 +328,7 @@
 			addHeaders(headers, response.headers());
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 			boolean keepConnection = setConnectionHeader(response);
-			CallerConnection.this.channel.writeAndFlush(response);
-			responseEnded(keepConnection);
+			responseEnded(keepConnection, CallerConnection.this.channel.writeAndFlush(response));
 		}
 
 		private static void addHeaders(List<Header> headers, HttpHeaders target) {
@@ -365,8 +371,8 @@
 		public void end() {
 			if (!this.ended) {
 				this.ended = true;
-				CallerConnection.this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-				responseEnded(mayKeepConnection());
+				responseEnded(mayKeepConnection(),
+						CallerConnection.this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
 			}
 		}
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -42,6 +42,9 @@
 
 	private final Set<CallerConnection> connections = new LinkedHashSet<>();
 
+	/** Accepts connections; set before the first one. */
+	private Channel acceptor;
+
 	/** Whether connections are closed after their next response. */
 	private boolean closing;
 
@@ -92,6 +95,7 @@
 			throw new IOException("cannot bind " + address + ": " + bindFuture.cause().getMessage(),
 					bindFuture.cause());
 		}
+		server.acceptor = bindFuture.channel();
 		loop.scheduleWithFixedDelay(server::closeTimedOut, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
 		return server;
 	}
@@ -108,10 +112,17 @@
 	}
 
 	/**
-	 * Closes connections on which no request is being read or served.
+	 * Closes the connections on which no request is being read or served and, if no other
+	 * is left, stops accepting new ones.
+	 * @return whether the server is closed, so that no caller waits for a response
 	 */
-	public void closeIdle() {
+	public boolean closeIfIdle() {
 		List.copyOf(this.connections).forEach(CallerConnection::closeIfIdle);
+		boolean idle = this.connections.isEmpty();
+		if (idle) {
+			this.acceptor.close();
+		}
+		return idle;
 	}
 
 	void add(CallerConnection connection) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
+import io.netty.util.concurrent.Future;
 import org.apache.commons.rng.simple.RandomSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -343,15 +344,23 @@
 		while (!complete) {
 			pause();
 			long elapsedMillis = this.runtime.clock().millis() - startedMillis;
-			if (elapsedMillis > graceMillis * IDLE_CLOSE_FRACTION) {
-				this.runtime.trafficLoop().execute(this.callerServer::closeIdle);
-			}
 			complete = elapsedMillis > graceMillis * FORCED_STOP_FRACTION
-					|| (elapsedMillis > graceMillis * IDLE_CLOSE_FRACTION && this.service.activeRequests() == 0);
+					|| (elapsedMillis > graceMillis * IDLE_CLOSE_FRACTION && tryCloseCallerServer());
 		}
 		LogEvent.PROCESS_STOPPED.log(logger, this.settings.common().name(), this.service.activeRequests());
 	}
 
+	/**
+	 * Closes the callers' server if no request is being read or served. Both happen in
+	 * one task of the traffic thread, so that no request arrives in between.
+	 * @return whether it is closed
+	 */
+	private boolean tryCloseCallerServer() {
+		Future<Boolean> closed = this.runtime.trafficLoop()
+			.submit(() -> this.service.activeRequests() == 0 && this.callerServer.closeIfIdle());
+		return closed.awaitUninterruptibly(STOP_POLL_MILLIS) && closed.isSuccess() && closed.getNow();
+	}
+
 	private static void pause() {
 		try {
 			Thread.sleep(STOP_POLL_MILLIS);
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 
@@ -33,6 +34,7 @@
 import io.dotterelcrank.version.plan.ServingPlan;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIOException;
 
 /**
  * Tests of the HTTP connections to callers and targets, over sockets, with a misbehaving
@@ -48,6 +50,10 @@
 
 	private ScriptedTarget target;
 
+	private EventLoop loop;
+
+	private CallerServer server;
+
 	private int port;
 
 	private static Route route(String prefix, RequestKind kind) {
@@ -58,13 +64,13 @@
 	@BeforeEach
 	void start() throws Exception {
 		this.target = new ScriptedTarget();
-		EventLoop loop = this.group.next();
+		this.loop = this.group.next();
 		Clock clock = Clock.system();
-		RelayService service = RelayService.of(clock, new EventLoopScheduler(loop),
-				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(loop), new TestMessageMapper())),
+		RelayService service = RelayService.of(clock, new EventLoopScheduler(this.loop),
+				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(this.loop), new TestMessageMapper())),
 				new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
 				new MetricRegistry());
-		loop.submit(() -> {
+		this.loop.submit(() -> {
 			service.updatePlan(ServingPlan.of(1,
 					List.of(route("/order/", RequestKind.NON_IDEMPOTENT), route("/lookup/", RequestKind.IDEMPOTENT),
 							route("/stream/", RequestKind.STREAMING)),
@@ -77,8 +83,8 @@
 		try (ServerSocket free = new ServerSocket(0)) {
 			this.port = free.getLocalPort();
 		}
-		CallerServer.start(loop, new InetSocketAddress("127.0.0.1", this.port), service, new TestMessageMapper(),
-				() -> LIMITS, clock);
+		this.server = CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), service,
+				new TestMessageMapper(), () -> LIMITS, clock);
 	}
 
 	@AfterEach
@@ -130,6 +136,42 @@
 		assertThat(this.target.requests().get(0)).startsWith("POST /order/a%2Fb?q=%20 HTTP/1.1").endsWith("body");
 	}
 
+	@Test
+	void responseThatIsBeingSentIsNotCutOffByAPlannedStop() throws Exception {
+		byte[] body = new byte[6 * 1024 * 1024];
+		Arrays.fill(body, (byte) 'x');
+		this.target.respondWith(CONFIRMED_HEAD + "Content-Length: " + body.length + "\r\n\r\n"
+				+ new String(body, StandardCharsets.ISO_8859_1));
+		try (Socket socket = new Socket("127.0.0.1", this.port)) {
+			socket.setSoTimeout(10_000);
+			socket.getOutputStream()
+				.write("GET /lookup/x HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(socket.getInputStream().readNBytes(1_000)).hasSize(1_000);
+			this.loop.submit(this.server::closeIfIdle).sync();
+			assertThat(socket.getInputStream().readNBytes(body.length - 1_000)).hasSize(body.length - 1_000);
+		}
+	}
+
+	@Test
+	void requestThatIsBeingReadKeepsTheServerOpenDuringAPlannedStop() throws Exception {
+		this.target.respondWith(CONFIRMED_HEAD + "Content-Length: 2\r\n\r\nok");
+		try (Socket socket = new Socket("127.0.0.1", this.port)) {
+			socket.setSoTimeout(10_000);
+			String request = post("/order/x", "body").replace("Id: 1", "Id: 1\r\nExpect: 100-continue");
+			socket.getOutputStream()
+				.write(request.substring(0, request.length() - 4).getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(new String(socket.getInputStream().readNBytes(25), StandardCharsets.ISO_8859_1))
+				.startsWith("HTTP/1.1 100 ");
+			assertThat(this.loop.submit(this.server::closeIfIdle).get()).isFalse();
+			socket.getOutputStream().write("body".getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1)).endsWith("ok");
+		}
+		while (!this.loop.submit(this.server::closeIfIdle).get()) {
+			Thread.onSpinWait();
+		}
+		assertThatIOException().isThrownBy(() -> new Socket("127.0.0.1", this.port).close());
+	}
+
 	@Test
 	void chunkedRequestBodyIsForwardedCompletely() throws IOException {
 		this.target.respondWith(CONFIRMED_HEAD + "Content-Length: 2\r\n\r\nok");
