Close a connection whose request body is late

Cause: neither the header timeout nor the idle timeout covers a caller that sends a byte of its body now and then; it held a connection and its memory for good. Change: a request whose body is not complete by its own deadline is not awaited any longer; nothing of it was sent, and its caller has left. Before and after: bodyThatIsNotCompleteByTheDeadlineIsNotAwaitedAnyLonger passes; on the code before, no bound exists that would end it.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -258,7 +258,9 @@
 				&& nowMillis - this.arrivedMillis > this.server.limits().headerTimeoutMillis();
 		boolean idle = !this.receivingRequest && this.lastWrite.isDone()
 				&& nowMillis - this.idleSinceMillis > this.server.limits().idleTimeoutMillis();
-		if (headersLate || idle) {
+		boolean bodyLate = this.requestHead != null
+				&& nowMillis - this.arrivedMillis > this.server.messageMapper().deadlineMillis(this.requestHead);
+		if (headersLate || bodyLate || idle) {
 			this.channel.close();
 		}
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpMessageMapper.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpMessageMapper.java
@@ -29,6 +29,13 @@
 	 */
 	CallerRequest readRequest(HttpRequest head, byte[] body, long arrivedMillis) throws RequestException;
 
+	/**
+	 * Returns how long a caller waits for its response.
+	 * @param head head of the request
+	 * @return time since the arrival, in milliseconds
+	 */
+	long deadlineMillis(HttpRequest head);
+
 	/**
 	 * Returns the headers of a request to a target.
 	 * @param request the request
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -172,6 +172,18 @@
 		assertThatIOException().isThrownBy(() -> new Socket("127.0.0.1", this.port).close());
 	}
 
+	@Test
+	void bodyThatIsNotCompleteByTheDeadlineIsNotAwaitedAnyLonger() throws Exception {
+		try (Socket socket = new Socket("127.0.0.1", this.port)) {
+			socket.setSoTimeout(10_000);
+			socket.getOutputStream()
+				.write("POST /order/x HTTP/1.1\r\nHost: a\r\nId: 1\r\nWait: 300\r\nContent-Length: 100\r\n\r\nb"
+					.getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(socket.getInputStream().read()).isNegative();
+		}
+		assertThat(this.target.requests()).isEmpty();
+	}
+
 	@Test
 	void chunkedRequestBodyIsForwardedCompletely() throws IOException {
 		this.target.respondWith(CONFIRMED_HEAD + "Content-Length: 2\r\n\r\nok");
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
@@ -36,7 +36,12 @@
 			}
 		}
 		return new CallerRequest(head.headers().get("Id", ""), head.method().name(), head.headers().get("Host", ""),
-				head.uri(), headers, body, Optional.empty(), Optional.empty(), 5_000, arrivedMillis);
+				head.uri(), headers, body, Optional.empty(), Optional.empty(), deadlineMillis(head), arrivedMillis);
+	}
+
+	@Override
+	public long deadlineMillis(HttpRequest head) {
+		return Long.parseLong(head.headers().get("Wait", "5000"));
 	}
 
 	@Override
