--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -42,6 +42,9 @@
 	 */
 	SESSION_FENCED(206, Level.INFO, "session or message {} of {} rejected: fenced by a newer session"),
 
+	/** A peer of a newer build has sent a type of message that this build lacks. */
+	FRAME_SKIPPED(207, Level.INFO, "frame from {} skipped: {}"),
+
 	/** A newer configuration has come into force. */
 	CONFIGURATION_IN_FORCE(301, Level.INFO, "configuration version {} in force, received from {}"),
 
@@ -210,7 +213,13 @@
 	QUARANTINE_LIFTED(849, Level.INFO, "content={} no longer quarantined"),
 
 	/** A request is refused, as its content crashes targets. */
-	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}");
+	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
+
+	/** A request has met a defect and is ended; the others go on. */
+	REQUEST_DEFECT(880, Level.ERROR, "request={} ended after an unexpected error: {}"),
+
+	/** A response is given up, as it is too large or many large ones come at once. */
+	RESPONSE_TOO_LARGE(881, Level.WARN, "request={} target={} response too large bytes={} heldByAll={}");
 
 	private final int number;
 
