Measure the speed of engines beside them and place by expected start

Cause: one prefill rate for all engines of a service and a fixed cost of each running request decided on placement, though engines differ for good and for seconds, and a host sees a small part of an engine's work.

Change: the sidecar measures the prefill rate and the step times of its engine from the growth of tokens between two reports (EngineSpeedMeter) and tells them in a new last component of the load report. Without told speeds placement is as before.

Ruled out: a message of its own or a value behind the frame's content; records decoded from arrays ignore surplus components (tested with the component list of the build before).

Tests of the touched classes pass; the whole script was not run for this commit.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -210,7 +210,11 @@
 	QUARANTINE_LIFTED(849, Level.INFO, "content={} no longer quarantined"),
 
 	/** A request is refused, as its content crashes targets. */
-	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}");
+	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
+
+	/** The speed of an engine has changed by half. */
+	ENGINE_SPEED_CHANGED(874, Level.INFO,
+			"engine={} prefillPerSecond={} stepMillis={} quietStepMillis={} disturbedStepMillis={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/EngineLoad.java
@@ -18,10 +18,41 @@
  * @param leavesMillis time until the engine stops, in milliseconds; negative if not known
  * @param growthTokens tokens that the running requests are expected to produce until they
  * end; negative if not known
+ * @param speed measured speed; absent in reports of earlier builds, and ignored by them
  */
 public record EngineLoad(String id, String service, String dataCentre, String address, long bornMillis, int running,
 		int waiting, long unreadTokens, long memoryUsed, long memoryTotal, boolean leaving, long leavesMillis,
-		long growthTokens) {
+		long growthTokens, EngineSpeed speed) {
+
+	/**
+	 * Creates a load.
+	 */
+	public EngineLoad {
+		speed = (speed != null) ? speed : EngineSpeed.UNKNOWN;
+	}
+
+	/**
+	 * Creates a load of an engine whose speed is not known.
+	 * @param id id of the engine's incarnation; empty if not known
+	 * @param service service that the engine belongs to
+	 * @param dataCentre its data centre
+	 * @param address address of the engine, as {@code ip:port}
+	 * @param bornMillis start time of the engine by its own clock, in milliseconds
+	 * @param running number of running requests
+	 * @param waiting number of requests waiting for a slot
+	 * @param unreadTokens prompt tokens not yet prefilled
+	 * @param memoryUsed memory of the KV cache in use that cannot be evicted, in tokens
+	 * @param memoryTotal memory of the KV cache of the engine, in tokens
+	 * @param leaving whether the engine is draining
+	 * @param leavesMillis time until the engine stops, in milliseconds
+	 * @param growthTokens tokens that the running requests are expected to produce
+	 */
+	public EngineLoad(String id, String service, String dataCentre, String address, long bornMillis, int running,
+			int waiting, long unreadTokens, long memoryUsed, long memoryTotal, boolean leaving, long leavesMillis,
+			long growthTokens) {
+		this(id, service, dataCentre, address, bornMillis, running, waiting, unreadTokens, memoryUsed, memoryTotal,
+				leaving, leavesMillis, growthTokens, EngineSpeed.UNKNOWN);
+	}
 
 	/**
 	 * Returns a copy with the engine's identity.
@@ -33,7 +64,7 @@
 	public EngineLoad withIdentity(String engineId, String serviceName, String dataCentreName) {
 		return new EngineLoad(engineId, serviceName, dataCentreName, this.address, this.bornMillis, this.running,
 				this.waiting, this.unreadTokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis,
-				this.growthTokens);
+				this.growthTokens, this.speed);
 	}
 
 	/**
@@ -44,7 +75,7 @@
 	public EngineLoad withUnreadTokens(long tokens) {
 		return new EngineLoad(this.id, this.service, this.dataCentre, this.address, this.bornMillis, this.running,
 				this.waiting, tokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis,
-				this.growthTokens);
+				this.growthTokens, this.speed);
 	}
 
 	/**
@@ -55,7 +86,18 @@
 	public EngineLoad withGrowthTokens(long tokens) {
 		return new EngineLoad(this.id, this.service, this.dataCentre, this.address, this.bornMillis, this.running,
 				this.waiting, this.unreadTokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis,
-				tokens);
+				tokens, this.speed);
+	}
+
+	/**
+	 * Returns a copy with a measured speed.
+	 * @param measured speed of the engine
+	 * @return the changed copy
+	 */
+	public EngineLoad withSpeed(EngineSpeed measured) {
+		return new EngineLoad(this.id, this.service, this.dataCentre, this.address, this.bornMillis, this.running,
+				this.waiting, this.unreadTokens, this.memoryUsed, this.memoryTotal, this.leaving, this.leavesMillis,
+				this.growthTokens, measured);
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
@@ -11,6 +11,7 @@
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.admission.LengthEstimator;
+import io.dotterelcrank.process.speed.EngineSpeedMeter;
 
 /**
  * Decides at a sidecar which requests its engine admits. Addresses the load pattern of
@@ -58,6 +59,9 @@
 	/** Output lengths of requests that ended here. */
 	private final LengthEstimator lengths = LengthEstimator.create();
 
+	/** Begins anew when the engine restarts. */
+	private EngineSpeedMeter speedMeter = EngineSpeedMeter.create();
+
 	private double typicalPromptTokens = INITIAL_PROMPT_TOKENS;
 
 	/** {@code null} before the first report. */
@@ -87,8 +91,13 @@
 			this.admitted.clear();
 			this.sizes.clear();
 			this.runningTokens = Map.of();
+			this.speedMeter = EngineSpeedMeter.create();
 		}
 		this.lastReport = load;
+		this.speedMeter.recordReport(this.clock.millis(),
+				activeRequests.stream()
+					.map((request) -> new EngineSpeedMeter.Run(request.id(), request.tokens(), request.events()))
+					.toList());
 		updateRunning(activeRequests);
 		Map<String, Long> prefilledById = new HashMap<>();
 		Set<String> started = new HashSet<>();
@@ -165,12 +174,13 @@
 	/**
 	 * Returns the last reported load, with estimates of the prompt tokens not yet
 	 * prefilled (those of admitted requests, and an assumed number for each other one)
-	 * and of the tokens still to be produced.
+	 * and of the tokens still to be produced, and with the measured speed.
 	 * @return the load, or {@code null} before the first report
 	 */
 	public EngineLoad load() {
-		return (this.lastReport != null)
-				? this.lastReport.withUnreadTokens(pendingPrefillTokens()).withGrowthTokens(growthTokens()) : null;
+		return (this.lastReport != null) ? this.lastReport.withUnreadTokens(pendingPrefillTokens())
+			.withGrowthTokens(growthTokens())
+			.withSpeed(this.speedMeter.speed(this.clock.millis())) : null;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
@@ -74,8 +74,8 @@
 		long knownPendingPrefillTokens = (this.refusals < MAX_REFUSALS)
 				? engine.pendingPrefillTokens(demand.entryHosts()) : load.memoryTotal();
 		this.requestNumber = this.relayService.registerAdmissionRequest(this);
-		long maxPendingPrefillTokens = PlacementStrategy.ForEngines
-			.maxPendingPrefillTokens(this.relayService.targetPool().statistics(this.request.service()), demand);
+		long maxPendingPrefillTokens = PlacementStrategy.ForEngines.maxPendingPrefillTokens(
+				engine.prefillTokensPerSecond(this.request.statistics().prefillTokensPerSecond()), demand);
 		boolean sent = this.relayService.admissionClient()
 			.trySend(load.address(),
 					new Message.AdmissionRequest(this.requestNumber, this.request.id(), demand.promptTokens(),
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.EngineSpeed;
 import io.dotterelcrank.request.GenerationTraits;
 
 /**
@@ -103,11 +104,12 @@
 
 	/**
 	 * Chooses the engine with the shortest expected time to the first token, among those
-	 * with enough free KV cache memory. Addresses three load patterns: a few long
+	 * with enough free KV cache memory. Addresses four load patterns: a few long
 	 * generations that fill engines' memory long before their slots; prompts that queue
-	 * for prefill at one engine while others are idle; and a newly started engine, which
-	 * all hosts would choose at once before it reports its load. If most engines report
-	 * no load, those that do are preferred.
+	 * for prefill at one engine while others are idle; engines that differ in speed, for
+	 * good or for seconds; and a newly started engine, which all hosts would choose at
+	 * once before it reports its load. If most engines report no load, those that do are
+	 * preferred. Where no report tells a speed, all engines count as equally fast.
 	 */
 	final class ForEngines implements PlacementStrategy {
 
@@ -128,6 +130,12 @@
 		/** Max random cost, in seconds, so that hosts choose differently. */
 		private static final double MAX_JITTER_SECONDS = 0.02;
 
+		/**
+		 * Part of the time that a prompt may queue by which a start may be later than at
+		 * the engine with the earliest one, for the sake of a lower load.
+		 */
+		private static final double MAX_LATER_START_FRACTION = 1.0 / 6;
+
 		/** Cost of a failure rate of 1, in seconds. */
 		private static final double FAILURE_PENALTY_SECONDS = 4;
 
@@ -147,12 +155,12 @@
 		/**
 		 * Returns the prefill backlog beyond which a request waits at the entry host,
 		 * where it can still go elsewhere.
-		 * @param statistics statistics of the service
+		 * @param prefillTokensPerSecond prompt tokens that the engine prefills per second
 		 * @param demand resources that the request needs
 		 * @return number of prompt tokens ahead of its own
 		 */
-		static long maxPendingPrefillTokens(GenerationStatistics statistics, Demand demand) {
-			return Math.round(statistics.prefillTokensPerSecond() * demand.maxQueueMillis() / MILLIS_PER_SECOND);
+		static long maxPendingPrefillTokens(double prefillTokensPerSecond, Demand demand) {
+			return Math.round(prefillTokensPerSecond * demand.maxQueueMillis() / MILLIS_PER_SECOND);
 		}
 
 		@Override
@@ -168,12 +176,34 @@
 		}
 
 		private Optional<TrackedTarget> cheapest(Stream<TrackedTarget> candidates, Demand demand) {
-			return candidates.filter((target) -> fits(target, demand))
-				.map((target) -> new ScoredTarget(target, costSeconds(target, demand)))
+			List<TrackedTarget> fitting = candidates.filter((target) -> fits(target, demand)).toList();
+			double typicalRate = typicalPrefillTokensPerSecond(fitting);
+			List<ScoredTarget> starts = fitting.stream()
+				.map((target) -> new ScoredTarget(target,
+						target.startSeconds(demand.promptTokens(), demand.entryHosts(), typicalRate)))
+				.toList();
+			double latestStartSeconds = latestStartSeconds(starts, demand);
+			return starts.stream()
+				.filter((start) -> start.cost() <= latestStartSeconds)
+				.map((start) -> new ScoredTarget(start.target(), start.cost() + loadSeconds(start.target(), demand)))
 				.min(Comparator.comparingDouble(ScoredTarget::cost))
 				.map(ScoredTarget::target);
 		}
 
+		/**
+		 * Returns the latest start that is accepted for the sake of a lower load.
+		 * @param starts engines with the seconds until their expected start
+		 * @param demand resources that the request needs
+		 * @return time in seconds; infinite if no report tells a speed
+		 */
+		private static double latestStartSeconds(List<ScoredTarget> starts, Demand demand) {
+			if (starts.stream().noneMatch((start) -> start.target().prefillRateKnown())) {
+				return Double.POSITIVE_INFINITY;
+			}
+			double earliest = starts.stream().mapToDouble(ScoredTarget::cost).min().orElse(0);
+			return earliest + MAX_LATER_START_FRACTION * demand.maxQueueMillis() / MILLIS_PER_SECOND;
+		}
+
 		/**
 		 * Returns whether this host may use an engine without a load report.
 		 * @param entryHosts number of hosts that would use it
@@ -198,7 +228,8 @@
 			EngineLoad updated = load.withUnreadTokens(target.pendingPrefillTokens(demand.entryHosts()))
 				.withGrowthTokens(growthTokens);
 			return fits(updated, demand.expectedTotalTokens() + demand.reserveTokens(), this.memoryTokens,
-					maxPendingPrefillTokens(this.statistics, demand))
+					maxPendingPrefillTokens(target.prefillTokensPerSecond(this.statistics.prefillTokensPerSecond()),
+							demand))
 					|| (target.outstandingRequestCount() == 0 && load.running() == 0);
 		}
 
@@ -226,12 +257,30 @@
 			return load.memoryUsed() + target.pendingPrefillTokens(demand.entryHosts());
 		}
 
-		private double costSeconds(TrackedTarget target, Demand demand) {
+		/**
+		 * Returns the prefill rate to assume of an engine that tells none.
+		 * @param engines engines to choose from
+		 * @return mean of the rates that the others tell, or the rate that responses have
+		 * shown
+		 */
+		private double typicalPrefillTokensPerSecond(List<TrackedTarget> engines) {
+			return engines.stream()
+				.filter(TrackedTarget::prefillRateKnown)
+				.mapToDouble((target) -> target.prefillTokensPerSecond(EngineSpeed.UNKNOWN_FIGURE))
+				.average()
+				.orElse(this.statistics.prefillTokensPerSecond());
+		}
+
+		/**
+		 * Returns the cost of an engine's load, failures and place.
+		 * @param target the engine
+		 * @param demand resources that the request needs
+		 * @return cost in seconds of a later start
+		 */
+		private double loadSeconds(TrackedTarget target, Demand demand) {
 			EngineLoad load = target.load();
 			int running = (load != null) ? load.running() : target.outstandingRequestCount() * demand.entryHosts();
-			double seconds = target.pendingPrefillTokens(demand.entryHosts())
-					/ this.statistics.prefillTokensPerSecond();
-			seconds += FULL_MEMORY_PENALTY_SECONDS * estimatedUsedTokens(target, demand) / this.memoryTokens;
+			double seconds = FULL_MEMORY_PENALTY_SECONDS * estimatedUsedTokens(target, demand) / this.memoryTokens;
 			seconds += RUNNING_REQUEST_PENALTY_SECONDS * running;
 			seconds += FAILURE_PENALTY_SECONDS * target.failureRate();
 			if (!target.membership().registration().dataCentre().equals(demand.dataCentre())) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -40,6 +40,8 @@
 	/** Weight of a new observation in the exponentially weighted moving averages. */
 	private static final double EWMA_WEIGHT = 0.2;
 
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	private static final Logger logger = LoggerFactory.getLogger(TrackedTarget.class);
 
 	private final Clock clock;
@@ -305,6 +307,40 @@
 		return (fresh != null) ? fresh.unreadTokens() + sentSinceTokens : sentSinceTokens * entryHosts;
 	}
 
+	/**
+	 * Estimates when a prompt that is sent now would be prefilled. Prompt tokens that the
+	 * engine had not prefilled when it was last reported shrink at the rate that its
+	 * sidecar told.
+	 * @param promptTokens tokens of the prompt
+	 * @param entryHosts number of entry hosts
+	 * @param fallback prefill rate to assume while its sidecar tells none
+	 * @return time in seconds
+	 */
+	double startSeconds(long promptTokens, int entryHosts, double fallback) {
+		double rate = prefillTokensPerSecond(fallback);
+		double prefilledSince = prefillRateKnown()
+				? Math.min(this.load.unreadTokens(), rate * loadAgeMillis() / MILLIS_PER_SECOND) : 0;
+		return (pendingPrefillTokens(entryHosts) - prefilledSince + promptTokens) / rate;
+	}
+
+	/**
+	 * Returns how fast the engine prefills.
+	 * @param fallback rate to assume while its sidecar tells none
+	 * @return prompt tokens per second
+	 */
+	double prefillTokensPerSecond(double fallback) {
+		return prefillRateKnown() ? this.load.speed().prefillTokensPerSecond() : fallback;
+	}
+
+	/**
+	 * Returns whether its sidecar tells how fast the engine prefills.
+	 * @return {@code false} if it does not know or its report is stale
+	 */
+	boolean prefillRateKnown() {
+		EngineLoad fresh = load();
+		return fresh != null && fresh.speed().prefillKnown();
+	}
+
 	/**
 	 * Returns whether no admission requests are sent to its sidecar.
 	 * @return {@code true} for a while after one that got no response in time
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
@@ -3,11 +3,15 @@
 import java.io.IOException;
 import java.util.List;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.msgpack.jackson.dataformat.JsonArrayFormat;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.request.Failure;
@@ -66,6 +70,29 @@
 		assertThat(envelope).isEqualTo(new MessageCodec.Envelope(77, message));
 	}
 
+	@Test
+	void decodesTheSpeedOfAnEngine() throws IOException {
+		Message report = new Message.EngineLoadReport(load().withSpeed(new EngineSpeed(9_000, 8, 7, 15)), true);
+		assertThat(this.codec.decode(this.codec.encode(report, 77)).message()).isEqualTo(report);
+	}
+
+	@Test
+	void buildsWithAndWithoutSpeedReadEachOthersReports() throws IOException {
+		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+		mapper.setAnnotationIntrospector(new JsonArrayFormat());
+		mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+		EngineLoad load = load().withSpeed(new EngineSpeed(9_000, 8, 7, 15));
+		EarlierReport received = mapper.readValue(mapper.writeValueAsBytes(new Message.EngineLoadReport(load, true)),
+				EarlierReport.class);
+		assertThat(received).isEqualTo(new EarlierReport(EarlierLoad.of(load), true));
+		assertThat(mapper.readValue(mapper.writeValueAsBytes(received), Message.EngineLoadReport.class))
+			.isEqualTo(new Message.EngineLoadReport(load(), true));
+	}
+
+	private static EngineLoad load() {
+		return new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, true, 1_500, 41);
+	}
+
 	@Test
 	void decodesRecordsAndDeletedKeys() throws IOException {
 		Message.RecordsResponse sent = new Message.RecordsResponse("op", 9, 250,
@@ -103,4 +130,20 @@
 		}
 	}
 
+	/** Load report as earlier builds know it. */
+	private record EarlierReport(EarlierLoad load, boolean ackRequested) {
+	}
+
+	private record EarlierLoad(String id, String service, String dataCentre, String address, long bornMillis,
+			int running, int waiting, long unreadTokens, long memoryUsed, long memoryTotal, boolean leaving,
+			long leavesMillis, long growthTokens) {
+
+		static EarlierLoad of(EngineLoad load) {
+			return new EarlierLoad(load.id(), load.service(), load.dataCentre(), load.address(), load.bornMillis(),
+					load.running(), load.waiting(), load.unreadTokens(), load.memoryUsed(), load.memoryTotal(),
+					load.leaving(), load.leavesMillis(), load.growthTokens());
+		}
+
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -101,8 +101,9 @@
 
 	@Test
 	void engineWithALongPrefillQueueIsNotChosenDespiteFreeMemory() {
-		assertThat(chosenId(demand(), engine("e", "giza",
-				PlacementStrategy.ForEngines.maxPendingPrefillTokens(this.statistics, demand()) + 1, 3_000)))
+		assertThat(chosenId(demand(),
+				engine("e", "giza", PlacementStrategy.ForEngines
+					.maxPendingPrefillTokens(this.statistics.prefillTokensPerSecond(), demand()) + 1, 3_000)))
 			.isEqualTo("none");
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/GenerationStatisticsTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/GenerationStatisticsTests.java
@@ -28,7 +28,8 @@
 		assertThat(this.statistics.prefillTokensPerSecond()).isCloseTo(expectedRate, within(expectedRate / 100));
 		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(promptTokens, promptTokens + outputTokens, "dc",
 				0, 1, goalMillis, PlacementStrategy.Demand.NO_LIMIT, 0);
-		long queueTokens = PlacementStrategy.ForEngines.maxPendingPrefillTokens(this.statistics, demand);
+		long queueTokens = PlacementStrategy.ForEngines
+			.maxPendingPrefillTokens(this.statistics.prefillTokensPerSecond(), demand);
 		assertThat(Math.round(queueTokens * 1_000 / this.statistics.prefillTokensPerSecond())).isCloseTo(goalMillis,
 				within(5L));
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -13,6 +13,7 @@
 
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.EngineSpeed;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.daemon.wiring.Daemon;
@@ -23,7 +24,7 @@
  * A sidecar daemon that reports the load of its engine to entry hosts and decides on
  * their admission requests. Requests do not depend on it: without it, entry hosts know
  * only their own requests at the engine. State is confined to the control thread; only
- * the state dump reads it on the traffic thread.
+ * the state dump and metrics read it on the traffic thread.
  */
 public final class RelaySidecarDaemon implements Daemon {
 
@@ -51,6 +52,9 @@
 	 */
 	static final long MIN_REPORT_INTERVAL_MILLIS = 100;
 
+	/** Factor for figures that are logged with one decimal. */
+	private static final double DECIMALS = 10;
+
 	/** Start time that stands for no engine. */
 	private static final long NO_ENGINE = -1;
 
@@ -66,6 +70,15 @@
 	 */
 	static final double PREFILL_CHANGE_FRACTION = 1.0 / 3;
 
+	/**
+	 * Change in the engine's speed, as a fraction, that is reported before the maximum
+	 * interval.
+	 */
+	static final double SPEED_CHANGE_FRACTION = 1.0 / 3;
+
+	/** Change in the engine's speed, as a fraction, that is logged. */
+	static final double LOGGED_SPEED_CHANGE_FRACTION = 0.5;
+
 	private static final Logger logger = LoggerFactory.getLogger(RelaySidecarDaemon.class);
 
 	private final RelaySidecarSettings settings;
@@ -96,6 +109,9 @@
 	/** Time at which it was reported, in milliseconds. */
 	private long lastReportedMillis;
 
+	/** Last logged speed. */
+	private EngineSpeed lastLoggedSpeed = EngineSpeed.UNKNOWN;
+
 	/** Whether the last poll succeeded. */
 	private boolean engineReachable = true;
 
@@ -120,6 +136,8 @@
 	public void start() throws IOException {
 		this.runtime
 			.serveMetrics(() -> Map.of("load", String.valueOf(this.lastReportedLoad), "links", this.links.size()));
+		this.runtime.metrics().gauge("speed.prefill-tokens-per-second", () -> () -> speed().prefillTokensPerSecond());
+		this.runtime.metrics().gauge("speed.step-millis", () -> () -> speed().stepMillis());
 		this.runtime.readMembers(this::updateLinks);
 		this.runtime.controlScheduler().execute(() -> {
 			updateLinks();
@@ -168,6 +186,7 @@
 					this.settings.common().dataCentre());
 		this.ledger.updateLoad(identified, report.activeRequests());
 		EngineLoad load = this.ledger.load();
+		logChangedSpeed(load.speed());
 		if (reportNeeded(load)) {
 			this.lastReportedLoad = load;
 			this.lastReportedMillis = this.runtime.clock().millis();
@@ -175,6 +194,24 @@
 		}
 	}
 
+	private void logChangedSpeed(EngineSpeed speed) {
+		if (speed.differs(this.lastLoggedSpeed, LOGGED_SPEED_CHANGE_FRACTION)) {
+			this.lastLoggedSpeed = speed;
+			LogEvent.ENGINE_SPEED_CHANGED.log(logger, this.settings.engine(),
+					Math.round(speed.prefillTokensPerSecond()), round(speed.stepMillis()),
+					round(speed.quietStepMillis()), round(speed.disturbedStepMillis()));
+		}
+	}
+
+	private static double round(double millis) {
+		return Math.round(millis * DECIMALS) / DECIMALS;
+	}
+
+	private EngineSpeed speed() {
+		EngineLoad reported = this.lastReportedLoad;
+		return (reported != null) ? reported.speed() : EngineSpeed.UNKNOWN;
+	}
+
 	/**
 	 * Responds to an admission request. While the engine's load cannot be read there is
 	 * no response, and the entry host decides after a timeout.
@@ -218,9 +255,11 @@
 			return true;
 		}
 		boolean changed = Math.abs(load.memoryUsed() - this.lastReportedLoad.memoryUsed()) > load.memoryTotal()
-				* MEMORY_CHANGE_FRACTION || load.waiting() != this.lastReportedLoad.waiting()
+				* MEMORY_CHANGE_FRACTION
+				|| load.waiting() != this.lastReportedLoad.waiting()
 				|| Math.abs(load.unreadTokens() - this.lastReportedLoad.unreadTokens()) > this.ledger
-					.typicalPromptTokens() * PREFILL_CHANGE_FRACTION;
+					.typicalPromptTokens() * PREFILL_CHANGE_FRACTION
+				|| load.speed().differs(this.lastReportedLoad.speed(), SPEED_CHANGE_FRACTION);
 		return changed && elapsedMillis >= MIN_REPORT_INTERVAL_MILLIS;
 	}
 
