Judge an engine without told speed by its responses while others tell

Cause: an engine whose sidecar is gone counted as fast as the mean of the others.

Change: each target keeps the ratio of expected to observed time until first events over ten seconds; it scales the mean of the told rates. Where nobody tells a speed, nothing changes.

Ruled out: the ratio also where no sidecar tells a speed, as such a deployment is to be served as before.

Tests of the touched classes pass.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.stream.Stream;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -177,10 +178,9 @@
 
 		private Optional<TrackedTarget> cheapest(Stream<TrackedTarget> candidates, Demand demand) {
 			List<TrackedTarget> fitting = candidates.filter((target) -> fits(target, demand)).toList();
-			double typicalRate = typicalPrefillTokensPerSecond(fitting);
+			OptionalDouble toldRate = meanPrefillTokensPerSecond(fitting);
 			List<ScoredTarget> starts = fitting.stream()
-				.map((target) -> new ScoredTarget(target,
-						target.startSeconds(demand.promptTokens(), demand.entryHosts(), typicalRate)))
+				.map((target) -> new ScoredTarget(target, startSeconds(target, demand, toldRate)))
 				.toList();
 			double latestStartSeconds = latestStartSeconds(starts, demand);
 			return starts.stream()
@@ -258,17 +258,29 @@
 		}
 
 		/**
-		 * Returns the prefill rate to assume of an engine that tells none.
+		 * Returns the mean prefill rate that sidecars tell.
 		 * @param engines engines to choose from
-		 * @return mean of the rates that the others tell, or the rate that responses have
-		 * shown
+		 * @return prompt tokens per second; empty if no report tells a speed
 		 */
-		private double typicalPrefillTokensPerSecond(List<TrackedTarget> engines) {
+		private static OptionalDouble meanPrefillTokensPerSecond(List<TrackedTarget> engines) {
 			return engines.stream()
 				.filter(TrackedTarget::prefillRateKnown)
 				.mapToDouble((target) -> target.prefillTokensPerSecond(EngineSpeed.UNKNOWN_FIGURE))
-				.average()
-				.orElse(this.statistics.prefillTokensPerSecond());
+				.average();
+		}
+
+		/**
+		 * Returns the expected start. An engine that tells no speed while others do is
+		 * assumed to be as much faster or slower than them as its responses have shown.
+		 * @param target the engine
+		 * @param demand resources that the request needs
+		 * @param toldRate mean prefill rate that sidecars tell
+		 * @return time until the prompt is prefilled, in seconds
+		 */
+		private double startSeconds(TrackedTarget target, Demand demand, OptionalDouble toldRate) {
+			double assumedRate = toldRate.isPresent() ? toldRate.getAsDouble() * target.relativeSpeed()
+					: this.statistics.prefillTokensPerSecond();
+			return target.startSeconds(demand.promptTokens(), demand.entryHosts(), assumedRate);
 		}
 
 		/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -113,8 +113,14 @@
 		return this.active;
 	}
 
-	long prefillTokens() {
-		return this.prefillTokens;
+	/**
+	 * Records the time until the first event.
+	 * @param statistics statistics of the service
+	 */
+	void recordFirstEvent(GenerationStatistics statistics) {
+		long millis = this.request.now() - this.sentMillis;
+		this.target.recordFirstEvent(this.prefillTokens, millis, statistics);
+		statistics.recordFirstEvent(this.prefillTokens, millis);
 	}
 
 	long sentMillis() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -404,7 +404,7 @@
 			return false;
 		}
 		if (this.progress.recordEvent(event, now())) {
-			statistics().recordFirstEvent(attempt.prefillTokens(), now() - attempt.sentMillis());
+			attempt.recordFirstEvent(statistics());
 		}
 		this.caller.write(event.bytes());
 		if (!this.caller.writable()) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -17,6 +17,7 @@
 import io.dotterelcrank.process.limit.RequestRateGate;
 import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.membership.Target;
+import io.dotterelcrank.process.speed.DecayingRate;
 
 /**
  * State of one target as known to this process: the requests that this process has
@@ -40,6 +41,15 @@
 	/** Weight of a new observation in the exponentially weighted moving averages. */
 	private static final double EWMA_WEIGHT = 0.2;
 
+	/** Horizon of the speed that responses show, in milliseconds. */
+	private static final double SPEED_HORIZON_MILLIS = 10_000;
+
+	/**
+	 * Observed time that weighs as much as the assumption that a target is as fast as
+	 * others of its service, in milliseconds.
+	 */
+	private static final double EQUAL_SPEED_WEIGHT_MILLIS = 500;
+
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	private static final Logger logger = LoggerFactory.getLogger(TrackedTarget.class);
@@ -80,6 +90,12 @@
 	/** Moving average; 0 before the first response. */
 	private double responseMillis;
 
+	/**
+	 * Expected over observed time until first events, per millisecond observed; above 1
+	 * if the target is faster than others of its service.
+	 */
+	private final DecayingRate relativeSpeed = DecayingRate.of(SPEED_HORIZON_MILLIS);
+
 	/** When the backoff after failed connections or a refusal ends. */
 	private long backoffUntilMillis;
 
@@ -323,6 +339,25 @@
 		return (pendingPrefillTokens(entryHosts) - prefilledSince + promptTokens) / rate;
 	}
 
+	/**
+	 * Records the time until the first event of a generation.
+	 * @param tokens prompt tokens that were prefilled before it
+	 * @param millis time since the generation was sent, in milliseconds
+	 * @param statistics statistics of the service
+	 */
+	void recordFirstEvent(long tokens, long millis, GenerationStatistics statistics) {
+		double expectedMillis = tokens * MILLIS_PER_SECOND / statistics.prefillTokensPerSecond();
+		this.relativeSpeed.record(this.clock.millis(), expectedMillis, millis);
+	}
+
+	/**
+	 * Returns how much faster first events come than expected of a target of its service.
+	 * @return factor on the typical speed; 1 without responses of late
+	 */
+	double relativeSpeed() {
+		return this.relativeSpeed.perMilli(this.clock.millis(), 1, EQUAL_SPEED_WEIGHT_MILLIS);
+	}
+
 	/**
 	 * Returns how fast the engine prefills.
 	 * @param fallback rate to assume while its sidecar tells none
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/DecayingRate.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/DecayingRate.java
@@ -5,7 +5,7 @@
  * took, both with weights that decay exponentially. Long observations count more than
  * short ones, so that jitter of their limits averages out. Not thread-safe.
  */
-final class DecayingRate {
+public final class DecayingRate {
 
 	/** Time after which the weight of an observation has decayed to 1/e. */
 	private final double horizonMillis;
@@ -17,17 +17,27 @@
 	/** When the weights were last updated. */
 	private long updatedMillis;
 
-	DecayingRate(double horizonMillis) {
+	private DecayingRate(double horizonMillis) {
 		this.horizonMillis = horizonMillis;
 	}
 
+	/**
+	 * Creates a rate without observations.
+	 * @param horizonMillis time after which the weight of an observation has decayed to
+	 * 1/e, in milliseconds
+	 * @return a new rate
+	 */
+	public static DecayingRate of(double horizonMillis) {
+		return new DecayingRate(horizonMillis);
+	}
+
 	/**
 	 * Records an observation.
 	 * @param nowMillis present time, in milliseconds
 	 * @param amount work done
 	 * @param millis time that it took, in milliseconds
 	 */
-	void record(long nowMillis, double amount, double millis) {
+	public void record(long nowMillis, double amount, double millis) {
 		decay(nowMillis);
 		this.work += amount;
 		this.workMillis += millis;
@@ -48,7 +58,7 @@
 	 * milliseconds
 	 * @return work per millisecond
 	 */
-	double perMilli(long nowMillis, double priorPerMilli, double priorMillis) {
+	public double perMilli(long nowMillis, double priorPerMilli, double priorMillis) {
 		decay(nowMillis);
 		return (this.work + priorPerMilli * priorMillis) / (this.workMillis + priorMillis);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/EngineSpeedMeter.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/EngineSpeedMeter.java
@@ -45,19 +45,19 @@
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	/** Prompt tokens per millisecond, as of late. */
-	private DecayingRate recentPrefill = new DecayingRate(SHORT_HORIZON_MILLIS);
+	private DecayingRate recentPrefill = DecayingRate.of(SHORT_HORIZON_MILLIS);
 
 	/** Prompt tokens per millisecond, on average. */
-	private DecayingRate averagePrefill = new DecayingRate(LONG_HORIZON_MILLIS);
+	private DecayingRate averagePrefill = DecayingRate.of(LONG_HORIZON_MILLIS);
 
 	/** Output tokens per millisecond of a request, in all intervals. */
-	private final DecayingRate decode = new DecayingRate(LONG_HORIZON_MILLIS);
+	private final DecayingRate decode = DecayingRate.of(LONG_HORIZON_MILLIS);
 
 	/** The same without prefill beside it. */
-	private final DecayingRate quietDecode = new DecayingRate(LONG_HORIZON_MILLIS);
+	private final DecayingRate quietDecode = DecayingRate.of(LONG_HORIZON_MILLIS);
 
 	/** The same beside prefill. */
-	private final DecayingRate disturbedDecode = new DecayingRate(LONG_HORIZON_MILLIS);
+	private final DecayingRate disturbedDecode = DecayingRate.of(LONG_HORIZON_MILLIS);
 
 	/** Running requests of the last report, by id. */
 	private Map<String, Run> lastRuns = Map.of();
@@ -116,8 +116,8 @@
 		}
 		if (prefilling) {
 			if (!prefillKnown(nowMillis)) {
-				this.recentPrefill = new DecayingRate(SHORT_HORIZON_MILLIS);
-				this.averagePrefill = new DecayingRate(LONG_HORIZON_MILLIS);
+				this.recentPrefill = DecayingRate.of(SHORT_HORIZON_MILLIS);
+				this.averagePrefill = DecayingRate.of(LONG_HORIZON_MILLIS);
 			}
 			this.recentPrefill.record(nowMillis, tokens, elapsedMillis);
 			this.averagePrefill.record(nowMillis, tokens, elapsedMillis);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -8,6 +8,7 @@
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.EngineSpeed;
 import io.dotterelcrank.process.limit.RatePermitClient;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
@@ -115,4 +116,28 @@
 		assertThat(chosenId(demand(), loaded, engine("other", "helwan", 1_000, 6_000))).isEqualTo("other");
 	}
 
+	@Test
+	void responsesShowTheSpeedOfAnEngineWhoseSidecarTellsNoneWhileOthersDo() {
+		TrackedTarget slow = engine("slow", "giza", 0, 6_000);
+		TrackedTarget queued = engine("queued", "giza", 1_500, 6_000);
+		for (int response = 0; response < 5; response++) {
+			slow.recordFirstEvent(3_000, 2_000, this.statistics);
+		}
+		assertThat(chosenId(demand(), slow, queued)).isEqualTo("slow");
+		queued.updateLoad(queued.load().withSpeed(new EngineSpeed(7_000, 8, 8, 8)));
+		assertThat(chosenId(demand(), slow, queued)).isEqualTo("queued");
+	}
+
+	@Test
+	void lowerLoadDecidesOnlyAmongEnginesWithAnEarlyStart() {
+		TrackedTarget idle = engine("idle", "giza", 0, 0);
+		TrackedTarget busy = engine("busy", "giza", 0, 20_000);
+		EngineSpeed slow = new EngineSpeed(5_000, 8, 8, 8);
+		idle.updateLoad(idle.load().withSpeed(slow));
+		busy.updateLoad(busy.load().withSpeed(new EngineSpeed(14_000, 8, 8, 8)));
+		assertThat(chosenId(demand(), idle, busy)).isEqualTo("busy");
+		busy.updateLoad(busy.load().withSpeed(new EngineSpeed(6_000, 8, 8, 8)));
+		assertThat(chosenId(demand(), idle, busy)).isEqualTo("idle");
+	}
+
 }
