Count time in flight in the placement of generations

Cause: what runs longest is at risk the longest, and a step grows with prefill beside it, with the requests that run and on slow machines; the expected output had no part in the choice of the engine.

Change: FlightTime adds, at a quarter of a second of later start for each second, the expected output times the engine's step time and the time by which its prefill prolongs those that run there. Nothing is added where no sidecar tells a step time.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -105,12 +105,14 @@
 
 	/**
 	 * Chooses the engine with the shortest expected time to the first token, among those
-	 * with enough free KV cache memory. Addresses four load patterns: a few long
-	 * generations that fill engines' memory long before their slots; prompts that queue
-	 * for prefill at one engine while others are idle; engines that differ in speed, for
-	 * good or for seconds; and a newly started engine, which all hosts would choose at
-	 * once before it reports its load. If most engines report no load, those that do are
-	 * preferred. Where no report tells a speed, all engines count as equally fast.
+	 * with enough free KV cache memory; long outputs go to engines with short steps, and
+	 * prompts to where they disturb few running generations ({@link FlightTime}).
+	 * Addresses four load patterns: a few long generations that fill engines' memory long
+	 * before their slots; prompts that queue for prefill at one engine while others are
+	 * idle; engines that differ in speed, for good or for seconds; and a newly started
+	 * engine, which all hosts would choose at once before it reports its load. If most
+	 * engines report no load, those that do are preferred. Where no report tells a speed,
+	 * all engines count as equally fast.
 	 */
 	final class ForEngines implements PlacementStrategy {
 
@@ -137,6 +139,12 @@
 		 */
 		private static final double MAX_LATER_START_FRACTION = 1.0 / 6;
 
+		/**
+		 * Cost of a second that generations run longer, in seconds of a later start: what
+		 * runs longer is more likely to be interrupted, and keeps its memory.
+		 */
+		private static final double FLIGHT_SECONDS_WEIGHT = 0.25;
+
 		/** Cost of a failure rate of 1, in seconds. */
 		private static final double FAILURE_PENALTY_SECONDS = 4;
 
@@ -183,9 +191,12 @@
 				.map((target) -> new ScoredTarget(target, startSeconds(target, demand, toldRate)))
 				.toList();
 			double latestStartSeconds = latestStartSeconds(starts, demand);
+			FlightTime flight = FlightTime.of(fitting);
 			return starts.stream()
 				.filter((start) -> start.cost() <= latestStartSeconds)
-				.map((start) -> new ScoredTarget(start.target(), start.cost() + loadSeconds(start.target(), demand)))
+				.map((start) -> new ScoredTarget(start.target(),
+						start.cost() + loadSeconds(start.target(), demand)
+								+ FLIGHT_SECONDS_WEIGHT * flight.addedSeconds(start.target(), demand)))
 				.min(Comparator.comparingDouble(ScoredTarget::cost))
 				.map(ScoredTarget::target);
 		}
