--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -215,6 +215,10 @@
 	/** A request is refused, as its content crashes targets. */
 	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
 
+	/** The speed of an engine has changed by half. */
+	ENGINE_SPEED_CHANGED(874, Level.INFO,
+			"engine={} prefillPerSecond={} stepMillis={} quietStepMillis={} disturbedStepMillis={}"),
+
 	/** A request has met a defect and is ended; the others go on. */
 	REQUEST_DEFECT(880, Level.ERROR, "request={} ended after an unexpected error: {}"),
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/FrequentMessages.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/FrequentMessages.java
@@ -20,7 +20,12 @@
 	/** Initial size of a buffer; longer messages take several. */
 	static final int MAX_TYPICAL_BYTES = 256;
 
-	private static final int LOAD_COMPONENTS = 13;
+	private static final int LOAD_COMPONENTS = 14;
+
+	/** Components of a load in builds that do not measure speeds. */
+	private static final int LOAD_COMPONENTS_WITHOUT_SPEED = 13;
+
+	private static final int SPEED_COMPONENTS = 4;
 
 	private static final int ADMISSION_REQUEST_COMPONENTS = 7;
 
@@ -110,6 +115,11 @@
 		packer.packBoolean(load.leaving());
 		packer.packLong(load.leavesMillis());
 		packer.packLong(load.growthTokens());
+		packer.packArrayHeader(SPEED_COMPONENTS);
+		packer.packDouble(load.speed().prefillTokensPerSecond());
+		packer.packDouble(load.speed().stepMillis());
+		packer.packDouble(load.speed().quietStepMillis());
+		packer.packDouble(load.speed().disturbedStepMillis());
 	}
 
 	private static void pack(KeyedRecord keyedRecord, MessagePacker packer) throws IOException {
@@ -166,20 +176,38 @@
 		if (unpacker.tryUnpackNil()) {
 			return null;
 		}
-		expectArray(unpacker, LOAD_COMPONENTS);
-		return new EngineLoad(unpackString(unpacker), unpackString(unpacker), unpackString(unpacker),
+		int components = expectArray(unpacker, LOAD_COMPONENTS_WITHOUT_SPEED);
+		EngineLoad load = new EngineLoad(unpackString(unpacker), unpackString(unpacker), unpackString(unpacker),
 				unpackString(unpacker), unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackInt(),
 				unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackBoolean(),
 				unpacker.unpackLong(), unpacker.unpackLong());
+		if (components < LOAD_COMPONENTS) {
+			return load;
+		}
+		EngineLoad withSpeed = load.withSpeed(unpackSpeed(unpacker));
+		unpacker.skipValue(components - LOAD_COMPONENTS);
+		return withSpeed;
+	}
+
+	private static EngineSpeed unpackSpeed(MessageUnpacker unpacker) throws IOException {
+		if (unpacker.tryUnpackNil()) {
+			return EngineSpeed.UNKNOWN;
+		}
+		int components = expectArray(unpacker, SPEED_COMPONENTS);
+		EngineSpeed speed = new EngineSpeed(unpacker.unpackDouble(), unpacker.unpackDouble(), unpacker.unpackDouble(),
+				unpacker.unpackDouble());
+		unpacker.skipValue(components - SPEED_COMPONENTS);
+		return speed;
 	}
 
 	private static List<KeyedRecord> unpackRecords(MessageUnpacker unpacker, int contentBytes) throws IOException {
 		int size = unpacker.unpackArrayHeader();
 		List<KeyedRecord> records = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
-			expectArray(unpacker, RECORD_COMPONENTS);
+			int components = expectArray(unpacker, RECORD_COMPONENTS);
 			records.add(new KeyedRecord(unpackString(unpacker), unpacker.unpackLong(),
 					unpackBytes(unpacker, contentBytes)));
+			unpacker.skipValue(components - RECORD_COMPONENTS);
 		}
 		return records;
 	}
@@ -200,11 +228,19 @@
 		return unpacker.tryUnpackNil() ? null : unpacker.unpackString();
 	}
 
-	private static void expectArray(MessageUnpacker unpacker, int components) throws IOException {
+	/**
+	 * Reads the header of an array. Later builds may append components to a record.
+	 * @param unpacker source
+	 * @param components number of components that are needed
+	 * @return number of components received
+	 * @throws IOException if there are fewer
+	 */
+	private static int expectArray(MessageUnpacker unpacker, int components) throws IOException {
 		int received = unpacker.unpackArrayHeader();
-		if (received != components) {
+		if (received < components) {
 			throw new IOException(received + " components instead of " + components);
 		}
+		return received;
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -18,6 +18,7 @@
 import io.dotterelcrank.process.limit.RequestRateGate;
 import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.membership.Target;
+import io.dotterelcrank.process.speed.DecayingRate;
 
 /**
  * State of one target as known to this process: the requests that this process has
@@ -41,6 +42,17 @@
 	/** Weight of a new observation in the exponentially weighted moving averages. */
 	private static final double EWMA_WEIGHT = 0.2;
 
+	/** Horizon of the speed that responses show, in milliseconds. */
+	private static final double SPEED_HORIZON_MILLIS = 10_000;
+
+	/**
+	 * Observed time that weighs as much as the assumption that a target is as fast as
+	 * others of its service, in milliseconds.
+	 */
+	private static final double EQUAL_SPEED_WEIGHT_MILLIS = 500;
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	private static final Logger logger = LoggerFactory.getLogger(TrackedTarget.class);
 
 	private final Clock clock;
@@ -82,6 +94,12 @@
 	/** Moving average; 0 before the first response. */
 	private double responseMillis;
 
+	/**
+	 * Expected over observed time until first events, per millisecond observed; above 1
+	 * if the target is faster than others of its service.
+	 */
+	private final DecayingRate relativeSpeed = DecayingRate.of(SPEED_HORIZON_MILLIS);
+
 	/** When the backoff after failed connections or a refusal ends. */
 	private long backoffUntilMillis;
 
@@ -337,6 +355,59 @@
 		return (fresh != null) ? fresh.unreadTokens() + sentSinceTokens : sentSinceTokens * entryHosts;
 	}
 
+	/**
+	 * Estimates when a prompt that is sent now would be prefilled. Prompt tokens that the
+	 * engine had not prefilled when it was last reported shrink at the rate that its
+	 * sidecar told.
+	 * @param promptTokens tokens of the prompt
+	 * @param entryHosts number of entry hosts
+	 * @param fallback prefill rate to assume while its sidecar tells none
+	 * @return time in seconds
+	 */
+	double startSeconds(long promptTokens, int entryHosts, double fallback) {
+		double rate = prefillTokensPerSecond(fallback);
+		double prefilledSince = prefillRateKnown()
+				? Math.min(this.load.unreadTokens(), rate * loadAgeMillis() / MILLIS_PER_SECOND) : 0;
+		return (pendingPrefillTokens(entryHosts) - prefilledSince + promptTokens) / rate;
+	}
+
+	/**
+	 * Records the time until the first event of a generation.
+	 * @param tokens prompt tokens that were prefilled before it
+	 * @param millis time since the generation was sent, in milliseconds
+	 * @param statistics statistics of the service
+	 */
+	void recordFirstEvent(long tokens, long millis, GenerationStatistics statistics) {
+		double expectedMillis = tokens * MILLIS_PER_SECOND / statistics.prefillTokensPerSecond();
+		this.relativeSpeed.record(this.clock.millis(), expectedMillis, millis);
+	}
+
+	/**
+	 * Returns how much faster first events come than expected of a target of its service.
+	 * @return factor on the typical speed; 1 without responses of late
+	 */
+	double relativeSpeed() {
+		return this.relativeSpeed.perMilli(this.clock.millis(), 1, EQUAL_SPEED_WEIGHT_MILLIS);
+	}
+
+	/**
+	 * Returns how fast the engine prefills.
+	 * @param fallback rate to assume while its sidecar tells none
+	 * @return prompt tokens per second
+	 */
+	double prefillTokensPerSecond(double fallback) {
+		return prefillRateKnown() ? this.load.speed().prefillTokensPerSecond() : fallback;
+	}
+
+	/**
+	 * Returns whether its sidecar tells how fast the engine prefills.
+	 * @return {@code false} if it does not know or its report is stale
+	 */
+	boolean prefillRateKnown() {
+		EngineLoad fresh = load();
+		return fresh != null && fresh.speed().prefillKnown();
+	}
+
 	/**
 	 * Returns whether no admission requests are sent to its sidecar.
 	 * @return {@code true} for a while after one that got no response in time
