Keep generations away from engines that start nothing

Cause: an engine whose queue is held up, or that has gone silent, keeps the short queue of its last report and draws more requests; a sidecar that cannot read its engine does not respond, so that each host sends to the engine after 40 ms.

Ruled out: taking a stream back that may not run twice.

Change: StallMonitor at the sidecar notices that none of the prompts of the engine is begun, continued or completed for longer than its largest one takes, and counts the lost time as unread tokens, which all hosts compare with their goals; messages are unchanged. A sidecar whose engine cannot be read refuses. A host whose admission request times out asks another engine that has room, once, and prefers engines whose sidecars respond.

Test replaced: unresponsiveSidecarDelaysOnlyOneRequest asserted that a request is sent to the engine of a silent sidecar after one timeout; that holds now only if no other engine has room, which three tests check: the diversion, the bound of two timeouts, the bypass without room.

Tests: process.relay, process.stall, common and daemon.relay of core and daemon, all green.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -210,7 +210,16 @@
 	QUARANTINE_LIFTED(849, Level.INFO, "content={} no longer quarantined"),
 
 	/** A request is refused, as its content crashes targets. */
-	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}");
+	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
+
+	/** An engine starts none of the requests that it holds, or does not report. */
+	ENGINE_STALLED(867, Level.WARN, "engine={} stalled millis={} load={}"),
+
+	/** An engine starts requests again. */
+	ENGINE_STALL_ENDED(868, Level.INFO, "engine={} no longer stalled millis={}"),
+
+	/** A request goes to another engine, as a sidecar does not respond. */
+	REQUEST_DIVERTED(869, Level.INFO, "request={} diverted from={} to={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
@@ -5,12 +5,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.admission.LengthEstimator;
+import io.dotterelcrank.process.stall.StallMonitor;
 
 /**
  * Decides at a sidecar which requests its engine admits. Addresses the load pattern of
@@ -58,13 +60,19 @@
 	/** Output lengths of requests that ended here. */
 	private final LengthEstimator lengths = LengthEstimator.create();
 
+	private final StallMonitor stallMonitor;
+
 	private double typicalPromptTokens = INITIAL_PROMPT_TOKENS;
 
+	/** When an admitted request last produced its first event; 0 before. */
+	private long lastStartMillis;
+
 	/** {@code null} before the first report. */
 	private EngineLoad lastReport;
 
 	private AdmissionLedger(Clock clock) {
 		this.clock = clock;
+		this.stallMonitor = StallMonitor.of(clock);
 	}
 
 	/**
@@ -101,10 +109,25 @@
 			}
 		}
 		this.prefilledTokens = prefilledById;
+		this.stallMonitor
+			.update(new StallMonitor.Observation(load.bornMillis(), load.waiting(), prefilledById, started));
+		recordPrefill(started);
 		this.admitted.keySet().removeAll(started);
 		expireUnreported(load.waiting());
 	}
 
+	private void recordPrefill(Set<String> started) {
+		List<AdmittedRequest> completed = started.stream().map(this.admitted::get).filter(Objects::nonNull).toList();
+		if (completed.isEmpty()) {
+			return;
+		}
+		long nowMillis = this.clock.millis();
+		long firstMillis = completed.stream().mapToLong(AdmittedRequest::admittedMillis).min().orElse(nowMillis);
+		this.stallMonitor.recordPrefill(completed.stream().mapToLong(AdmittedRequest::promptTokens).sum(),
+				nowMillis - Math.max(firstMillis, this.lastStartMillis));
+		this.lastStartMillis = nowMillis;
+	}
+
 	private void updateRunning(List<EngineReport.ActiveRequest> activeRequests) {
 		Map<String, Long> running = new HashMap<>();
 		activeRequests.forEach((request) -> running.put(request.id(), request.tokens()));
@@ -164,8 +187,8 @@
 
 	/**
 	 * Returns the last reported load, with estimates of the prompt tokens not yet
-	 * prefilled (those of admitted requests, and an assumed number for each other one)
-	 * and of the tokens still to be produced.
+	 * prefilled (those of admitted requests, an assumed number for each other one, and
+	 * those that a stall costs) and of the tokens still to be produced.
 	 * @return the load, or {@code null} before the first report
 	 */
 	public EngineLoad load() {
@@ -195,7 +218,24 @@
 			}
 		}
 		int unknownWaiting = Math.max(0, this.lastReport.waiting() - unreported);
-		return tokens + unknownWaiting * unknownPendingTokens();
+		return tokens + unknownWaiting * unknownPendingTokens()
+				+ this.stallMonitor.stalledTokens(largestPendingPromptTokens());
+	}
+
+	private long largestPendingPromptTokens() {
+		return this.admitted.values()
+			.stream()
+			.mapToLong(AdmittedRequest::promptTokens)
+			.reduce(typicalPromptTokens(), Math::max);
+	}
+
+	/**
+	 * Returns how long the engine has started none of the requests that it holds, or has
+	 * not reported at all.
+	 * @return time in milliseconds; 0 if it is not stalled
+	 */
+	public long stalledMillis() {
+		return this.stallMonitor.stalledMillis(largestPendingPromptTokens());
 	}
 
 	private long unknownPendingTokens() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
@@ -12,8 +12,8 @@
  * Asks the sidecar beside an engine to admit a generation before it is sent there.
  * Addresses the load pattern of many entry hosts that place requests by the same load
  * report. Invariants: at most one admission request of a generation awaits its response;
- * an unresponsive sidecar delays the generation once by {@link #TIMEOUT_MILLIS} but never
- * causes a refusal. Confined to the traffic thread.
+ * unresponsive sidecars delay the generation at most twice by {@link #TIMEOUT_MILLIS} but
+ * never cause a refusal. Confined to the traffic thread.
  */
 final class AdmissionRequester {
 
@@ -96,7 +96,7 @@
 		LogEvent.ADMISSION_TIMED_OUT.log(logger, this.request.id(), unresponsive.id(), TIMEOUT_MILLIS);
 		unresponsive.backOffSidecar(SIDECAR_BACKOFF_MILLIS);
 		cancel();
-		this.placement.sendOrPlaceAgain(unresponsive);
+		this.placement.sidecarTimedOut(unresponsive);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
@@ -40,6 +40,10 @@
 		this.registry.counter("rooms.refused").inc();
 	}
 
+	void recordDiverted() {
+		this.registry.counter("admissions.diverted").inc();
+	}
+
 	void recordQuarantined() {
 		this.registry.counter("quarantine.refused").inc();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -1,6 +1,9 @@
 package io.dotterelcrank.process.relay;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -68,6 +71,9 @@
 	/** Whether the caller was refused before. */
 	private boolean returned;
 
+	/** Whether the request left an engine because its sidecar did not respond. */
+	private boolean diverted;
+
 	RequestPlacement(RelayedRequest request, RelayService relayService) {
 		this.request = request;
 		this.relayService = relayService;
@@ -100,13 +106,9 @@
 			return false;
 		}
 		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
-		TargetPool.Choice choice = this.relayService.targetPool()
-			.choose(this.request.service(), demand, this.request.attempts().triedTargetIds());
+		TargetPool.Choice choice = choose(demand);
 		if (choice.target() != null) {
-			if (this.request.service().engine().isEmpty()
-					|| !this.admissionRequester.trySend(choice.target(), demand)) {
-				sendOrPlaceAgain(choice.target());
-			}
+			requestAdmissionOrSend(choice.target(), demand);
 			return true;
 		}
 		if (this.relayService.awaitsFirstTargets()) {
@@ -120,6 +122,58 @@
 		return refusedForLackOfCapacity();
 	}
 
+	/**
+	 * Chooses a target, preferably an engine whose sidecar responds: the state of one
+	 * whose sidecar does not is unknown, and it may be silent too.
+	 * @param demand resources that the request needs
+	 * @return the chosen target, if any
+	 */
+	private TargetPool.Choice choose(PlacementStrategy.Demand demand) {
+		Set<String> unresponsive = idsWithUnresponsiveSidecar();
+		TargetPool.Choice choice = chooseExcept(unresponsive, demand);
+		return (choice.target() != null || unresponsive.isEmpty()) ? choice : chooseExcept(Set.of(), demand);
+	}
+
+	private TargetPool.Choice chooseExcept(Set<String> ids, PlacementStrategy.Demand demand) {
+		Set<String> excluded = new HashSet<>(this.request.attempts().triedTargetIds());
+		excluded.addAll(ids);
+		return this.relayService.targetPool().choose(this.request.service(), demand, excluded);
+	}
+
+	private Set<String> idsWithUnresponsiveSidecar() {
+		return this.relayService.targetPool()
+			.accepting(this.request.service())
+			.stream()
+			.filter(TrackedTarget::sidecarInBackoff)
+			.map(TrackedTarget::id)
+			.collect(Collectors.toSet());
+	}
+
+	private void requestAdmissionOrSend(TrackedTarget target, PlacementStrategy.Demand demand) {
+		boolean engine = this.request.service().engine().isPresent();
+		if (!engine || !this.admissionRequester.trySend(target, demand)) {
+			sendOrPlaceAgain(target);
+		}
+	}
+
+	/**
+	 * Handles an admission request without a response: another engine is asked, once, and
+	 * else the request is sent without admission.
+	 * @param target target whose sidecar did not respond
+	 */
+	void sidecarTimedOut(TrackedTarget target) {
+		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
+		TrackedTarget other = this.diverted ? null : chooseExcept(idsWithUnresponsiveSidecar(), demand).target();
+		if (other == null) {
+			sendOrPlaceAgain(target);
+			return;
+		}
+		this.diverted = true;
+		LogEvent.REQUEST_DIVERTED.log(logger, this.request.id(), target.id(), other.id());
+		this.relayService.metrics().recordDiverted();
+		requestAdmissionOrSend(other, demand);
+	}
+
 	private boolean refusedForItsContent() {
 		Optional<Culprit> culprit = this.request.content().culprit();
 		culprit.ifPresent((found) -> {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionLedgerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionLedgerTests.java
@@ -152,4 +152,33 @@
 		assertThat(this.ledger.load().unreadTokens()).isZero();
 	}
 
+	@Test
+	void manyHostsAskInVainWhileThePromptsOfTheEngineDoNotStart() {
+		this.ledger.updateLoad(load(3, 0, 9_000, false), List.of(new EngineReport.ActiveRequest("x", 3_000, 9)));
+		assertThat(tryAdmit("first", 0)).isTrue();
+		for (int report = 0; report < 50; report++) {
+			this.clock.advance(60);
+			this.ledger.updateLoad(load(3, 1, 9_000, false), List.of(new EngineReport.ActiveRequest("x", 3_000, 9)));
+		}
+		for (int host = 0; host < 30; host++) {
+			assertThat(tryAdmit("r" + host, MEMORY_TOKENS)).isFalse();
+		}
+		assertThat(this.ledger.stalledMillis()).isPositive();
+		this.ledger.updateLoad(load(4, 0, 12_000, false), List.of(new EngineReport.ActiveRequest("first", 3_000, 1)));
+		assertThat(this.ledger.stalledMillis()).isZero();
+		assertThat(this.ledger.load().unreadTokens()).isZero();
+		assertThat(tryAdmit("next", 0)).isTrue();
+	}
+
+	@Test
+	void engineThatGoesSilentAdmitsNoMoreAfterHalfASecond() {
+		this.ledger.updateLoad(load(3, 0, 9_000, false), List.of());
+		this.clock.advance(200);
+		assertThat(tryAdmit("early", 0)).isTrue();
+		this.clock.advance(1_300);
+		assertThat(tryAdmit("late", MEMORY_TOKENS)).isFalse();
+		this.ledger.updateLoad(load(4, 0, 12_000, false), List.of(new EngineReport.ActiveRequest("early", 3_000, 1)));
+		assertThat(tryAdmit("again", 0)).isTrue();
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionRequesterTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionRequesterTests.java
@@ -78,19 +78,59 @@
 	}
 
 	@Test
-	void unresponsiveSidecarDelaysOnlyOneRequest() {
+	void requestLeavesAnEngineWhoseSidecarIsSilentForOneThatResponds() {
 		this.fixture.accept("/notes/1", this.caller);
+		String silent = engineAskedForAdmission();
 		this.fixture.advance(AdmissionRequester.TIMEOUT_MILLIS);
+		assertThat(sendCount()).isZero();
+		assertThat(this.fixture.relayService().targetPool().find(silent).orElseThrow().sidecarInBackoff()).isTrue();
+		String responsive = engineAskedForAdmission();
+		assertThat(responsive).isNotEqualTo(silent);
+		respond(0, true, silent, 0);
+		assertThat(sendCount()).isZero();
+		respond(1, true, responsive, 0);
 		assertThat(sendCount()).isOne();
-		TrackedTarget unresponsive = this.fixture.relayService()
-			.targetPool()
-			.find(this.fixture.targetClient().exchange(0).request().target().id())
-			.orElseThrow();
-		assertThat(unresponsive.sidecarInBackoff()).isTrue();
-		respond(0, true, unresponsive.id(), 0);
+		assertThat(this.fixture.targetClient().exchange(0).request().target().id()).isEqualTo(responsive);
+	}
+
+	@Test
+	void unresponsiveSidecarsDelayARequestTwiceAtMost() {
+		this.fixture.accept("/notes/1", this.caller);
+		this.fixture.advance(2 * AdmissionRequester.TIMEOUT_MILLIS);
+		assertThat(sendCount()).isOne();
+		String unresponsive = this.fixture.targetClient().exchange(0).request().target().id();
+		assertThat(this.fixture.relayService().targetPool().find(unresponsive).orElseThrow().sidecarInBackoff())
+			.isTrue();
+		respond(1, true, unresponsive, 0);
 		assertThat(sendCount()).isOne();
 	}
 
+	@Test
+	void unresponsiveSidecarDelaysARequestOnceIfNoOtherEngineHasRoom() {
+		List.of("e2", "e3").forEach((engine) -> this.fixture.reportLoad(engine, 6, RelayFixture.MEMORY_TOKENS));
+		this.fixture.accept("/notes/1", this.caller);
+		this.fixture.advance(AdmissionRequester.TIMEOUT_MILLIS);
+		assertThat(sendCount()).isOne();
+		this.fixture.accept("/notes/2", new RecordingCallerChannel());
+		assertThat(sendCount()).isEqualTo(2);
+	}
+
+	@Test
+	void laterRequestsGoToEnginesWhoseSidecarsRespondWhileThereIsRoom() {
+		this.fixture.accept("/notes/1", this.caller);
+		String silent = engineAskedForAdmission();
+		this.fixture.advance(AdmissionRequester.TIMEOUT_MILLIS);
+		respond(1, true, engineAskedForAdmission(), 0);
+		for (int i = 2; i < 5; i++) {
+			this.fixture.accept("/notes/1", new RecordingCallerChannel());
+			respond(i, true, silent, 0);
+		}
+		assertThat(sendCount()).isEqualTo(4);
+		for (int i = 0; i < 4; i++) {
+			assertThat(this.fixture.targetClient().exchange(i).request().target().id()).isNotEqualTo(silent);
+		}
+	}
+
 	@Test
 	void requestIsNotSentAfterCallerDisconnectsBeforeTheAdmission() {
 		RelayedRequest relayed = this.fixture.accept("/notes/1", this.caller);
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/stall/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of {@link io.dotterelcrank.process.stall}.
+ */
+package io.dotterelcrank.process.stall;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -99,6 +99,9 @@
 	/** Whether the last poll succeeded. */
 	private boolean engineReachable = true;
 
+	/** How long the engine was stalled at the last poll, in milliseconds. */
+	private long stalledMillis;
+
 	private RelaySidecarDaemon(RelaySidecarSettings settings, RelayPlatform platform) {
 		this.settings = settings;
 		this.platform = platform;
@@ -118,8 +121,8 @@
 
 	@Override
 	public void start() throws IOException {
-		this.runtime
-			.serveMetrics(() -> Map.of("load", String.valueOf(this.lastReportedLoad), "links", this.links.size()));
+		this.runtime.serveMetrics(() -> Map.of("load", String.valueOf(this.lastReportedLoad), "links",
+				this.links.size(), "stalledMillis", this.stalledMillis));
 		this.runtime.readMembers(this::updateLinks);
 		this.runtime.controlScheduler().execute(() -> {
 			updateLinks();
@@ -148,6 +151,7 @@
 		this.platform.fetchEngineReport(this.runtime.httpClient(), this.settings.engine())
 			.whenComplete((report, failure) -> this.runtime.controlScheduler().execute(() -> {
 				handleEngineReport(report, failure);
+				logStall();
 				this.runtime.controlScheduler().schedule(ENGINE_POLL_MILLIS, this::pollEngine);
 			}));
 	}
@@ -175,15 +179,27 @@
 		}
 	}
 
+	private void logStall() {
+		long stalledBefore = this.stalledMillis;
+		this.stalledMillis = this.ledger.stalledMillis();
+		if (stalledBefore == 0 && this.stalledMillis > 0) {
+			LogEvent.ENGINE_STALLED.log(logger, this.settings.engine(), this.stalledMillis, this.ledger.load());
+		}
+		else if (stalledBefore > 0 && this.stalledMillis == 0) {
+			LogEvent.ENGINE_STALL_ENDED.log(logger, this.settings.engine(), stalledBefore);
+		}
+	}
+
 	/**
-	 * Responds to an admission request. While the engine's load cannot be read there is
-	 * no response, and the entry host decides after a timeout.
+	 * Responds to an admission request. While the engine's load cannot be read it admits
+	 * nothing; before the first report there is no response, and the entry host decides
+	 * after a timeout.
 	 * @param link link to the entry host
 	 * @param request tokens that the request needs
 	 */
 	private void handleAdmissionRequest(Link link, Message.AdmissionRequest request) {
-		if (this.engineReachable && this.ledger.load() != null) {
-			boolean admitted = this.ledger.tryAdmit(request);
+		if (this.ledger.load() != null) {
+			boolean admitted = this.engineReachable && this.ledger.tryAdmit(request);
 			link.send(new Message.AdmissionResponse(request.requestNumber(), admitted, this.ledger.load()));
 		}
 	}
