Let long latency goals yield to short ones at the engines

Cause: each generation may wait behind 0.6 of its own latency goal of unread prompts. With goals of 4 s and 1.5 s at the same engines, a burst of the former fills all engines beyond what the latter can wait, so that these wait at their hosts while the former have seconds to spare.

Change: a generation whose goal is at least 1.6 times the shortest one in the recent mix is sent only where its own prompt still leaves that goal's queue, until its time left is as short. Decided by the entry host, enforced by the sidecar with the limit that each request names already; messages are unchanged. Services with one goal, or with goals close together, are served as before. Log event DC870, metrics of first events by prompt size, of yields and of refusals after them.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -219,7 +219,10 @@
 	ENGINE_STALL_ENDED(868, Level.INFO, "engine={} no longer stalled millis={}"),
 
 	/** A request goes to another engine, as a sidecar does not respond. */
-	REQUEST_DIVERTED(869, Level.INFO, "request={} diverted from={} to={}");
+	REQUEST_DIVERTED(869, Level.INFO, "request={} diverted from={} to={}"),
+
+	/** A generation waits so that others with a shorter latency goal find room. */
+	PROMPT_YIELDS(870, Level.INFO, "request={} yields service={} promptTokens={} goal={} maxQueueMillis={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -13,6 +14,8 @@
 import io.dotterelcrank.process.overload.ReturnDetector;
 import io.dotterelcrank.process.overload.ReturnSchedule;
 import io.dotterelcrank.process.overload.WaitingOrder;
+import io.dotterelcrank.process.prefill.GoalMix;
+import io.dotterelcrank.process.prefill.PrefillBudget;
 import io.dotterelcrank.version.plan.Route;
 import io.dotterelcrank.version.plan.ServiceSpec;
 
@@ -54,6 +57,9 @@
 	/** Detectors by route. */
 	private final Map<String, ReturnDetector> returnDetectors = new HashMap<>();
 
+	/** Latency goals of the arrivals by service. */
+	private final Map<String, GoalMix> goalMixes = new HashMap<>();
+
 	/** Number of entry hosts, this one included. */
 	private int entryHosts = 1;
 
@@ -76,6 +82,7 @@
 		Route route = request.route();
 		if (request.service().engine().isPresent()) {
 			backlog(request.service()).recordArrival(request.demand().expectedTotalTokens());
+			goalMix(request.service()).recordArrival(route.latencyGoalMillis());
 		}
 		return this.returnDetectors.computeIfAbsent(route.name(), (name) -> new ReturnDetector())
 			.recordArrival(request.request().deadlineMillis());
@@ -157,6 +164,29 @@
 		return capacity;
 	}
 
+	/**
+	 * Returns the budget of unread prompts for the generations of a service.
+	 * @param service the service
+	 * @return budget for the present mix of latency goals
+	 */
+	PrefillBudget prefillBudget(ServiceSpec service) {
+		return PrefillBudget.of(goalMix(service).shortestGoalMillis());
+	}
+
+	/**
+	 * Returns the shortest latency goal among the generations of each service.
+	 * @return goals in milliseconds by service, for dumps
+	 */
+	Map<String, Long> shortestGoals() {
+		Map<String, Long> goals = new TreeMap<>();
+		this.goalMixes.forEach((service, mix) -> goals.put(service, mix.shortestGoalMillis()));
+		return goals;
+	}
+
+	private GoalMix goalMix(ServiceSpec service) {
+		return this.goalMixes.computeIfAbsent(service.name(), (name) -> GoalMix.of(this.clock));
+	}
+
 	private Backlog backlog(ServiceSpec service) {
 		return this.backlogs.computeIfAbsent(service.name(), (name) -> Backlog.of(this.clock));
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -66,6 +66,16 @@
 					this.entryHosts, this.maxQueueMillis, this.maxMemoryFraction, tokens);
 		}
 
+		/**
+		 * Returns this demand for engines with another length of the prefill queue.
+		 * @param millis time that prefill of the prompts ahead may take, in milliseconds
+		 * @return the changed demand
+		 */
+		Demand withMaxQueueMillis(long millis) {
+			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
+					this.entryHosts, millis, this.maxMemoryFraction, this.reserveTokens);
+		}
+
 		/**
 		 * Returns this demand with memory for the prompt only.
 		 * @return the smaller demand
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
@@ -9,6 +9,10 @@
  */
 final class RelayMetrics {
 
+	private static final long MIN_SIZE_CLASS_TOKENS = 1_024;
+
+	private static final long MAX_SIZE_CLASS_TOKENS = 16_384;
+
 	private final MetricRegistry registry;
 
 	RelayMetrics(MetricRegistry registry) {
@@ -44,6 +48,28 @@
 		this.registry.counter("admissions.diverted").inc();
 	}
 
+	void recordYield() {
+		this.registry.counter("prefill.yielded").inc();
+	}
+
+	void recordRefusedAfterYield() {
+		this.registry.counter("prefill.refused").inc();
+	}
+
+	/**
+	 * Records the time to the first event, by the size of the prompt.
+	 * @param promptTokens tokens of the prompt
+	 * @param millis time since the request arrived, in milliseconds
+	 */
+	void recordFirstEvent(long promptTokens, long millis) {
+		long upTo = MIN_SIZE_CLASS_TOKENS;
+		while (upTo < promptTokens && upTo < MAX_SIZE_CLASS_TOKENS) {
+			upTo *= 2;
+		}
+		String sizeClass = (promptTokens <= upTo) ? "to-" + upTo : "longer";
+		this.registry.timer("first-event.prompt-" + sizeClass + ".millis").update(millis, TimeUnit.MILLISECONDS);
+	}
+
 	void recordQuarantined() {
 		this.registry.counter("quarantine.refused").inc();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -468,6 +468,7 @@
 		dump.put("entryHosts", this.entryHosts);
 		dump.put("requestsUnderWay", this.activeRequests.size());
 		dump.put("requestsWaiting", this.waiting.size());
+		dump.put("shortestGoalMillis", this.overloadControl.shortestGoals());
 		dump.put("stoppingMillis", this.drainState.millis());
 		dump.put("quarantined", this.quarantine.culprits());
 		dump.put("targets", this.targetPool.targets().stream().map(TrackedTarget::dump).toList());
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -405,6 +405,7 @@
 		}
 		if (this.progress.recordEvent(event, now())) {
 			statistics().recordFirstEvent(attempt.prefillTokens(), now() - attempt.sentMillis());
+			this.relayService.metrics().recordFirstEvent(demand().promptTokens(), this.progress.firstEventMillis());
 		}
 		this.caller.write(event.bytes());
 		if (!this.caller.writable()) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -10,6 +10,7 @@
 
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.process.overload.RefusalPolicy;
+import io.dotterelcrank.process.prefill.PrefillBudget;
 import io.dotterelcrank.process.quarantine.Culprit;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.ResultCode;
@@ -37,18 +38,14 @@
 	 */
 	static final double ON_TIME_GOAL_FRACTION = 0.7;
 
-	/**
-	 * Fraction of the latency goal that prefill of the prompts ahead may take; beyond it
-	 * the generation waits at the entry host, where it can still go elsewhere.
-	 */
-	static final double MAX_QUEUE_GOAL_FRACTION = 0.6;
-
 	/** Min retry delay suggested to refused callers, in milliseconds. */
 	private static final long MIN_RETRY_AFTER_MILLIS = 200;
 
 	/** Max jitter added to the suggested retry delay, in milliseconds. */
 	private static final int RETRY_AFTER_JITTER_MILLIS = 800;
 
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	private static final Logger logger = LoggerFactory.getLogger(RequestPlacement.class);
 
 	private final RelayedRequest request;
@@ -74,6 +71,9 @@
 	/** Whether the request left an engine because its sidecar did not respond. */
 	private boolean diverted;
 
+	/** Whether the request has waited to leave room for more urgent ones. */
+	private boolean yielded;
+
 	RequestPlacement(RelayedRequest request, RelayService relayService) {
 		this.request = request;
 		this.relayService = relayService;
@@ -105,7 +105,7 @@
 		if (startsOrAwaitsLoadSample()) {
 			return false;
 		}
-		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
+		PlacementStrategy.Demand demand = demandOfNewExecution();
 		TargetPool.Choice choice = choose(demand);
 		if (choice.target() != null) {
 			requestAdmissionOrSend(choice.target(), demand);
@@ -119,6 +119,7 @@
 					"no target of service " + this.request.service().name() + " accepts requests");
 			return true;
 		}
+		recordYield(demand);
 		return refusedForLackOfCapacity();
 	}
 
@@ -162,7 +163,7 @@
 	 * @param target target whose sidecar did not respond
 	 */
 	void sidecarTimedOut(TrackedTarget target) {
-		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
+		PlacementStrategy.Demand demand = demandOfNewExecution();
 		TrackedTarget other = this.diverted ? null : chooseExcept(idsWithUnresponsiveSidecar(), demand).target();
 		if (other == null) {
 			sendOrPlaceAgain(target);
@@ -212,6 +213,9 @@
 			return false;
 		}
 		this.returnDelayMillis = control.returnDelayMillis(this.request, wait);
+		if (this.yielded) {
+			this.relayService.metrics().recordRefusedAfterYield();
+		}
 		LogEvent.REQUEST_REFUSED.log(logger, this.request.id(), this.request.service().name(), wait.waitedMillis(),
 				wait.startMillis(), wait.lateStartMillis(), wait.usefulMillis(), this.returnDelayMillis, this.returned);
 		this.request.endInFailure(ResultCode.OVERLOADED,
@@ -322,7 +326,36 @@
 	PlacementStrategy.Demand demand() {
 		return PlacementStrategy.Demand.of(this.request.request().traits(), this.relayService.settings().dataCentre(),
 				this.relayService.entryHosts(),
-				Math.round(this.request.route().latencyGoalMillis() * MAX_QUEUE_GOAL_FRACTION));
+				Math.round(this.request.route().latencyGoalMillis() * PrefillBudget.MAX_QUEUE_GOAL_FRACTION));
+	}
+
+	/**
+	 * Returns the demand of a new execution, which leaves room for more urgent ones.
+	 * @return the stricter demand
+	 */
+	private PlacementStrategy.Demand demandOfNewExecution() {
+		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
+		return this.request.service().engine().isEmpty() ? demand
+				: demand.withMaxQueueMillis(prefillBudget().maxQueueMillis(prompt(demand)));
+	}
+
+	private PrefillBudget prefillBudget() {
+		return this.relayService.overloadControl().prefillBudget(this.request.service());
+	}
+
+	private PrefillBudget.Prompt prompt(PlacementStrategy.Demand demand) {
+		long prefillMillis = Math
+			.round(MILLIS_PER_SECOND * demand.promptTokens() / this.request.statistics().prefillTokensPerSecond());
+		return new PrefillBudget.Prompt(prefillMillis, this.request.route().latencyGoalMillis(), waitedMillis());
+	}
+
+	private void recordYield(PlacementStrategy.Demand demand) {
+		if (!this.yielded && this.request.service().engine().isPresent() && prefillBudget().yields(prompt(demand))) {
+			this.yielded = true;
+			LogEvent.PROMPT_YIELDS.log(logger, this.request.id(), this.request.service().name(), demand.promptTokens(),
+					this.request.route().latencyGoalMillis(), demand.maxQueueMillis());
+			this.relayService.metrics().recordYield();
+		}
 	}
 
 }
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/prefill/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of {@link io.dotterelcrank.process.prefill}.
+ */
+package io.dotterelcrank.process.prefill;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -112,6 +112,7 @@
 		ServiceSpec desk = new ServiceSpec("desk", 100, 0, Optional.empty());
 		return ServingPlan.of(version,
 				List.of(route("/notes/", RequestKind.STREAMING, 39_000, 1_800, "bench", 1),
+						route("/summary/", RequestKind.STREAMING, 39_000, 4_000, "bench", 1),
 						route("/order/", RequestKind.NON_IDEMPOTENT, 800, 300, "desk", 1),
 						route("/lookup/", RequestKind.IDEMPOTENT, 800, 300, "desk", 2)),
 				List.of(bench, desk), List.of(new Workspace("shop", List.of("key"), OptionalInt.of(3))),
@@ -171,7 +172,7 @@
 	}
 
 	RelayedRequest accept(String path, String key, RecordingCallerChannel caller) {
-		boolean generation = path.startsWith("/notes/");
+		boolean generation = path.startsWith("/notes/") || path.startsWith("/summary/");
 		Optional<GenerationTraits> traits = generation
 				? Optional.of(new GenerationTraits(3_000, 900, OptionalLong.empty(), List.of())) : Optional.empty();
 		this.requestCount++;
