Let the ledger refuse while its engine cannot be read

The decision was in the sidecar daemon, where no test reached it; it is now AdmissionLedger.recordUnreadable. A test shows that a generation which its engine gives back late as not executed starts at another one, which held before.

Tests: AdmissionLedgerTests, StallMonitorTests, AdmissionRequesterTests, RelayedRequestTests, Mixed*Tests, RelayEntry* green.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
@@ -70,6 +70,9 @@
 	/** {@code null} before the first report. */
 	private EngineLoad lastReport;
 
+	/** Whether the last attempt to read a report succeeded. */
+	private boolean readable;
+
 	private AdmissionLedger(Clock clock) {
 		this.clock = clock;
 		this.stallMonitor = StallMonitor.of(clock);
@@ -97,6 +100,7 @@
 			this.runningTokens = Map.of();
 		}
 		this.lastReport = load;
+		this.readable = true;
 		updateRunning(activeRequests);
 		Map<String, Long> prefilledById = new HashMap<>();
 		Set<String> started = new HashSet<>();
@@ -116,6 +120,13 @@
 		expireUnreported(load.waiting());
 	}
 
+	/**
+	 * Records that the engine's report cannot be read. Nothing is admitted until one can.
+	 */
+	public void recordUnreadable() {
+		this.readable = false;
+	}
+
 	private void recordPrefill(Set<String> started) {
 		List<AdmittedRequest> completed = started.stream().map(this.admitted::get).filter(Objects::nonNull).toList();
 		if (completed.isEmpty()) {
@@ -251,7 +262,7 @@
 	public boolean tryAdmit(Message.AdmissionRequest request) {
 		this.typicalPromptTokens += EWMA_WEIGHT * (request.promptTokens() - this.typicalPromptTokens);
 		EngineLoad load = load();
-		if (load == null || load.leaving()) {
+		if (!this.readable || load.leaving()) {
 			return false;
 		}
 		boolean queueTooLong = load.unreadTokens() > request.knownPendingPrefillTokens()
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionLedgerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdmissionLedgerTests.java
@@ -181,4 +181,13 @@
 		assertThat(tryAdmit("again", 0)).isTrue();
 	}
 
+	@Test
+	void nothingIsAdmittedWhileTheEngineCannotBeRead() {
+		this.ledger.updateLoad(load(1, 0, 0, false), List.of());
+		this.ledger.recordUnreadable();
+		assertThat(tryAdmit("a", MEMORY_TOKENS)).isFalse();
+		this.ledger.updateLoad(load(1, 0, 0, false), List.of());
+		assertThat(tryAdmit("a", 0)).isTrue();
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -74,6 +74,21 @@
 		assertThat(this.caller.status()).isEqualTo(200);
 	}
 
+	@Test
+	void generationThatItsEngineGivesBackLateStartsAtAnotherOne() {
+		this.fixture.accept("/notes/1", this.caller);
+		for (int i = 0; i < 5; i++) {
+			this.fixture.advance(1_000);
+			List.of("e1", "e2", "e3").forEach((engine) -> this.fixture.reportLoad(engine, 2, 3_000));
+		}
+		assertThat(sendCount()).isOne();
+		exchange(0).refuse(503);
+		assertThat(sendCount()).isEqualTo(2);
+		assertThat(exchange(1).request().target().id()).isNotEqualTo(exchange(0).request().target().id());
+		exchange(1).startStream();
+		assertThat(this.caller.status()).isEqualTo(200);
+	}
+
 	@Test
 	void nonIdempotentRequestRefusedByAllTargetsIsReportedAsNotRun() {
 		this.fixture.accept("/order/1", this.caller);
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -162,6 +162,7 @@
 				LogEvent.ENGINE_LOAD_UNREADABLE.log(logger, this.settings.engine(), failure.getMessage());
 			}
 			this.engineReachable = false;
+			this.ledger.recordUnreadable();
 			return;
 		}
 		this.engineReachable = true;
@@ -199,7 +200,7 @@
 	 */
 	private void handleAdmissionRequest(Link link, Message.AdmissionRequest request) {
 		if (this.ledger.load() != null) {
-			boolean admitted = this.engineReachable && this.ledger.tryAdmit(request);
+			boolean admitted = this.ledger.tryAdmit(request);
 			link.send(new Message.AdmissionResponse(request.requestNumber(), admitted, this.ledger.load()));
 		}
 	}
