--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -215,6 +215,18 @@
 	/** A request is refused, as its content crashes targets. */
 	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
 
+	/** An engine starts none of the requests that it holds, or does not report. */
+	ENGINE_STALLED(867, Level.WARN, "engine={} stalled millis={} load={}"),
+
+	/** An engine starts requests again. */
+	ENGINE_STALL_ENDED(868, Level.INFO, "engine={} no longer stalled millis={}"),
+
+	/** A request goes to another engine, as a sidecar does not respond. */
+	REQUEST_DIVERTED(869, Level.INFO, "request={} diverted from={} to={}"),
+
+	/** A generation waits so that others with a shorter latency goal find room. */
+	PROMPT_YIELDS(870, Level.INFO, "request={} yields service={} promptTokens={} goal={} maxQueueMillis={}"),
+
 	/** The speed of an engine has changed by half. */
 	ENGINE_SPEED_CHANGED(874, Level.INFO,
 			"engine={} prefillPerSecond={} stepMillis={} quietStepMillis={} disturbedStepMillis={}"),
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 import io.dotterelcrank.common.Clock;
@@ -12,6 +13,7 @@
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.admission.LengthEstimator;
 import io.dotterelcrank.process.speed.EngineSpeedMeter;
+import io.dotterelcrank.process.stall.StallMonitor;
 
 /**
  * Decides at a sidecar which requests its engine admits. Addresses the load pattern of
@@ -62,13 +64,22 @@
 	/** Begins anew when the engine restarts. */
 	private EngineSpeedMeter speedMeter = EngineSpeedMeter.create();
 
+	private final StallMonitor stallMonitor;
+
 	private double typicalPromptTokens = INITIAL_PROMPT_TOKENS;
 
+	/** When an admitted request last produced its first event; 0 before. */
+	private long lastStartMillis;
+
 	/** {@code null} before the first report. */
 	private EngineLoad lastReport;
 
+	/** Whether the last attempt to read a report succeeded. */
+	private boolean readable;
+
 	private AdmissionLedger(Clock clock) {
 		this.clock = clock;
+		this.stallMonitor = StallMonitor.of(clock);
 	}
 
 	/**
@@ -98,6 +109,7 @@
 				activeRequests.stream()
 					.map((request) -> new EngineSpeedMeter.Run(request.id(), request.tokens(), request.events()))
 					.toList());
+		this.readable = true;
 		updateRunning(activeRequests);
 		Map<String, Long> prefilledById = new HashMap<>();
 		Set<String> started = new HashSet<>();
@@ -110,10 +122,32 @@
 			}
 		}
 		this.prefilledTokens = prefilledById;
+		this.stallMonitor
+			.update(new StallMonitor.Observation(load.bornMillis(), load.waiting(), prefilledById, started));
+		recordPrefill(started);
 		this.admitted.keySet().removeAll(started);
 		expireUnreported(load.waiting());
 	}
 
+	/**
+	 * Records that the engine's report cannot be read. Nothing is admitted until one can.
+	 */
+	public void recordUnreadable() {
+		this.readable = false;
+	}
+
+	private void recordPrefill(Set<String> started) {
+		List<AdmittedRequest> completed = started.stream().map(this.admitted::get).filter(Objects::nonNull).toList();
+		if (completed.isEmpty()) {
+			return;
+		}
+		long nowMillis = this.clock.millis();
+		long firstMillis = completed.stream().mapToLong(AdmittedRequest::admittedMillis).min().orElse(nowMillis);
+		this.stallMonitor.recordPrefill(completed.stream().mapToLong(AdmittedRequest::promptTokens).sum(),
+				nowMillis - Math.max(firstMillis, this.lastStartMillis));
+		this.lastStartMillis = nowMillis;
+	}
+
 	private void updateRunning(List<EngineReport.ActiveRequest> activeRequests) {
 		Map<String, Long> running = new HashMap<>();
 		activeRequests.forEach((request) -> running.put(request.id(), request.tokens()));
@@ -173,8 +207,9 @@
 
 	/**
 	 * Returns the last reported load, with estimates of the prompt tokens not yet
-	 * prefilled (those of admitted requests, and an assumed number for each other one)
-	 * and of the tokens still to be produced, and with the measured speed.
+	 * prefilled (those of admitted requests, an assumed number for each other one, and
+	 * those that a stall costs) and of the tokens still to be produced, and with the
+	 * measured speed.
 	 * @return the load, or {@code null} before the first report
 	 */
 	public EngineLoad load() {
@@ -205,7 +240,24 @@
 			}
 		}
 		int unknownWaiting = Math.max(0, this.lastReport.waiting() - unreported);
-		return tokens + unknownWaiting * unknownPendingTokens();
+		return tokens + unknownWaiting * unknownPendingTokens()
+				+ this.stallMonitor.stalledTokens(largestPendingPromptTokens());
+	}
+
+	private long largestPendingPromptTokens() {
+		return this.admitted.values()
+			.stream()
+			.mapToLong(AdmittedRequest::promptTokens)
+			.reduce(typicalPromptTokens(), Math::max);
+	}
+
+	/**
+	 * Returns how long the engine has started none of the requests that it holds, or has
+	 * not reported at all.
+	 * @return time in milliseconds; 0 if it is not stalled
+	 */
+	public long stalledMillis() {
+		return this.stallMonitor.stalledMillis(largestPendingPromptTokens());
 	}
 
 	private long unknownPendingTokens() {
@@ -221,7 +273,7 @@
 	public boolean tryAdmit(Message.AdmissionRequest request) {
 		this.typicalPromptTokens += EWMA_WEIGHT * (request.promptTokens() - this.typicalPromptTokens);
 		EngineLoad load = load();
-		if (load == null || load.leaving()) {
+		if (!this.readable || load.leaving()) {
 			return false;
 		}
 		boolean queueTooLong = load.unreadTokens() > request.knownPendingPrefillTokens()
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -406,6 +406,7 @@
 		}
 		if (this.progress.recordEvent(event, now())) {
 			attempt.recordFirstEvent(statistics());
+			this.relayService.metrics().recordFirstEvent(demand().promptTokens(), this.progress.firstEventMillis());
 		}
 		this.caller.write(event.bytes());
 		if (!this.caller.writable()) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -1,12 +1,16 @@
 package io.dotterelcrank.process.relay;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.process.overload.RefusalPolicy;
+import io.dotterelcrank.process.prefill.PrefillBudget;
 import io.dotterelcrank.process.quarantine.Culprit;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.ResultCode;
@@ -34,18 +38,14 @@
 	 */
 	static final double ON_TIME_GOAL_FRACTION = 0.7;
 
-	/**
-	 * Fraction of the latency goal that prefill of the prompts ahead may take; beyond it
-	 * the generation waits at the entry host, where it can still go elsewhere.
-	 */
-	static final double MAX_QUEUE_GOAL_FRACTION = 0.6;
-
 	/** Min retry delay suggested to refused callers, in milliseconds. */
 	private static final long MIN_RETRY_AFTER_MILLIS = 200;
 
 	/** Max jitter added to the suggested retry delay, in milliseconds. */
 	private static final int RETRY_AFTER_JITTER_MILLIS = 800;
 
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	private static final Logger logger = LoggerFactory.getLogger(RequestPlacement.class);
 
 	private final RelayedRequest request;
@@ -68,6 +68,12 @@
 	/** Whether the caller was refused before. */
 	private boolean returned;
 
+	/** Whether the request left an engine because its sidecar did not respond. */
+	private boolean diverted;
+
+	/** Whether the request has waited to leave room for more urgent ones. */
+	private boolean yielded;
+
 	RequestPlacement(RelayedRequest request, RelayService relayService) {
 		this.request = request;
 		this.relayService = relayService;
@@ -99,14 +105,10 @@
 		if (startsOrAwaitsLoadSample()) {
 			return false;
 		}
-		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
-		TargetPool.Choice choice = this.relayService.targetPool()
-			.choose(this.request.service(), demand, this.request.attempts().triedTargetIds());
+		PlacementStrategy.Demand demand = demandOfNewExecution();
+		TargetPool.Choice choice = choose(demand);
 		if (choice.target() != null) {
-			if (this.request.service().engine().isEmpty()
-					|| !this.admissionRequester.trySend(choice.target(), demand)) {
-				sendOrPlaceAgain(choice.target());
-			}
+			requestAdmissionOrSend(choice.target(), demand);
 			return true;
 		}
 		if (this.relayService.awaitsFirstTargets()) {
@@ -117,9 +119,62 @@
 					"no target of service " + this.request.service().name() + " accepts requests");
 			return true;
 		}
+		recordYield(demand);
 		return refusedForLackOfCapacity();
 	}
 
+	/**
+	 * Chooses a target, preferably an engine whose sidecar responds: the state of one
+	 * whose sidecar does not is unknown, and it may be silent too.
+	 * @param demand resources that the request needs
+	 * @return the chosen target, if any
+	 */
+	private TargetPool.Choice choose(PlacementStrategy.Demand demand) {
+		Set<String> unresponsive = idsWithUnresponsiveSidecar();
+		TargetPool.Choice choice = chooseExcept(unresponsive, demand);
+		return (choice.target() != null || unresponsive.isEmpty()) ? choice : chooseExcept(Set.of(), demand);
+	}
+
+	private TargetPool.Choice chooseExcept(Set<String> ids, PlacementStrategy.Demand demand) {
+		Set<String> excluded = new HashSet<>(this.request.attempts().triedTargetIds());
+		excluded.addAll(ids);
+		return this.relayService.targetPool().choose(this.request.service(), demand, excluded);
+	}
+
+	private Set<String> idsWithUnresponsiveSidecar() {
+		return this.relayService.targetPool()
+			.accepting(this.request.service())
+			.stream()
+			.filter(TrackedTarget::sidecarInBackoff)
+			.map(TrackedTarget::id)
+			.collect(Collectors.toSet());
+	}
+
+	private void requestAdmissionOrSend(TrackedTarget target, PlacementStrategy.Demand demand) {
+		boolean engine = this.request.service().engine().isPresent();
+		if (!engine || !this.admissionRequester.trySend(target, demand)) {
+			sendOrPlaceAgain(target);
+		}
+	}
+
+	/**
+	 * Handles an admission request without a response: another engine is asked, once, and
+	 * else the request is sent without admission.
+	 * @param target target whose sidecar did not respond
+	 */
+	void sidecarTimedOut(TrackedTarget target) {
+		PlacementStrategy.Demand demand = demandOfNewExecution();
+		TrackedTarget other = this.diverted ? null : chooseExcept(idsWithUnresponsiveSidecar(), demand).target();
+		if (other == null) {
+			sendOrPlaceAgain(target);
+			return;
+		}
+		this.diverted = true;
+		LogEvent.REQUEST_DIVERTED.log(logger, this.request.id(), target.id(), other.id());
+		this.relayService.metrics().recordDiverted();
+		requestAdmissionOrSend(other, demand);
+	}
+
 	private boolean refusedForItsContent() {
 		Optional<Culprit> culprit = this.request.content().culprit();
 		culprit.ifPresent((found) -> {
@@ -158,6 +213,9 @@
 			return false;
 		}
 		this.returnDelayMillis = control.returnDelayMillis(this.request, wait);
+		if (this.yielded) {
+			this.relayService.metrics().recordRefusedAfterYield();
+		}
 		LogEvent.REQUEST_REFUSED.log(logger, this.request.id(), this.request.service().name(), wait.waitedMillis(),
 				wait.startMillis(), wait.lateStartMillis(), wait.usefulMillis(), this.returnDelayMillis, this.returned);
 		this.request.endInFailure(ResultCode.OVERLOADED,
@@ -268,7 +326,36 @@
 	PlacementStrategy.Demand demand() {
 		return PlacementStrategy.Demand.of(this.request.request().traits(), this.relayService.settings().dataCentre(),
 				this.relayService.entryHosts(),
-				Math.round(this.request.route().latencyGoalMillis() * MAX_QUEUE_GOAL_FRACTION));
+				Math.round(this.request.route().latencyGoalMillis() * PrefillBudget.MAX_QUEUE_GOAL_FRACTION));
+	}
+
+	/**
+	 * Returns the demand of a new execution, which leaves room for more urgent ones.
+	 * @return the stricter demand
+	 */
+	private PlacementStrategy.Demand demandOfNewExecution() {
+		PlacementStrategy.Demand demand = demand().withReserve(reserveTokens());
+		return this.request.service().engine().isEmpty() ? demand
+				: demand.withMaxQueueMillis(prefillBudget().maxQueueMillis(prompt(demand)));
+	}
+
+	private PrefillBudget prefillBudget() {
+		return this.relayService.overloadControl().prefillBudget(this.request.service());
+	}
+
+	private PrefillBudget.Prompt prompt(PlacementStrategy.Demand demand) {
+		long prefillMillis = Math
+			.round(MILLIS_PER_SECOND * demand.promptTokens() / this.request.statistics().prefillTokensPerSecond());
+		return new PrefillBudget.Prompt(prefillMillis, this.request.route().latencyGoalMillis(), waitedMillis());
+	}
+
+	private void recordYield(PlacementStrategy.Demand demand) {
+		if (!this.yielded && this.request.service().engine().isPresent() && prefillBudget().yields(prompt(demand))) {
+			this.yielded = true;
+			LogEvent.PROMPT_YIELDS.log(logger, this.request.id(), this.request.service().name(), demand.promptTokens(),
+					this.request.route().latencyGoalMillis(), demand.maxQueueMillis());
+			this.relayService.metrics().recordYield();
+		}
 	}
 
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/UnequalEngines.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/UnequalEngines.java
@@ -22,6 +22,7 @@
 import io.dotterelcrank.process.limit.RatePermitClient;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
+import io.dotterelcrank.process.prefill.PrefillBudget;
 
 /**
  * Replays demand of several hosts at engines of unequal speed, with the classes that
@@ -59,7 +60,7 @@
 	private static final double PREFILL_SLOWDOWN = 2;
 
 	private static final long MAX_QUEUE_MILLIS = Math
-		.round(RequestPlacement.MAX_QUEUE_GOAL_FRACTION * LATENCY_GOAL_MILLIS);
+		.round(PrefillBudget.MAX_QUEUE_GOAL_FRACTION * LATENCY_GOAL_MILLIS);
 
 	final Clock.Manual clock = Clock.manual(10_000);
 
