Connect staged roll-outs to the store, the relay and the platform

Cause: the interfaces of roll-outs had no orders, decisions, targets or outcomes. Ruled out: keeping decisions in the status table, which an operator reads and which has no order in its records; writing the state with a plain append, which a store may execute seconds later, over a newer state. Change: settings of the bounds; orders and versions are decoded, the state is encoded; KeyedTableStore.tryAppend appends only at a given end; RolloutFeed reads and proposes decisions, RolloutReporter writes the state, PeerRolloutClient sends evidence; RolloutGate passes all that to RolloutControl, and every choice and send asks it. RolloutControl decides nothing yet, so the behaviour of whole roll-outs is not tested here. Conclusion: nothing changes with roll-outs disabled.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -116,7 +116,8 @@
 	DATA_CENTRES_OUT(809, Level.INFO, "data centres out={}"),
 
 	/** A request was sent to a target. */
-	REQUEST_SENT(821, Level.INFO, "request={} sent target={} service={} send={} cause={} backup={} plan={} load={}"),
+	REQUEST_SENT(821, Level.INFO,
+			"request={} sent target={} service={} send={} cause={} backup={} plan={} load={} version={}"),
 
 	/** A request failed at a target. */
 	SEND_FAILED(822, Level.INFO, "request={} target={} failed ran={} reason=\"{}\""),
@@ -210,7 +211,22 @@
 	QUARANTINE_LIFTED(849, Level.INFO, "content={} no longer quarantined"),
 
 	/** A request is refused, as its content crashes targets. */
-	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}");
+	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
+
+	/** Operators ordered a roll-out. */
+	ROLLOUT_ORDERED(860, Level.INFO, "service={} roll-out ordered version={} durationMillis={} order={}"),
+
+	/** The order of a roll-out was withdrawn. */
+	ROLLOUT_WITHDRAWN(861, Level.INFO, "service={} order of the roll-out withdrawn version={} order={}"),
+
+	/** A decision on a roll-out is in force. */
+	ROLLOUT_DECIDED(862, Level.INFO, "service={} roll-out decided version={} stage={} order={} reason=\"{}\""),
+
+	/** This host's decision on a roll-out was accepted, or not. */
+	ROLLOUT_PROPOSED(863, Level.INFO, "service={} decision proposed version={} stage={} outcome={}"),
+
+	/** The state of a roll-out was written for the operators. */
+	ROLLOUT_REPORTED(864, Level.INFO, "service={} state of the roll-out written version={} stage={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -157,8 +157,8 @@
 	}
 
 	/**
-	 * Resumes the generation elsewhere if its engine is draining, no longer listed, or
-	 * stalled.
+	 * Resumes the generation elsewhere if its engine is draining, no longer listed, being
+	 * replaced by another version, or stalled.
 	 */
 	void poll() {
 		boolean resumable = this.source != null && this.source.active()
@@ -169,7 +169,8 @@
 		if (this.source.backupHolder().isEmpty()) {
 			this.relayService.loadSampler().refresh(this.source.target());
 		}
-		boolean leaving = this.source.target().leaving() || !this.source.target().membership().listed();
+		boolean leaving = this.source.target().leaving() || !this.source.target().membership().listed()
+				|| this.relayService.rolloutGate().isBeingReplaced(this.source.target());
 		boolean stalled = this.request.millisSinceLastEvent() > stallTimeoutMillis();
 		if (!leaving && !stalled) {
 			return;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -73,6 +73,9 @@
 	/** Whether the event stream has lasted long enough to count as a success. */
 	private boolean settled;
 
+	/** Whether an outcome was recorded. */
+	private boolean outcomeRecorded;
+
 	/** Whether the target may still respond. */
 	private boolean active = true;
 
@@ -137,6 +140,24 @@
 		this.exchange.cancel();
 	}
 
+	/**
+	 * Cancels the exchange, since the request has ended or another attempt streams. A
+	 * target that was slow to respond is recorded with the time that it has taken so far.
+	 */
+	void abandon() {
+		boolean slow = this.request.now() - this.sentMillis >= this.request.route().latencyGoalMillis()
+				* RetryPolicy.HEDGE_AFTER_GOAL_FRACTION;
+		if (slow && !this.outcomeRecorded) {
+			recordOutcome(false);
+		}
+		cancel();
+	}
+
+	private void recordOutcome(boolean failed) {
+		this.outcomeRecorded = true;
+		this.request.attempts().recordOutcome(this.target, failed, this.request.now() - this.sentMillis);
+	}
+
 	private void detach() {
 		this.active = false;
 		this.target.recordEnd(this.outstandingRequest);
@@ -187,6 +208,9 @@
 				if (!this.active || !this.request.forwardEvent(this, event)) {
 					return;
 				}
+				if (!this.eventReceived) {
+					recordOutcome(false);
+				}
 				this.eventReceived = true;
 			}
 			if (!this.settled && this.eventReceived && streamAgeMillis() >= SETTLED_MILLIS) {
@@ -216,6 +240,7 @@
 			this.request.streamCompleted();
 			return;
 		}
+		recordOutcome(this.head.serverError());
 		if (this.head.serverError()) {
 			this.target.recordFailure();
 		}
@@ -244,6 +269,9 @@
 			this.target.connectionFailed(INITIAL_BACKOFF_MILLIS);
 		}
 		this.target.recordFailure();
+		if (ran != Ran.NO && !this.target.leavingAsAnnounced()) {
+			recordOutcome(true);
+		}
 		this.request.attemptFailed(this, ran, reason);
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayClients.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayClients.java
@@ -3,6 +3,7 @@
 import io.dotterelcrank.process.limit.RatePermitClient;
 import io.dotterelcrank.process.limit.RetryLoanClient;
 import io.dotterelcrank.process.quarantine.CrashEvidenceClient;
+import io.dotterelcrank.process.rollout.RolloutClient;
 
 /**
  * Clients of the other processes that a {@link RelayService} depends on. Immutable.
@@ -13,9 +14,11 @@
  * @param retryLoans asks other entry hosts for retry permits
  * @param ratePermits asks other entry hosts for permits of targets that name a limit
  * @param crashEvidence sends evidence of crashes to other entry hosts
+ * @param rollouts sends evidence and decisions of roll-outs
  */
 public record RelayClients(TargetClient targets, AdmissionClient admission, EngineLoadReader engineLoads,
-		RetryLoanClient retryLoans, RatePermitClient ratePermits, CrashEvidenceClient crashEvidence) {
+		RetryLoanClient retryLoans, RatePermitClient ratePermits, CrashEvidenceClient crashEvidence,
+		RolloutClient rollouts) {
 
 	/**
 	 * Creates clients that reach targets only.
@@ -25,7 +28,7 @@
 	public static RelayClients of(TargetClient targets) {
 		return new RelayClients(targets, AdmissionClient.Disabled.INSTANCE, EngineLoadReader.Disabled.INSTANCE,
 				RetryLoanClient.Disabled.INSTANCE, RatePermitClient.Disabled.INSTANCE,
-				CrashEvidenceClient.Disabled.INSTANCE);
+				CrashEvidenceClient.Disabled.INSTANCE, RolloutClient.Disabled.INSTANCE);
 	}
 
 	/**
@@ -35,7 +38,7 @@
 	 */
 	public RelayClients withAdmission(AdmissionClient client) {
 		return new RelayClients(this.targets, client, this.engineLoads, this.retryLoans, this.ratePermits,
-				this.crashEvidence);
+				this.crashEvidence, this.rollouts);
 	}
 
 	/**
@@ -45,7 +48,7 @@
 	 */
 	public RelayClients withEngineLoads(EngineLoadReader reader) {
 		return new RelayClients(this.targets, this.admission, reader, this.retryLoans, this.ratePermits,
-				this.crashEvidence);
+				this.crashEvidence, this.rollouts);
 	}
 
 	/**
@@ -55,7 +58,7 @@
 	 */
 	public RelayClients withRetryLoans(RetryLoanClient client) {
 		return new RelayClients(this.targets, this.admission, this.engineLoads, client, this.ratePermits,
-				this.crashEvidence);
+				this.crashEvidence, this.rollouts);
 	}
 
 	/**
@@ -65,7 +68,7 @@
 	 */
 	public RelayClients withRatePermits(RatePermitClient client) {
 		return new RelayClients(this.targets, this.admission, this.engineLoads, this.retryLoans, client,
-				this.crashEvidence);
+				this.crashEvidence, this.rollouts);
 	}
 
 	/**
@@ -75,7 +78,17 @@
 	 */
 	public RelayClients withCrashEvidence(CrashEvidenceClient client) {
 		return new RelayClients(this.targets, this.admission, this.engineLoads, this.retryLoans, this.ratePermits,
-				client);
+				client, this.rollouts);
+	}
+
+	/**
+	 * Returns a copy with another client for roll-outs.
+	 * @param client sends evidence and decisions
+	 * @return the changed copy
+	 */
+	public RelayClients withRollouts(RolloutClient client) {
+		return new RelayClients(this.targets, this.admission, this.engineLoads, this.retryLoans, this.ratePermits,
+				this.crashEvidence, client);
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
@@ -48,6 +48,18 @@
 		this.registry.counter("quarantine.suspects").inc();
 	}
 
+	void recordTrialSend() {
+		this.registry.counter("rollouts.trials").inc();
+	}
+
+	void recordExposureRefusal() {
+		this.registry.counter("rollouts.refused").inc();
+	}
+
+	void recordRolloutDecision(String stage) {
+		this.registry.counter("rollouts." + stage).inc();
+	}
+
 	void recordWait(long millis) {
 		this.registry.timer("queue.millis").update(millis, TimeUnit.MILLISECONDS);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -78,6 +78,8 @@
 
 	private final Quarantine quarantine;
 
+	private final RolloutGate rolloutGate;
+
 	private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
 
 	private final Set<RelayedRequest> activeRequests = new LinkedHashSet<>();
@@ -118,7 +120,8 @@
 		this.ratePermitIssuer = RatePermitIssuer.of(clock);
 		this.drainState = new DrainState(clock, settings.graceMillis());
 		this.quarantine = Quarantine.of(clock, clients.crashEvidence(), random);
-		this.targetPool = new TargetPool(clock, random, this::requestRatePermit);
+		this.rolloutGate = RolloutGate.of(clock, settings, clients.rollouts(), this.metrics);
+		this.targetPool = new TargetPool(clock, random, this::requestRatePermit, this.rolloutGate);
 		this.overloadControl = new OverloadControl(clock, this.targetPool, random);
 		this.loadSampler = new LoadSampler(clock, trafficThread, clients.engineLoads(), this.targetPool, random);
 		this.startedMillis = clock.millis();
@@ -148,6 +151,7 @@
 
 	private void poll() {
 		this.quarantine.poll();
+		this.rolloutGate.poll(this.targetPool);
 		this.activeRequests.stream()
 			.sorted(Comparator.comparingDouble(RelayedRequest::copyPriority).reversed())
 			.toList()
@@ -181,6 +185,7 @@
 	 */
 	public void updateTargets(List<Target> targets) {
 		this.targetPool.update(targets);
+		this.rolloutGate.updateTargets(targets);
 		poll();
 	}
 
@@ -405,6 +410,14 @@
 		return this.quarantine;
 	}
 
+	/**
+	 * Returns the gate that divides requests among the versions of a service.
+	 * @return the gate, which is confined to the traffic thread too
+	 */
+	public RolloutGate rolloutGate() {
+		return this.rolloutGate;
+	}
+
 	OverloadControl overloadControl() {
 		return this.overloadControl;
 	}
@@ -470,6 +483,7 @@
 		dump.put("requestsWaiting", this.waiting.size());
 		dump.put("stoppingMillis", this.drainState.millis());
 		dump.put("quarantined", this.quarantine.culprits());
+		dump.put("rollouts", this.rolloutGate.dump());
 		dump.put("targets", this.targetPool.targets().stream().map(TrackedTarget::dump).toList());
 		return dump;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelaySettings.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelaySettings.java
@@ -1,7 +1,10 @@
 package io.dotterelcrank.process.relay;
 
+import io.dotterelcrank.process.rollout.RolloutSettings;
+
 /**
- * Data centre, retry budget and time limits of an entry host. Immutable.
+ * Data centre, retry budget, time limits and bounds of roll-outs of an entry host.
+ * Immutable.
  *
  * @param dataCentre data centre of the process
  * @param retryRatio retries allowed per request; shared by all hosts
@@ -11,7 +14,26 @@
  * force, in milliseconds
  * @param graceMillis grace period: time between the signal to stop and the end of the
  * process, in milliseconds
+ * @param host name of the host; used only for roll-outs
+ * @param rollouts bounds of roll-outs
  */
 public record RelaySettings(String dataCentre, double retryRatio, double retrySlack, long retryWindowMillis,
-		long configMillis, long graceMillis) {
+		long configMillis, long graceMillis, String host, RolloutSettings rollouts) {
+
+	/**
+	 * Creates settings of a deployment without roll-outs.
+	 * @param dataCentre data centre of the process
+	 * @param retryRatio retries allowed per request; shared by all hosts
+	 * @param retrySlack additional retries allowed per window; shared by all hosts
+	 * @param retryWindowMillis length of the window, in milliseconds
+	 * @param configMillis time from the acceptance of a configuration until it must be in
+	 * force, in milliseconds
+	 * @param graceMillis grace period, in milliseconds
+	 */
+	public RelaySettings(String dataCentre, double retryRatio, double retrySlack, long retryWindowMillis,
+			long configMillis, long graceMillis) {
+		this(dataCentre, retryRatio, retrySlack, retryWindowMillis, configMillis, graceMillis, "",
+				RolloutSettings.DISABLED);
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
@@ -64,8 +64,9 @@
 		this.active.add(attempt);
 		LogEvent.REQUEST_SENT.log(logger, this.request.id(), target.id(), this.request.service().name(), this.sendCount,
 				cause, backupHolder.map(TrackedTarget::id).orElse("-"), this.relayService.plan().version(),
-				target.load());
+				target.load(), target.versionText());
 		this.relayService.metrics().recordSend(cause);
+		this.relayService.rolloutGate().recordSend(target);
 		if (target.rateGate().limit().named()) {
 			this.relayService.metrics().recordLimitedSend();
 		}
@@ -92,16 +93,27 @@
 				? OptionalInt.of(Math.min(MAX_ENGINE_PRIORITY, this.request.priority())) : OptionalInt.empty();
 	}
 
+	/**
+	 * Records what a target made of the request.
+	 * @param target target of an attempt
+	 * @param failed whether its response was an error of its own, broke off or cannot be
+	 * used
+	 * @param millis time from the send to the response or first event, in milliseconds
+	 */
+	void recordOutcome(TrackedTarget target, boolean failed, long millis) {
+		this.relayService.rolloutGate().recordOutcome(target, this.request.route().name(), failed, millis);
+	}
+
 	void remove(RelayAttempt attempt) {
 		this.active.remove(attempt);
 	}
 
 	void cancelAll() {
-		List.copyOf(this.active).forEach(RelayAttempt::cancel);
+		List.copyOf(this.active).forEach(RelayAttempt::abandon);
 	}
 
 	void cancelAllExcept(RelayAttempt attempt) {
-		List.copyOf(this.active).stream().filter((other) -> other != attempt).forEach(RelayAttempt::cancel);
+		List.copyOf(this.active).stream().filter((other) -> other != attempt).forEach(RelayAttempt::abandon);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -32,6 +33,8 @@
 
 	private final RatePermitClient permits;
 
+	private final RolloutGate rolloutGate;
+
 	/** Statistics of the generations by service. */
 	private final Map<String, GenerationStatistics> statistics = new HashMap<>();
 
@@ -53,10 +56,11 @@
 
 	};
 
-	TargetPool(Clock clock, UniformRandomProvider random, RatePermitClient permits) {
+	TargetPool(Clock clock, UniformRandomProvider random, RatePermitClient permits, RolloutGate rolloutGate) {
 		this.clock = clock;
 		this.random = random;
 		this.permits = permits;
+		this.rolloutGate = rolloutGate;
 	}
 
 	/**
@@ -122,11 +126,16 @@
 	 * @return the chosen target, if any
 	 */
 	Choice choose(ServiceSpec service, PlacementStrategy.Demand demand, Set<String> excludedIds) {
-		List<TrackedTarget> accepting = accepting(service);
+		List<TrackedTarget> ofAnyVersion = acceptingOfAnyVersion(service).toList();
+		List<TrackedTarget> accepting = ofAnyVersion.stream().filter(this.rolloutGate::allows).toList();
+		if (accepting.size() < ofAnyVersion.size()) {
+			this.rolloutGate.recordRefusal();
+		}
 		List<TrackedTarget> listed = accepting.stream().filter((target) -> target.membership().listed()).toList();
 		List<TrackedTarget> usable = listed.isEmpty() ? accepting : listed;
 		if (usable.isEmpty()) {
-			return Choice.NONE_AVAILABLE;
+			// Targets that may get no more for the moment are worth waiting for.
+			return new Choice(!ofAnyVersion.isEmpty(), null);
 		}
 		List<TrackedTarget> candidates = usable.stream()
 			.filter((target) -> !excludedIds.contains(target.id()) && withinRate(target, service, demand.entryHosts())
@@ -138,16 +147,35 @@
 	}
 
 	/**
-	 * Returns the targets of a service that accept new work.
+	 * Returns the targets of a service that accept new work and whose version may get
+	 * requests now.
 	 * @param service the service
 	 * @return its targets, in no order
 	 */
 	List<TrackedTarget> accepting(ServiceSpec service) {
+		return acceptingOfAnyVersion(service).filter(this.rolloutGate::allows).toList();
+	}
+
+	private Stream<TrackedTarget> acceptingOfAnyVersion(ServiceSpec service) {
 		return this.targets.values()
 			.stream()
 			.filter((target) -> target.membership().registration().service().equals(service.name())
-					&& target.acceptsNewWork())
-			.toList();
+					&& target.acceptsNewWork());
+	}
+
+	/**
+	 * Returns the number of requests that targets of a service still run.
+	 * @param service name of the service
+	 * @param exceptVersion version whose targets are left out
+	 * @return number of this process's requests, those at targets that are no longer
+	 * known included
+	 */
+	int outstandingRequests(String service, String exceptVersion) {
+		return Stream.concat(this.targets.values().stream(), this.formerTargets.values().stream())
+			.filter((target) -> target.membership().registration().service().equals(service)
+					&& !target.membership().registration().version().equals(exceptVersion))
+			.mapToInt(TrackedTarget::outstandingRequestCount)
+			.sum();
 	}
 
 	/**
@@ -184,10 +212,11 @@
 	 * @param service service of the request
 	 * @param entryHosts number of entry hosts, which share the rate limits of targets
 	 * @return {@code false} if the target has been replaced or forgotten, is draining or
-	 * out of service, or has reached the rate that it sustains while cold or names
+	 * out of service, has reached the rate that it sustains while cold or names, or its
+	 * version gets no more requests for now
 	 */
 	boolean allowsSend(TrackedTarget target, ServiceSpec service, int entryHosts) {
-		return this.targets.get(target.id()) == target && target.acceptsNewWork()
+		return this.targets.get(target.id()) == target && target.acceptsNewWork() && this.rolloutGate.allows(target)
 				&& withinRate(target, service, entryHosts);
 	}
 
@@ -231,14 +260,10 @@
 	 * Result of {@link #choose}. Immutable.
 	 *
 	 * @param anyAvailable whether any target of the service accepts new work, excluded
-	 * ones included
+	 * ones and those whose version gets nothing for now included
 	 * @param target chosen target, or {@code null} if none has the capacity now
 	 */
 	record Choice(boolean anyAvailable, TrackedTarget target) {
-
-		/** No target of the service accepts new work. */
-		static final Choice NONE_AVAILABLE = new Choice(false, null);
-
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -111,6 +111,15 @@
 		return this.membership.registration().id();
 	}
 
+	/**
+	 * Returns the version of the target's software.
+	 * @return the version, or "-" if it is not known
+	 */
+	String versionText() {
+		String version = this.membership.registration().version();
+		return version.isEmpty() ? "-" : version;
+	}
+
 	/**
 	 * Returns the last load report of the sidecar.
 	 * @return the report, or {@code null} if there is none or it is stale
@@ -335,6 +344,7 @@
 		Map<String, Object> dump = new LinkedHashMap<>();
 		dump.put("id", id());
 		dump.put("service", this.membership.registration().service());
+		dump.put("version", versionText());
 		dump.put("dataCentre", this.membership.registration().dataCentre());
 		dump.put("open", acceptsNewWork());
 		dump.put("listed", this.membership.listed());
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTableStore.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTableStore.java
@@ -37,6 +37,18 @@
 	 */
 	CompletableFuture<Void> put(String table, String key, byte[] value);
 
+	/**
+	 * Appends a record if the table ends at an offset. If the response is lost, the
+	 * record may have been appended, or may be appended later if the table still ends
+	 * there.
+	 * @param table name of the table
+	 * @param endOffset offset after the last record that the table must have
+	 * @param key the key
+	 * @param value content
+	 * @return completes with whether the record was appended; fails if that is not known
+	 */
+	CompletableFuture<Boolean> tryAppend(String table, long endOffset, String key, byte[] value);
+
 	/**
 	 * Records of a table. Immutable.
 	 *
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
@@ -145,6 +145,11 @@
 			return CompletableFuture.completedFuture(null);
 		}
 
+		@Override
+		public CompletableFuture<Boolean> tryAppend(String table, long endOffset, String key, byte[] value) {
+			return CompletableFuture.completedFuture(true);
+		}
+
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
@@ -223,6 +223,11 @@
 			return CompletableFuture.completedFuture(null);
 		}
 
+		@Override
+		public CompletableFuture<Boolean> tryAppend(String table, long endOffset, String key, byte[] value) {
+			return CompletableFuture.completedFuture(true);
+		}
+
 		@Override
 		public InetSocketAddress listen(InetSocketAddress address, Link.Listener listener) {
 			return address;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableFeedTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableFeedTests.java
@@ -140,6 +140,11 @@
 			return CompletableFuture.completedFuture(null);
 		}
 
+		@Override
+		public CompletableFuture<Boolean> tryAppend(String table, long endOffset, String key, byte[] value) {
+			return CompletableFuture.completedFuture(true);
+		}
+
 	}
 
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -28,6 +28,7 @@
 import io.dotterelcrank.process.relay.EngineReport;
 import io.dotterelcrank.process.relay.RelayClients;
 import io.dotterelcrank.process.relay.RelayService;
+import io.dotterelcrank.process.relay.RolloutView;
 import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.process.replica.PeerTableSync;
 import io.dotterelcrank.process.replica.TableFeed;
@@ -109,6 +110,9 @@
 	 */
 	private Optional<ServingPlan> newPlan = Optional.empty();
 
+	/** Orders of roll-outs and the decisions on them; confined to the control thread. */
+	private final RolloutFeed rollouts;
+
 	/** Exchanges table records with peers; confined to the control thread. */
 	private final PeerTableSync peerSync;
 
@@ -136,6 +140,7 @@
 		this.settings = settings;
 		this.platform = platform;
 		this.runtime = new RelayRuntime(settings.common(), platform);
+		this.rollouts = new RolloutFeed(settings, platform, this.runtime, this::updateService);
 		RelayClients clients = RelayClients.of(HttpTargetClient.of(this.runtime.httpClient(), platform.messageMapper()))
 			.withAdmission(this::requestAdmission)
 			.withEngineLoads(this::readEngineLoad)
@@ -147,7 +152,8 @@
 					this::handleRatePermit))
 			.withCrashEvidence(new PeerCrashEvidenceClient(this.runtime.transport(), this.runtime.controlScheduler(),
 					this.runtime::peers, (evidence) -> handleCrashEvidence(evidence, (ignored) -> {
-					}), RandomSource.XO_RO_SHI_RO_128_PP.create()));
+					}), RandomSource.XO_RO_SHI_RO_128_PP.create()))
+			.withRollouts(this.rollouts.client());
 		this.service = RelayService.of(this.runtime.clock(), new EventLoopScheduler(this.runtime.trafficLoop()),
 				clients, settings.relay(), RandomSource.XO_RO_SHI_RO_128_PP.create(), this.runtime.metrics());
 		this.self = new Member(settings.common().name(), settings.peerAddress(), settings.common().dataCentre());
@@ -201,6 +207,7 @@
 		this.targetsFeed = TableFeed.polling(this.platform.targetsTable(), this.runtime.store(), this.runtime.clock(),
 				this.runtime.controlScheduler(), (long) (this.settings.drainMillis() * TARGETS_POLL_FRACTION),
 				this::handleTargetRecords);
+		this.rollouts.connect(this.peerSync, this.sharing, this.operatorsFeed);
 		this.peerSync.add(this.operatorsFeed);
 		this.peerSync.add(this.targetsFeed);
 		this.peerSync.add(this.runtime.readMembers(() -> {
@@ -243,6 +250,12 @@
 			}
 			this.registry.updateDataCentresOut(this.dataCentresOutOfService);
 		}
+		else if (record instanceof RelayPlatform.RolloutOrdered ordered) {
+			this.rollouts.updateOrder(ordered.order());
+		}
+		else if (record instanceof RelayPlatform.RolloutWithdrawn withdrawn) {
+			this.rollouts.removeOrder(withdrawn.service());
+		}
 	}
 
 	private void handleTargetRecords(List<KeyedRecord> records) {
@@ -311,7 +324,8 @@
 
 	/**
 	 * Passes the state kept on the control thread to the traffic thread, in one task: a
-	 * plan must not be used with targets from before the changes that came with it.
+	 * plan must not be used with targets or orders from before the changes that came with
+	 * it.
 	 */
 	private void updateService() {
 		Optional<ServingPlan> plan = this.newPlan;
@@ -319,12 +333,14 @@
 		List<Target> targets = this.registry.targets(this.targetsFeed.ageMillis() < this.settings.drainMillis());
 		long planAgeMillis = this.operatorsFeed.ageMillis();
 		int entryHosts = Math.max(1, this.runtime.members().size());
+		RolloutView rolloutView = this.rollouts.view();
 		this.tableState = Map.of("tableSources", this.sharing.sources(), "tableAgesMillis",
 				Map.of(this.platform.operatorsTable(), planAgeMillis, this.platform.targetsTable(),
 						this.targetsFeed.ageMillis()));
 		this.runtime.trafficLoop().execute(() -> {
 			this.service.updateEntryHosts(entryHosts);
 			this.service.updatePlanAge(planAgeMillis);
+			this.service.rolloutGate().update(rolloutView);
 			plan.ifPresent(this.service::updatePlan);
 			this.service.updateTargets(targets);
 		});
@@ -368,8 +384,8 @@
 
 	/**
 	 * Handles records that peers push, their requests for records, retry permits and rate
-	 * permits, their evidence of crashes, and load reports and admission responses of
-	 * sidecars.
+	 * permits, their evidence of crashes and roll-outs, and load reports and admission
+	 * responses of sidecars.
 	 */
 	private final class PeerListener implements Link.Listener {
 
@@ -408,6 +424,10 @@
 			else if (message instanceof Message.CrashEvidence evidence) {
 				handleCrashEvidence(evidence, link::send);
 			}
+			else if (message instanceof Message.RolloutEvidence evidence) {
+				RelayEntryDaemon.this.runtime.trafficLoop()
+					.execute(() -> RelayEntryDaemon.this.service.rolloutGate().handleEvidence(evidence));
+			}
 			else if (message instanceof Message.AdmissionResponse response) {
 				RelayEntryDaemon.this.runtime.trafficLoop()
 					.execute(() -> RelayEntryDaemon.this.service.handleAdmissionResponse(response));
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayPlatform.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayPlatform.java
@@ -8,6 +8,8 @@
 import io.dotterelcrank.process.relay.EngineReport;
 import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.process.replica.KeyedTableStore;
+import io.dotterelcrank.process.rollout.RolloutDecision;
+import io.dotterelcrank.process.rollout.RolloutOrder;
 import io.dotterelcrank.version.plan.ServingPlan;
 
 /**
@@ -50,6 +52,27 @@
 	 */
 	OperatorRecord decodeOperatorRecord(KeyedRecord record) throws PlatformException;
 
+	/**
+	 * Returns the table in which operators read the state of roll-outs.
+	 * @return name of the table
+	 */
+	String statusTable();
+
+	/**
+	 * Returns the key of the state of a service's roll-out.
+	 * @param service name of the service
+	 * @return key in the status table
+	 */
+	String statusKey(String service);
+
+	/**
+	 * Encodes the state of a roll-out.
+	 * @param order order in force
+	 * @param stage stage of its roll-out
+	 * @return value in the status table
+	 */
+	byte[] encodeStatus(RolloutOrder order, RolloutDecision.Stage stage);
+
 	/**
 	 * Returns the id of the target that a record describes.
 	 * @param record record of the targets' table
@@ -105,6 +128,22 @@
 	record DataCentreChanged(String name, boolean outOfService) implements OperatorRecord {
 	}
 
+	/**
+	 * A service is to be moved to another version.
+	 *
+	 * @param order the order
+	 */
+	record RolloutOrdered(RolloutOrder order) implements OperatorRecord {
+	}
+
+	/**
+	 * The order of a roll-out was withdrawn.
+	 *
+	 * @param service name of the service
+	 */
+	record RolloutWithdrawn(String service) implements OperatorRecord {
+	}
+
 	/**
 	 * A record that this system does not use.
 	 */
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
@@ -7,6 +7,7 @@
 
 import io.dotterelcrank.daemon.settings.SettingsReader;
 import io.dotterelcrank.process.relay.RelaySettings;
+import io.dotterelcrank.process.rollout.RolloutSettings;
 import io.dotterelcrank.request.RequestException;
 
 /**
@@ -42,7 +43,7 @@
 				new RelaySettings(common.dataCentre(), reader.decimal("repeat-ratio", null, "0.2", 0, MAX_RETRIES),
 						reader.decimal("repeat-slack", null, "0", 0, MAX_RETRIES),
 						secondsAsMillis(reader, "repeat-window-seconds", "10"), millis(reader, "config-millis", "2000"),
-						secondsAsMillis(reader, "grace-seconds", "8")),
+						secondsAsMillis(reader, "grace-seconds", "8"), common.name(), rollouts(reader)),
 				millis(reader, "drain-millis", "2000"));
 		reader.throwIfInvalid();
 		return settings;
@@ -69,6 +70,22 @@
 				reader.ipAddress("ip", null, null), reader.port("metrics-port", null, "0"));
 	}
 
+	/**
+	 * Reads the bounds of roll-outs. Deployments without roll-outs leave them empty.
+	 * @param reader collects the errors
+	 * @return the bounds
+	 */
+	private static RolloutSettings rollouts(SettingsReader reader) {
+		double share = reader.decimal("exposed-share", null, "", 0, 1);
+		long slack = Math.round(reader.decimal("exposed-slack", null, "", 0, MAX_RETRIES));
+		boolean withRollback = !reader.text("rollback-millis", null, "").isEmpty();
+		long rollbackMillis = withRollback ? millis(reader, "rollback-millis", "") : 0;
+		if (share > 0 && !withRollback) {
+			reader.addError("--rollback-millis is missing, but --exposed-share is set");
+		}
+		return (share > 0) ? new RolloutSettings(share, (int) slack, rollbackMillis) : RolloutSettings.DISABLED;
+	}
+
 	private static long millis(SettingsReader reader, String name, String defaultValue) {
 		return Math.round(reader.decimal(name, null, defaultValue, MIN_BOUND_MILLIS, MAX_BOUND_MILLIS));
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonStartTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonStartTests.java
@@ -114,6 +114,11 @@
 					return failed();
 				}
 
+				@Override
+				public CompletableFuture<Boolean> tryAppend(String table, long endOffset, String key, byte[] value) {
+					return failed();
+				}
+
 			};
 		}
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelaySettingsReaderTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelaySettingsReaderTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import io.dotterelcrank.process.rollout.RolloutSettings;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
 
@@ -90,6 +91,39 @@
 			.withMessageContaining("--grace-seconds");
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "'', '', ''", "'', 50, 5000", "0, 50, 5000" })
+	void rolloutsAreDisabledWithoutAShare(String share, String slack, String rollbackMillis) throws RequestException {
+		assertThat(readRollouts(share, slack, rollbackMillis)).isEqualTo(RolloutSettings.DISABLED);
+		assertThat(RelaySettingsReader.entry(environment()).relay().rollouts()).isEqualTo(RolloutSettings.DISABLED);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "0.1, 50, 5000, 50", "1e-1, 50.0, 5.0E3, 50", "0.1, '', 5000, 0" })
+	void boundsOfRolloutsAreRead(String share, String slack, String rollbackMillis, int expectedSlack)
+			throws RequestException {
+		assertThat(readRollouts(share, slack, rollbackMillis))
+			.isEqualTo(new RolloutSettings(0.1, expectedSlack, 5_000));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1.1, 50, 5000, --exposed-share", "tenth, 50, 5000, --exposed-share", "0.1, -1, 5000, --exposed-slack",
+			"0.1, 50, 20, --rollback-millis", "0.1, 50, '', --rollback-millis", "'', 50, soon, --rollback-millis" })
+	void malformedBoundsOfRolloutsAreErrors(String share, String slack, String rollbackMillis, String error) {
+		assertThatExceptionOfType(RequestException.class).isThrownBy(() -> readRollouts(share, slack, rollbackMillis))
+			.withMessageContaining(error)
+			.satisfies((ex) -> assertThat(ex.failure().code()).isEqualTo(ResultCode.INVALID_SETTING));
+	}
+
+	private static RolloutSettings readRollouts(String share, String slack, String rollbackMillis)
+			throws RequestException {
+		Map<String, String> environment = environment();
+		environment.put("DOTTERELCRANK_EXPOSED_SHARE", share);
+		environment.put("DOTTERELCRANK_EXPOSED_SLACK", slack);
+		environment.put("DOTTERELCRANK_ROLLBACK_MILLIS", rollbackMillis);
+		return RelaySettingsReader.entry(environment).relay().rollouts();
+	}
+
 	@Property(seed = "31")
 	void everyPrintedDoubleIsRead(@ForAll @DoubleRange(min = 0, max = 1e9) double value) throws RequestException {
 		assertThat(read("REPEAT_SLACK", Double.toString(value)).relay().retrySlack()).isEqualTo(value);
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/UnreachablePlatform.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/UnreachablePlatform.java
@@ -1,6 +1,7 @@
 package io.dotterelcrank.daemon.relay;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 
 import io.dotterelcrank.process.membership.TargetRegistration;
@@ -8,6 +9,8 @@
 import io.dotterelcrank.process.relay.EngineReport;
 import io.dotterelcrank.process.replica.KeyedRecord;
 import io.dotterelcrank.process.replica.KeyedTableStore;
+import io.dotterelcrank.process.rollout.RolloutDecision;
+import io.dotterelcrank.process.rollout.RolloutOrder;
 
 /**
  * A platform whose store and engines are unreachable.
@@ -37,6 +40,11 @@
 				return failed();
 			}
 
+			@Override
+			public CompletableFuture<Boolean> tryAppend(String table, long endOffset, String key, byte[] value) {
+				return failed();
+			}
+
 		};
 	}
 
@@ -60,6 +68,21 @@
 		return new Unrelated();
 	}
 
+	@Override
+	public String statusTable() {
+		return "status";
+	}
+
+	@Override
+	public String statusKey(String service) {
+		return service;
+	}
+
+	@Override
+	public byte[] encodeStatus(RolloutOrder order, RolloutDecision.Stage stage) {
+		return (stage + " " + order.version()).getBytes(StandardCharsets.UTF_8);
+	}
+
 	@Override
 	public String targetId(KeyedRecord record) {
 		return record.key();
