Decide staged roll-outs from the evidence of all hosts

Cause: RolloutControl had empty methods, so that an order had no effect. Change: each host limits by itself what a new version gets and sends its cumulative counts to three hosts, which test them and propose stages. Evidence has the numbers of sent requests and response times by class instead of a count of slow ones, since a host of many sees too few responses to judge one. RolloutControl has one more method, prefers. Log events 851 to 856.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -210,7 +210,25 @@
 	QUARANTINE_LIFTED(849, Level.INFO, "content={} no longer quarantined"),
 
 	/** A request is refused, as its content crashes targets. */
-	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}");
+	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
+
+	/** Operators have ordered a roll-out. */
+	ROLLOUT_ORDERED(851, Level.INFO, "rollout service={} version={} ordered offset={} durationMillis={}"),
+
+	/** A stage of a roll-out has begun. */
+	ROLLOUT_STAGE(852, Level.INFO, "rollout service={} version={} stage={} ageMillis={} reason=\"{}\""),
+
+	/** This host proposes a stage. */
+	ROLLOUT_PROPOSED(853, Level.INFO, "rollout service={} version={} proposed stage={} ageMillis={} reason=\"{}\""),
+
+	/** This host stops sending to a new version by its own evidence. */
+	ROLLOUT_STOPPED(854, Level.WARN, "rollout service={} version={} gets nothing from this host evidence=\"{}\""),
+
+	/** An order was withdrawn. */
+	ROLLOUT_WITHDRAWN(855, Level.INFO, "rollout service={} version={} withdrawn stage={}"),
+
+	/** This host's knowledge of roll-outs is too old, or current again. */
+	ROLLOUT_CONTACT(856, Level.INFO, "rollouts inContact={} ageMillis={}");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -349,11 +349,15 @@
 	 * @param orderAgeMillis time since the order, as far as the sender knows, in
 	 * milliseconds
 	 * @param knownStage ordinal of the stage that the sender knows
-	 * @param outstanding number of the sender's requests that the old version still runs
+	 * @param outstanding number of the sender's requests that the old version still runs,
+	 * plus one as long as it may get more
+	 * @param sends number of requests that the sender has sent to the service
+	 * @param candidateSends number of those sent to the new version
 	 * @param counts counts by route, data centre and version
 	 */
 	record RolloutEvidence(String sender, long incarnation, String service, long orderOffset, long orderAgeMillis,
-			int knownStage, int outstanding, List<VersionCounts> counts) implements Message {
+			int knownStage, int outstanding, long sends, long candidateSends,
+			List<VersionCounts> counts) implements Message {
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/RolloutControl.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/RolloutControl.java
@@ -1,19 +1,54 @@
 package io.dotterelcrank.process.rollout;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.RendezvousHash;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.TargetRegistration;
 
 /**
  * The roll-outs of this host's services: which targets get requests, and what is known of
- * a new version. Confined to the traffic thread.
+ * a new version. Addresses versions that are bad at once or later, under load or on one
+ * route, at hosts each of which sees little of it: all hosts send their counts to a few,
+ * which decide side by side. Invariants: no host is special; without an order, all
+ * versions that run are treated alike; without roll-outs, everything is allowed and
+ * nothing sent. Confined to the traffic thread.
  */
 public final class RolloutControl {
 
+	/** Number of hosts that decide on a roll-out. */
+	static final int DECIDERS = 3;
+
+	/** Interval at which evidence is sent, in milliseconds. */
+	static final long EVIDENCE_MILLIS = 200;
+
+	/** Interval at which evidence is sent although nothing has changed. */
+	static final long REPEAT_MILLIS = 1_000;
+
+	/**
+	 * Max age of this host's knowledge with which a new version gets requests, as part of
+	 * the time for a roll-back.
+	 */
+	private static final double CONTACT_FRACTION = 1 / 3d;
+
+	/** Max age with which the old version is said to get nothing. */
+	private static final double CLOSED_FRACTION = 1 / 6d;
+
+	private static final Logger logger = LoggerFactory.getLogger(RolloutControl.class);
+
 	private final Clock clock;
 
 	private final String host;
@@ -22,11 +57,31 @@
 
 	private final RolloutClient client;
 
-	private RolloutControl(Clock clock, String host, RolloutSettings settings, RolloutClient client) {
+	private final RolloutDecider.TestFactory tests;
+
+	private final long incarnation;
+
+	private final Map<String, ServiceState> services = new TreeMap<>();
+
+	/** Hosts, with the time at which each was listed first. */
+	private final Map<String, Long> hostsSince = new HashMap<>();
+
+	/** When the tables were last known to be current; valid if {@link #informed}. */
+	private long currentMillis;
+
+	private boolean informed;
+
+	private boolean inContact;
+
+	private RolloutControl(Clock clock, String host, RolloutSettings settings, RolloutClient client,
+			RolloutDecider.TestFactory tests) {
 		this.clock = clock;
 		this.host = host;
 		this.settings = settings;
 		this.client = client;
+		this.tests = tests;
+		this.incarnation = clock.millis();
+		updateHosts(Set.of(host));
 	}
 
 	/**
@@ -38,7 +93,12 @@
 	 * @return a new control
 	 */
 	public static RolloutControl of(Clock clock, String host, RolloutSettings settings, RolloutClient client) {
-		return new RolloutControl(clock, host, settings, client);
+		return of(clock, host, settings, client, VersionTest.ForSequentialProbability::new);
+	}
+
+	static RolloutControl of(Clock clock, String host, RolloutSettings settings, RolloutClient client,
+			RolloutDecider.TestFactory tests) {
+		return new RolloutControl(clock, host, settings, client, tests);
 	}
 
 	/**
@@ -46,6 +106,30 @@
 	 * @param names names of all hosts, this one included
 	 */
 	public void updateHosts(Collection<String> names) {
+		Set<String> current = new TreeSet<>(names);
+		current.add(this.host);
+		if (current.equals(this.hostsSince.keySet())) {
+			return;
+		}
+		this.hostsSince.keySet().retainAll(current);
+		current.forEach((name) -> this.hostsSince.putIfAbsent(name, this.clock.millis()));
+		this.services.values().forEach(this::updateHosts);
+	}
+
+	private void updateHosts(ServiceState service) {
+		if (service.rollout == null) {
+			return;
+		}
+		service.rollout.updateHosts(this.host, this.hostsSince.keySet());
+		service.deciders = RendezvousHash.rank(service.rollout.key(), this.hostsSince.keySet(), (name) -> name)
+			.stream()
+			.limit(DECIDERS)
+			.toList();
+		boolean decides = service.deciders.contains(this.host);
+		if (decides && !service.decides) {
+			service.decidesSinceMillis = this.clock.millis();
+		}
+		service.decides = decides;
 	}
 
 	/**
@@ -54,6 +138,24 @@
 	 * @param millis time since the tables were last known to be current, in milliseconds
 	 */
 	public void updateAge(long millis) {
+		this.informed = true;
+		this.currentMillis = this.clock.millis() - millis;
+		checkContact();
+	}
+
+	private boolean checkContact() {
+		boolean current = isKnowledgeWithin(CONTACT_FRACTION);
+		if (current != this.inContact) {
+			this.inContact = current;
+			if (this.settings.enabled()) {
+				LogEvent.ROLLOUT_CONTACT.log(logger, current, this.clock.millis() - this.currentMillis);
+			}
+		}
+		return current;
+	}
+
+	private boolean isKnowledgeWithin(double fraction) {
+		return this.informed && this.clock.millis() - this.currentMillis <= fraction * this.settings.rollbackMillis();
 	}
 
 	/**
@@ -62,6 +164,39 @@
 	 * the one in force
 	 */
 	public void updateOrder(RolloutOrder order) {
+		if (!this.settings.enabled()) {
+			return;
+		}
+		ServiceState service = service(order.service());
+		Rollout last = service.rollout;
+		if (last != null && order.offset() <= last.order().offset()) {
+			if (service.withdrawn && order.offset() == last.order().offset()) {
+				service.withdrawn = false;
+			}
+			return;
+		}
+		if (last != null && !last.ended()) {
+			service.versions.bar(last.order().version());
+		}
+		service.updateVersions(null, checkContact(), this.clock.millis(), graceMillis());
+		boolean runsAlready = service.versions.begin(order.version());
+		service.withdrawn = false;
+		service.rollout = new Rollout(this.clock, this.settings, order, runsAlready, isOldEnough(), this.tests);
+		service.decider = new RolloutDecider(this.clock, this.settings, service.rollout.planner(), this.tests);
+		service.decides = false;
+		service.nextEvidenceMillis = 0;
+		service.proposed = null;
+		LogEvent.ROLLOUT_ORDERED.log(logger, order.service(), order.version(), order.offset(), order.durationMillis());
+		updateHosts(service);
+		service.updateTrial();
+		if (service.decision != null) {
+			updateDecision(service.decision);
+		}
+	}
+
+	// An order that a process learns as it starts may have been known to the one before.
+	private boolean isOldEnough() {
+		return this.clock.millis() - this.incarnation > CONTACT_FRACTION * this.settings.rollbackMillis();
 	}
 
 	/**
@@ -70,6 +205,16 @@
 	 * @param service name of the service
 	 */
 	public void removeOrder(String service) {
+		ServiceState state = this.services.get(service);
+		if (state == null || !state.isOrdered()) {
+			return;
+		}
+		state.withdrawn = true;
+		Rollout rollout = state.rollout;
+		LogEvent.ROLLOUT_WITHDRAWN.log(logger, service, rollout.order().version(), String.valueOf(rollout.stage()));
+		if (!rollout.ended() && !rollout.runsAlready()) {
+			state.versions.bar(rollout.order().version());
+		}
 	}
 
 	/**
@@ -77,6 +222,22 @@
 	 * @param decision newest decision of the store
 	 */
 	public void updateDecision(RolloutDecision decision) {
+		if (!this.settings.enabled()) {
+			return;
+		}
+		ServiceState service = service(decision.service());
+		service.decision = decision;
+		Rollout rollout = service.rollout;
+		if (rollout == null || rollout.order().offset() != decision.orderOffset() || !rollout.updateStage(decision)) {
+			return;
+		}
+		service.nextEvidenceMillis = 0;
+		if (decision.stage() == RolloutDecision.Stage.COMPLETED) {
+			service.versions.complete(rollout.order().version());
+		}
+		else if (decision.stage() == RolloutDecision.Stage.ROLLED_BACK) {
+			service.versions.bar(rollout.order().version());
+		}
 	}
 
 	/**
@@ -84,6 +245,30 @@
 	 * @param targets registrations of all targets
 	 */
 	public void updateTargets(Collection<TargetRegistration> targets) {
+		if (!this.settings.enabled()) {
+			return;
+		}
+		Map<String, List<TargetRegistration>> byService = targets.stream()
+			.collect(Collectors.groupingBy(TargetRegistration::service));
+		this.services.forEach((name, service) -> service.targets = byService.getOrDefault(name, List.of()));
+		byService.forEach((name, list) -> service(name).targets = list);
+		this.services.values().forEach((service) -> {
+			updateVersions(service);
+			service.updateTrial();
+		});
+	}
+
+	private void updateVersions(ServiceState service) {
+		service.updateVersions(service.isOrdered() ? service.rollout.order().version() : null, checkContact(),
+				this.clock.millis(), graceMillis());
+	}
+
+	private long graceMillis() {
+		return (long) (CONTACT_FRACTION * this.settings.rollbackMillis());
+	}
+
+	private ServiceState service(String name) {
+		return this.services.computeIfAbsent(name, (key) -> new ServiceState());
 	}
 
 	/**
@@ -92,7 +277,31 @@
 	 * @return {@code false} if its version gets nothing, or no more of this host
 	 */
 	public boolean allows(TargetRegistration target) {
-		return true;
+		ServiceState service = this.services.get(target.service());
+		if (service == null) {
+			return true;
+		}
+		if (!service.isOrdered()) {
+			return service.versions.allows(target.version());
+		}
+		if (service.rollout.isCandidate(target.version())) {
+			return service.rollout.allowsCandidate(target.id(), checkContact());
+		}
+		return service.rollout.allowsOld(checkContact()) && service.versions.allows(target.version());
+	}
+
+	/**
+	 * Returns whether a target should get the next request that can go to it. Without
+	 * such a preference the idle targets of a new version get all or none of what they
+	 * may get, depending on how targets are chosen.
+	 * @param target registration of the target
+	 * @return {@code true} if its version is being rolled out and has not had its share
+	 */
+	public boolean prefers(TargetRegistration target) {
+		ServiceState service = this.services.get(target.service());
+		return service != null && service.isOrdered() && !service.rollout.ended() && !service.rollout.runsAlready()
+				&& service.rollout.isCandidate(target.version())
+				&& service.rollout.allowsCandidate(target.id(), checkContact());
 	}
 
 	/**
@@ -102,7 +311,9 @@
 	 * @return {@code true} while the roll-out waits for the old version to become idle
 	 */
 	public boolean isBeingReplaced(TargetRegistration target) {
-		return false;
+		ServiceState service = this.services.get(target.service());
+		return service != null && service.isOrdered() && !service.rollout.isCandidate(target.version())
+				&& service.rollout.isReplacing(checkContact());
 	}
 
 	/**
@@ -110,6 +321,10 @@
 	 * @param target registration of the target
 	 */
 	public void recordSend(TargetRegistration target) {
+		ServiceState service = this.services.get(target.service());
+		if (service != null && service.isOrdered()) {
+			service.rollout.recordSend(service.rollout.isCandidate(target.version()));
+		}
 	}
 
 	/**
@@ -117,6 +332,11 @@
 	 * @param outcome outcome at one target
 	 */
 	public void recordOutcome(RolloutOutcome outcome) {
+		ServiceState service = this.services.get(outcome.service());
+		if (service != null && service.isOrdered()
+				&& (service.rollout.isCandidate(outcome.version()) || service.versions.allows(outcome.version()))) {
+			service.rollout.recordOutcome(outcome);
+		}
 	}
 
 	/**
@@ -125,6 +345,10 @@
 	 * @param requests number of outstanding requests at targets of the old version
 	 */
 	public void updateOutstanding(String service, int requests) {
+		ServiceState state = this.services.get(service);
+		if (state != null && state.isOrdered()) {
+			state.rollout.updateOutstanding(requests);
+		}
 	}
 
 	/**
@@ -132,6 +356,12 @@
 	 * @param evidence counts of that host
 	 */
 	public void handleEvidence(Message.RolloutEvidence evidence) {
+		ServiceState service = this.services.get(evidence.service());
+		if (service == null || !service.isOrdered() || service.rollout.order().offset() != evidence.orderOffset()) {
+			return;
+		}
+		service.decider.merge(evidence);
+		service.rollout.updateAge(service.decider.orderAgeMillis());
 	}
 
 	/**
@@ -139,6 +369,70 @@
 	 * them. Called every few tens of milliseconds.
 	 */
 	public void poll() {
+		checkContact();
+		this.services.values().forEach((service) -> {
+			service.versions.poll(this.inContact, this.clock.millis(), graceMillis());
+			if (service.isOrdered() && !service.rollout.ended()) {
+				poll(service);
+			}
+		});
+	}
+
+	private void poll(ServiceState service) {
+		Rollout rollout = service.rollout;
+		if (rollout.isTurnOver()) {
+			service.updateTrial();
+		}
+		rollout.assess();
+		long nowMillis = this.clock.millis();
+		if (nowMillis >= service.nextEvidenceMillis) {
+			service.nextEvidenceMillis = nowMillis + EVIDENCE_MILLIS;
+			sendEvidence(service);
+		}
+		if (service.decides) {
+			decide(service);
+		}
+	}
+
+	private void sendEvidence(ServiceState service) {
+		Rollout rollout = service.rollout;
+		boolean closed = rollout.isClosed(this.inContact) && isKnowledgeWithin(CLOSED_FRACTION);
+		Message.RolloutEvidence evidence = rollout.evidence(this.host, this.incarnation, closed);
+		long nowMillis = this.clock.millis();
+		boolean changed = evidence.sends() != service.sentSends || rollout.stage() != RolloutDecision.Stage.TRIAL;
+		if (service.decides) {
+			service.decider.merge(evidence);
+		}
+		if (changed || nowMillis - service.sentMillis >= REPEAT_MILLIS) {
+			service.sentSends = evidence.sends();
+			service.sentMillis = nowMillis;
+			service.deciders.stream()
+				.filter((name) -> !name.equals(this.host))
+				.forEach((name) -> this.client.send(name, evidence));
+		}
+	}
+
+	private void decide(ServiceState service) {
+		Rollout rollout = service.rollout;
+		Map<String, Long> expectedSince = new HashMap<>();
+		this.hostsSince.forEach((name, since) -> expectedSince.put(name, Math.max(since, service.decidesSinceMillis)));
+		RolloutDecider.View view = new RolloutDecider.View(rollout.stage(), rollout.stageAgeMillis(),
+				rollout.runsAlready(), service.candidateTargets, service.oldTargets, expectedSince);
+		service.decider.decide(view).ifPresent((step) -> propose(service, step));
+	}
+
+	private void propose(ServiceState service, StagePlanner.Step step) {
+		long nowMillis = this.clock.millis();
+		if (service.proposed == step.stage() && nowMillis < service.nextProposalMillis) {
+			return;
+		}
+		service.proposed = step.stage();
+		service.nextProposalMillis = nowMillis + EVIDENCE_MILLIS;
+		RolloutOrder order = service.rollout.order();
+		LogEvent.ROLLOUT_PROPOSED.log(logger, order.service(), order.version(), step.stage(),
+				service.rollout.ageMillis(), step.reason());
+		this.client.propose(
+				new RolloutDecision(order.service(), order.version(), order.offset(), step.stage(), step.reason()));
 	}
 
 	/**
@@ -146,7 +440,85 @@
 	 * @return values by name, one map a service, for dumps
 	 */
 	public List<Map<String, Object>> dump() {
-		return List.of();
+		List<Map<String, Object>> list = new ArrayList<>();
+		this.services.values().stream().filter(ServiceState::isOrdered).forEach((service) -> {
+			Map<String, Object> values = service.rollout.dump();
+			values.put("inContact", this.inContact);
+			values.put("deciders", service.deciders);
+			if (service.decides) {
+				values.put("decides", service.decider.evidence());
+			}
+			list.add(values);
+		});
+		return list;
+	}
+
+	/**
+	 * State of one service.
+	 */
+	private static final class ServiceState {
+
+		private final ServiceVersions versions = new ServiceVersions();
+
+		private List<TargetRegistration> targets = List.of();
+
+		private int candidateTargets;
+
+		private int oldTargets;
+
+		private Rollout rollout;
+
+		private RolloutDecider decider;
+
+		private RolloutDecision decision;
+
+		private boolean withdrawn;
+
+		private List<String> deciders = List.of();
+
+		private boolean decides;
+
+		private long decidesSinceMillis;
+
+		private long nextEvidenceMillis;
+
+		private long sentMillis;
+
+		private long sentSends = -1;
+
+		private RolloutDecision.Stage proposed;
+
+		private long nextProposalMillis;
+
+		boolean isOrdered() {
+			return this.rollout != null && !this.withdrawn;
+		}
+
+		private List<TargetRegistration> candidates() {
+			return this.targets.stream()
+				.filter((target) -> this.rollout.isCandidate(target.version()) && !target.leaving())
+				.toList();
+		}
+
+		void updateVersions(String ordered, boolean inContact, long nowMillis, long graceMillis) {
+			if (!this.targets.isEmpty()) {
+				this.versions.update(this.targets, ordered, inContact, nowMillis, graceMillis);
+			}
+		}
+
+		void updateTrial() {
+			if (!isOrdered() || this.rollout.ended()) {
+				return;
+			}
+			List<TargetRegistration> candidates = candidates();
+			this.candidateTargets = candidates.size();
+			this.oldTargets = (int) this.targets.stream()
+				.filter((target) -> !this.rollout.isCandidate(target.version()) && !target.leaving()
+						&& this.versions.allows(target.version()))
+				.count();
+			this.rollout.updateTargets(candidates, this.oldTargets);
+		}
+
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/VersionCounts.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/VersionCounts.java
@@ -1,5 +1,7 @@
 package io.dotterelcrank.process.rollout;
 
+import java.util.List;
+
 /**
  * Counts of the outcomes of one version on one route in one data centre, since the
  * beginning of a roll-out. Immutable.
@@ -9,7 +11,9 @@
  * @param candidate whether they are counts of the new version
  * @param requests number of outcomes
  * @param failed number of failed requests
- * @param slow number of other requests that took several times longer than usual
+ * @param latencies number of other requests by class of their response time, see
+ * {@link LatencyHistogram}; empty classes at the end are left out
  */
-public record VersionCounts(String route, String dataCentre, boolean candidate, long requests, long failed, long slow) {
+public record VersionCounts(String route, String dataCentre, boolean candidate, long requests, long failed,
+		List<Long> latencies) {
 }
--- /dev/null
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/rollout/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of staged roll-outs.
+ */
+package io.dotterelcrank.process.rollout;
