Merge the decisions of roll-outs, and test both parts together

Cause: the relay and the store were connected to a RolloutControl without decisions. Change: events of both parts are told apart (851 to 856 of the decisions, 860 and 861 of the store and the operators' status); TargetPool follows RolloutControl.prefers; the decisions are read at short intervals only while a roll-out runs, and listed when they are older than usual; a trial is a decision, too. Ruled out: the age of the operators' table while nothing runs, as its reads wait up to 0.8 of the configuration time, longer than a host counts as in contact; the time since they were due is passed instead. Measured: RolloutGateTests (11) pass, and 10 of its first 11 failed on a RolloutControl that allows everything; RolloutTests (4) pass in 11.7 and 13.6 s: a good version completed, a failing and a slow one rolled back. Conclusion: both parts work together.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -213,20 +213,29 @@
 	/** A request is refused, as its content crashes targets. */
 	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
 
-	/** Operators ordered a roll-out. */
-	ROLLOUT_ORDERED(860, Level.INFO, "service={} roll-out ordered version={} durationMillis={} order={}"),
+	/** Operators have ordered a roll-out. */
+	ROLLOUT_ORDERED(851, Level.INFO, "rollout service={} version={} ordered offset={} durationMillis={}"),
 
-	/** The order of a roll-out was withdrawn. */
-	ROLLOUT_WITHDRAWN(861, Level.INFO, "service={} order of the roll-out withdrawn version={} order={}"),
+	/** A stage of a roll-out has begun. */
+	ROLLOUT_STAGE(852, Level.INFO, "rollout service={} version={} stage={} ageMillis={} reason=\"{}\""),
 
-	/** A decision on a roll-out is in force. */
-	ROLLOUT_DECIDED(862, Level.INFO, "service={} roll-out decided version={} stage={} order={} reason=\"{}\""),
+	/** This host proposes a stage. */
+	ROLLOUT_PROPOSED(853, Level.INFO, "rollout service={} version={} proposed stage={} ageMillis={} reason=\"{}\""),
 
-	/** This host's decision on a roll-out was accepted, or not. */
-	ROLLOUT_PROPOSED(863, Level.INFO, "service={} decision proposed version={} stage={} outcome={}"),
+	/** This host stops sending to a new version by its own evidence. */
+	ROLLOUT_STOPPED(854, Level.WARN, "rollout service={} version={} gets nothing from this host evidence=\"{}\""),
+
+	/** An order was withdrawn. */
+	ROLLOUT_WITHDRAWN(855, Level.INFO, "rollout service={} version={} withdrawn stage={}"),
+
+	/** This host's knowledge of roll-outs is too old, or current again. */
+	ROLLOUT_CONTACT(856, Level.INFO, "rollouts inContact={} ageMillis={}"),
+
+	/** The store has answered this host's proposal of a stage. */
+	ROLLOUT_ANSWERED(860, Level.INFO, "rollout service={} version={} stage={} proposal={}"),
 
 	/** The state of a roll-out was written for the operators. */
-	ROLLOUT_REPORTED(864, Level.INFO, "service={} state of the roll-out written version={} stage={}");
+	ROLLOUT_REPORTED(861, Level.INFO, "rollout service={} version={} stage={} written for operators");
 
 	private final int number;
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RolloutGate.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RolloutGate.java
@@ -5,11 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import io.dotterelcrank.common.Clock;
-import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
@@ -26,8 +22,6 @@
  */
 public final class RolloutGate {
 
-	private static final Logger logger = LoggerFactory.getLogger(RolloutGate.class);
-
 	private final RolloutControl control;
 
 	private final boolean enabled;
@@ -77,8 +71,6 @@
 	private void updateDecision(RolloutDecision decision) {
 		RolloutDecision previous = this.decisions.put(decision.service(), decision);
 		if (!decision.equals(previous)) {
-			LogEvent.ROLLOUT_DECIDED.log(logger, decision.service(), decision.version(), decision.stage(),
-					decision.orderOffset(), decision.reason());
 			this.metrics.recordRolloutDecision(decision.stage().name().toLowerCase(Locale.ROOT));
 		}
 		this.control.updateDecision(decision);
@@ -118,6 +110,21 @@
 		return !this.enabled || this.control.allows(target.membership().registration());
 	}
 
+	/**
+	 * Returns the targets of which one is to be chosen.
+	 * @param candidates targets that may get the request
+	 * @return those whose version has not had its share yet, or all if there are none
+	 */
+	List<TrackedTarget> preferred(List<TrackedTarget> candidates) {
+		if (!this.enabled) {
+			return candidates;
+		}
+		List<TrackedTarget> preferred = candidates.stream()
+			.filter((target) -> this.control.prefers(target.membership().registration()))
+			.toList();
+		return preferred.isEmpty() ? candidates : preferred;
+	}
+
 	/**
 	 * Records that a choice of a target left out those of a version that gets nothing for
 	 * now.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -141,9 +141,9 @@
 			.filter((target) -> !excludedIds.contains(target.id()) && withinRate(target, service, demand.entryHosts())
 					&& hasFreeConnection(target, service, demand.entryHosts()))
 			.toList();
-		List<TrackedTarget> preferred = candidates.stream().filter((target) -> !target.inBackoff()).toList();
-		return new Choice(true,
-				strategy(service).choose(preferred.isEmpty() ? candidates : preferred, demand).orElse(null));
+		List<TrackedTarget> reachable = candidates.stream().filter((target) -> !target.inBackoff()).toList();
+		List<TrackedTarget> preferred = this.rolloutGate.preferred(reachable.isEmpty() ? candidates : reachable);
+		return new Choice(true, strategy(service).choose(preferred, demand).orElse(null));
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -17,6 +17,9 @@
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
+import io.dotterelcrank.process.rollout.RolloutDecision;
+import io.dotterelcrank.process.rollout.RolloutOrder;
+import io.dotterelcrank.process.rollout.RolloutSettings;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.version.plan.CallerLimits;
@@ -54,14 +57,9 @@
 	/** Evidence sent to other hosts, in order. */
 	private final List<Message.CrashEvidence> crashEvidence = new ArrayList<>();
 
-	private final RelayService relayService = RelayService.of(this.clock, this.scheduler,
-			RelayClients.of(this.targetClient)
-				.withAdmission(this.admissionClient)
-				.withEngineLoads(this.loadReader)
-				.withRetryLoans(this.retryLoanRequests::add)
-				.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence)),
-			new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(5),
-			new MetricRegistry());
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final RelayService relayService;
 
 	/** Number of requests accepted so far. */
 	private int requestCount;
@@ -71,6 +69,18 @@
 	}
 
 	private RelayFixture(boolean withPlan, boolean withTargets, boolean withLoadReports) {
+		this(withPlan, withTargets, withLoadReports, RolloutSettings.DISABLED);
+	}
+
+	private RelayFixture(boolean withPlan, boolean withTargets, boolean withLoadReports, RolloutSettings rollouts) {
+		this.relayService = RelayService.of(this.clock, this.scheduler,
+				RelayClients.of(this.targetClient)
+					.withAdmission(this.admissionClient)
+					.withEngineLoads(this.loadReader)
+					.withRetryLoans(this.retryLoanRequests::add)
+					.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence)),
+				new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000, "h", rollouts),
+				RandomSource.XO_RO_SHI_RO_128_PP.create(5), this.metrics);
 		if (withPlan) {
 			this.relayService.updatePlan(plan(1));
 		}
@@ -95,6 +105,13 @@
 		return new RelayFixture(true, false, false);
 	}
 
+	/**
+	 * Creates a fixture without targets whose deployment has roll-outs.
+	 */
+	static RelayFixture withRollouts() {
+		return new RelayFixture(true, false, false, new RolloutSettings(0.1, 50, 5_000));
+	}
+
 	static RelayFixture withoutPlan() {
 		return new RelayFixture(false, true, true);
 	}
@@ -137,6 +154,32 @@
 		this.relayService.updateTargets(this.targetList);
 	}
 
+	void listTarget(String id, String serviceName, String version) {
+		this.targetList.removeIf((target) -> target.registration().id().equals(id));
+		int host = Math.floorMod(id.hashCode(), 250);
+		this.targetList.add(new Target(new TargetRegistration(id, serviceName,
+				new InetSocketAddress("10.0.0." + host, 80), "giza", 24, false, 0, 1, 1, version), 0, true, false));
+		this.relayService.updateTargets(this.targetList);
+		if (serviceName.equals("bench")) {
+			reportLoad(id, 0, 0);
+		}
+	}
+
+	/**
+	 * Passes an order and the decision on it, if any, to the relay service.
+	 */
+	void rollOut(RolloutOrder order, RolloutDecision.Stage stage) {
+		List<RolloutDecision> decisions = (stage != null)
+				? List.of(new RolloutDecision(order.service(), order.version(), order.offset(), stage, "test"))
+				: List.of();
+		this.relayService.rolloutGate().update(new RolloutView(List.of("h"), 0, List.of(order), List.of(), decisions));
+		this.relayService.updateTargets(this.targetList);
+	}
+
+	long counter(String name) {
+		return this.metrics.counter(name).getCount();
+	}
+
 	boolean mayGetRequests(TargetRegistration registration) {
 		return this.targetList.stream()
 			.anyMatch((target) -> target.registration().equals(registration) && target.acceptsNewWork());
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RolloutFeed.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RolloutFeed.java
@@ -33,22 +33,25 @@
 final class RolloutFeed {
 
 	/**
-	 * Maximum time that the store holds a read of the decisions, as a fraction of the
-	 * time within which a roll-back must be in force.
+	 * Maximum time that the store holds a read of the decisions while a roll-out runs, as
+	 * a fraction of the time within which a roll-back must be in force.
 	 */
-	static final double LONG_POLL_FRACTION = 0.2;
+	static final double LONG_POLL_FRACTION = 0.1;
 
 	/**
 	 * Time without a push after which a host reads the decisions by itself, as a fraction
 	 * of the time within which a roll-back must be in force.
 	 */
-	static final double FOLLOW_FRACTION = 0.1;
+	static final double FOLLOW_FRACTION = 0.06;
 
 	/**
 	 * Time after a proposal with an unknown outcome before the next one, in milliseconds.
 	 */
 	static final long RETRY_MILLIS = 300;
 
+	/** Age at which the decisions are listed, in waits of a read. */
+	private static final double MAX_AGE_WAITS = 1.5;
+
 	/** Max age of orders whose state is written, in intervals between two reads. */
 	private static final int MAX_ORDER_AGE_INTERVALS = 2;
 
@@ -80,6 +83,9 @@
 
 	private long nextProposalMillis;
 
+	/** Whether the decisions are being listed besides the feed. */
+	private boolean listing;
+
 	private PeerTableSync peerSync;
 
 	private TableSharing sharing;
@@ -136,12 +142,12 @@
 		if (!enabled()) {
 			return;
 		}
-		LogEvent.ROLLOUT_ORDERED.log(logger, order.service(), order.version(), order.durationMillis(), order.offset());
 		this.withdrawn.remove(order.service());
 		this.orders.put(order.service(), order);
 		if (this.feed == null) {
 			startFeed();
 		}
+		updateWait();
 	}
 
 	/**
@@ -149,23 +155,43 @@
 	 * @param service name of the service
 	 */
 	void removeOrder(String service) {
-		RolloutOrder order = this.orders.remove(service);
-		if (order != null) {
-			LogEvent.ROLLOUT_WITHDRAWN.log(logger, service, order.version(), order.offset());
+		if (this.orders.remove(service) != null) {
 			this.withdrawn.add(service);
 		}
 	}
 
 	private void startFeed() {
-		long rollbackMillis = this.settings.relay().rollouts().rollbackMillis();
 		this.feed = TableFeed.longPolling(RolloutRecord.TABLE, this.runtime.store(), this.runtime.clock(),
-				this.runtime.controlScheduler(), (long) (rollbackMillis * LONG_POLL_FRACTION), 0, this::handleRecords);
+				this.runtime.controlScheduler(), runningWaitMillis(), 0, this::handleRecords);
 		this.peerSync.add(this.feed);
-		this.sharing.add(this.feed, (long) (rollbackMillis * FOLLOW_FRACTION));
+		this.sharing.add(this.feed, (long) (this.settings.relay().rollouts().rollbackMillis() * FOLLOW_FRACTION));
 		this.feed.start();
 		this.reporter.start();
 	}
 
+	private long runningWaitMillis() {
+		return (long) (this.settings.relay().rollouts().rollbackMillis() * LONG_POLL_FRACTION);
+	}
+
+	private boolean running() {
+		return this.orders.values().stream().anyMatch((order) -> !stage(order).isFinal());
+	}
+
+	private void updateWait() {
+		this.feed.updateWait(running() ? runningWaitMillis() : this.operatorsFeed.intervalMillis());
+	}
+
+	/**
+	 * Lists the decisions if a roll-out runs and they are older than usual, since a read
+	 * with a longer wait was started before the order.
+	 */
+	void keepCurrent() {
+		if (running() && this.feed.reachable() && !this.listing
+				&& this.feed.ageMillis() > MAX_AGE_WAITS * runningWaitMillis()) {
+			readAgain();
+		}
+	}
+
 	private void handleRecords(List<KeyedRecord> records) {
 		for (KeyedRecord record : records) {
 			if (record.deleted()) {
@@ -180,6 +206,7 @@
 						ex.getMessage());
 			}
 		}
+		updateWait();
 		this.onChange.run();
 	}
 
@@ -207,7 +234,7 @@
 			.whenComplete((accepted, failure) -> this.runtime.controlScheduler().execute(() -> {
 				this.proposing.remove(decision.service());
 				String outcome = (failure != null) ? "unknown" : accepted ? "accepted" : "refused";
-				LogEvent.ROLLOUT_PROPOSED.log(logger, decision.service(), decision.version(), decision.stage(),
+				LogEvent.ROLLOUT_ANSWERED.log(logger, decision.service(), decision.version(), decision.stage(),
 						outcome);
 				if (failure == null && accepted) {
 					this.ownDecisions.put(decision.service(), decision);
@@ -232,22 +259,24 @@
 		if (order == null || order.offset() != decision.orderOffset()) {
 			return false;
 		}
-		return switch (stage(order)) {
-			case TRIAL -> decision.stage() == RolloutDecision.Stage.SHIFTING
-					|| decision.stage() == RolloutDecision.Stage.ROLLED_BACK;
-			case SHIFTING -> decision.stage().isFinal();
-			case COMPLETED, ROLLED_BACK -> false;
-		};
+		Optional<RolloutDecision.Stage> current = decision(order).map(RolloutDecision::stage);
+		if (decision.stage() == RolloutDecision.Stage.COMPLETED) {
+			return current.filter((stage) -> stage == RolloutDecision.Stage.SHIFTING).isPresent();
+		}
+		return current.filter((stage) -> stage.isFinal() || stage.compareTo(decision.stage()) >= 0).isEmpty();
 	}
 
 	private void readAgain() {
 		long startedMillis = this.runtime.clock().millis();
-		this.runtime.store().list(RolloutRecord.TABLE).whenComplete((batch, failure) -> {
-			if (failure == null) {
-				this.runtime.controlScheduler()
-					.execute(() -> applyListing(batch, this.runtime.clock().millis() - startedMillis));
-			}
-		});
+		this.listing = true;
+		this.runtime.store()
+			.list(RolloutRecord.TABLE)
+			.whenComplete((batch, failure) -> this.runtime.controlScheduler().execute(() -> {
+				this.listing = false;
+				if (failure == null) {
+					applyListing(batch, this.runtime.clock().millis() - startedMillis);
+				}
+			}));
 	}
 
 	/**
@@ -266,16 +295,18 @@
 		return this.operatorsFeed.ageMillis() <= MAX_ORDER_AGE_INTERVALS * this.operatorsFeed.intervalMillis();
 	}
 
+	private Optional<RolloutDecision> decision(RolloutOrder order) {
+		return Optional.ofNullable(this.decisions.get(order.service()))
+			.filter((decision) -> decision.orderOffset() == order.offset());
+	}
+
 	/**
 	 * Returns the stage of a roll-out.
 	 * @param order its order
 	 * @return stage of the newest decision on this order
 	 */
 	RolloutDecision.Stage stage(RolloutOrder order) {
-		return Optional.ofNullable(this.decisions.get(order.service()))
-			.filter((decision) -> decision.orderOffset() == order.offset())
-			.map(RolloutDecision::stage)
-			.orElse(RolloutDecision.Stage.TRIAL);
+		return decision(order).map(RolloutDecision::stage).orElse(RolloutDecision.Stage.TRIAL);
 	}
 
 	/**
@@ -284,8 +315,8 @@
 	 * @return {@code false} if another host has, or none was made
 	 */
 	boolean hasDecided(RolloutOrder order) {
-		RolloutDecision decision = this.decisions.get(order.service());
-		return decision != null && decision.equals(this.ownDecisions.get(order.service()));
+		return decision(order).filter((decision) -> decision.equals(this.ownDecisions.get(order.service())))
+			.isPresent();
 	}
 
 	/**
@@ -293,9 +324,18 @@
 	 * @return an immutable snapshot
 	 */
 	RolloutView view() {
-		return new RolloutView(this.runtime.members().stream().map(Member::name).toList(),
-				(this.feed != null) ? this.feed.ageMillis() : Integer.MAX_VALUE, List.copyOf(this.orders.values()),
-				List.copyOf(this.withdrawn), List.copyOf(this.decisions.values()));
+		return new RolloutView(this.runtime.members().stream().map(Member::name).toList(), ageMillis(),
+				List.copyOf(this.orders.values()), List.copyOf(this.withdrawn), List.copyOf(this.decisions.values()));
+	}
+
+	/**
+	 * Returns the age of what a new version's requests depend on: of the decisions while
+	 * a roll-out runs, else the time since the orders were due to be read.
+	 * @return age in milliseconds
+	 */
+	private long ageMillis() {
+		return running() ? this.feed.ageMillis()
+				: Math.max(0, this.operatorsFeed.ageMillis() - this.operatorsFeed.intervalMillis());
 	}
 
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RolloutReporter.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RolloutReporter.java
@@ -66,12 +66,15 @@
 	}
 
 	private void poll() {
+		this.feed.keepCurrent();
 		long nowMillis = this.runtime.clock().millis();
 		for (RolloutOrder order : List.copyOf(this.feed.orders().values())) {
 			RolloutDecision.Stage stage = this.feed.stage(order);
 			Report report = this.reports.get(order.service());
 			if (report == null || !report.order.equals(order) || report.stage != stage) {
-				report = new Report(order, stage, nowMillis + delayMillis(order, stage));
+				boolean written = report != null && report.done && report.order.equals(order)
+						&& Arrays.equals(encode(order, report.stage), encode(order, stage));
+				report = new Report(order, stage, nowMillis + delayMillis(order, stage), written);
 				this.reports.put(order.service(), report);
 			}
 			if (!report.done && !report.running && nowMillis >= report.dueMillis && mayWrite(order.service())) {
@@ -80,6 +83,10 @@
 		}
 	}
 
+	private byte[] encode(RolloutOrder order, RolloutDecision.Stage stage) {
+		return this.platform.encodeStatus(order, stage);
+	}
+
 	private long delayMillis(RolloutOrder order, RolloutDecision.Stage stage) {
 		if (this.feed.hasDecided(order)) {
 			return 0;
@@ -137,7 +144,7 @@
 			return CompletableFuture.completedFuture(false);
 		}
 		String key = this.platform.statusKey(order.service());
-		byte[] value = this.platform.encodeStatus(order, report.stage);
+		byte[] value = encode(order, report.stage);
 		for (KeyedRecord record : status.records()) {
 			if (record.key().equals(key) && Arrays.equals(record.value(), value)) {
 				return CompletableFuture.completedFuture(true);
@@ -170,10 +177,11 @@
 		/** Whether the status table has the state. */
 		private boolean done;
 
-		Report(RolloutOrder order, RolloutDecision.Stage stage, long dueMillis) {
+		Report(RolloutOrder order, RolloutDecision.Stage stage, long dueMillis, boolean done) {
 			this.order = order;
 			this.stage = stage;
 			this.dueMillis = dueMillis;
+			this.done = done;
 		}
 
 	}
