--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -119,7 +119,8 @@
 	DATA_CENTRES_OUT(809, Level.INFO, "data centres out={}"),
 
 	/** A request was sent to a target. */
-	REQUEST_SENT(821, Level.INFO, "request={} sent target={} service={} send={} cause={} backup={} plan={} load={}"),
+	REQUEST_SENT(821, Level.INFO,
+			"request={} sent target={} service={} send={} cause={} backup={} plan={} load={} version={}"),
 
 	/** A request failed at a target. */
 	SEND_FAILED(822, Level.INFO, "request={} target={} failed ran={} reason=\"{}\""),
@@ -215,6 +216,30 @@
 	/** A request is refused, as its content crashes targets. */
 	REQUEST_QUARANTINED(850, Level.INFO, "request={} refused, quarantined content={} crashes={}"),
 
+	/** Operators have ordered a roll-out. */
+	ROLLOUT_ORDERED(851, Level.INFO, "rollout service={} version={} ordered offset={} durationMillis={}"),
+
+	/** A stage of a roll-out has begun. */
+	ROLLOUT_STAGE(852, Level.INFO, "rollout service={} version={} stage={} ageMillis={} reason=\"{}\""),
+
+	/** This host proposes a stage. */
+	ROLLOUT_PROPOSED(853, Level.INFO, "rollout service={} version={} proposed stage={} ageMillis={} reason=\"{}\""),
+
+	/** This host stops sending to a new version by its own evidence. */
+	ROLLOUT_STOPPED(854, Level.WARN, "rollout service={} version={} gets nothing from this host evidence=\"{}\""),
+
+	/** An order was withdrawn. */
+	ROLLOUT_WITHDRAWN(855, Level.INFO, "rollout service={} version={} withdrawn stage={}"),
+
+	/** This host's knowledge of roll-outs is too old, or current again. */
+	ROLLOUT_CONTACT(856, Level.INFO, "rollouts inContact={} ageMillis={}"),
+
+	/** The store has answered this host's proposal of a stage. */
+	ROLLOUT_ANSWERED(860, Level.INFO, "rollout service={} version={} stage={} proposal={}"),
+
+	/** The state of a roll-out was written for the operators. */
+	ROLLOUT_REPORTED(861, Level.INFO, "rollout service={} version={} stage={} written for operators"),
+
 	/** An engine starts none of the requests that it holds, or does not report. */
 	ENGINE_STALLED(867, Level.WARN, "engine={} stalled millis={} load={}"),
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -79,6 +79,8 @@
 
 	private final Quarantine quarantine;
 
+	private final RolloutGate rolloutGate;
+
 	private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
 
 	private final Set<RelayedRequest> activeRequests = new LinkedHashSet<>();
@@ -119,7 +121,8 @@
 		this.ratePermitIssuer = RatePermitIssuer.of(clock);
 		this.drainState = new DrainState(clock, settings.graceMillis());
 		this.quarantine = Quarantine.of(clock, clients.crashEvidence(), random);
-		this.targetPool = new TargetPool(clock, random, this::requestRatePermit);
+		this.rolloutGate = RolloutGate.of(clock, settings, clients.rollouts(), this.metrics);
+		this.targetPool = new TargetPool(clock, random, this::requestRatePermit, this.rolloutGate);
 		this.overloadControl = new OverloadControl(clock, this.targetPool, random);
 		this.loadSampler = new LoadSampler(clock, trafficThread, clients.engineLoads(), this.targetPool, random);
 		this.startedMillis = clock.millis();
@@ -149,6 +152,7 @@
 
 	private void poll() {
 		this.quarantine.poll();
+		this.rolloutGate.poll(this.targetPool);
 		this.activeRequests.stream()
 			.map((request) -> new PolledRequest(request, request.copyPriority()))
 			.sorted(Comparator.comparingDouble(PolledRequest::copyPriority).reversed())
@@ -183,7 +187,9 @@
 	 * @param targets all targets; those missing are forgotten
 	 */
 	public void updateTargets(List<Target> targets) {
-		if (this.targetPool.update(targets)) {
+		boolean changed = this.targetPool.update(targets);
+		this.rolloutGate.updateTargets(targets);
+		if (changed) {
 			poll();
 		}
 	}
@@ -434,6 +440,14 @@
 		return this.quarantine;
 	}
 
+	/**
+	 * Returns the gate that divides requests among the versions of a service.
+	 * @return the gate, which is confined to the traffic thread too
+	 */
+	public RolloutGate rolloutGate() {
+		return this.rolloutGate;
+	}
+
 	OverloadControl overloadControl() {
 		return this.overloadControl;
 	}
@@ -500,6 +514,7 @@
 		dump.put("shortestGoalMillis", this.overloadControl.shortestGoals());
 		dump.put("stoppingMillis", this.drainState.millis());
 		dump.put("quarantined", this.quarantine.culprits());
+		dump.put("rollouts", this.rolloutGate.dump());
 		dump.put("targets", this.targetPool.targets().stream().map(TrackedTarget::dump).toList());
 		return dump;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
@@ -35,7 +35,7 @@
 	 * Maximum time that a read waits at the store for records, in milliseconds; 0 when
 	 * polling.
 	 */
-	private final long waitMillis;
+	private long waitMillis;
 
 	/**
 	 * Delay between two reads, in milliseconds; when long polling, only after a read that
@@ -107,6 +107,14 @@
 		return new TableFeed(table, store, clock, control, 0, intervalMillis, listener);
 	}
 
+	/**
+	 * Changes the maximum time that a read waits, from the next read on.
+	 * @param millis maximum time that a read waits, in milliseconds; positive
+	 */
+	public void updateWait(long millis) {
+		this.waitMillis = millis;
+	}
+
 	/**
 	 * Lists or reads the table. Each result, also a failure, leads to the next call,
 	 * until the process ends.
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/LoadReportTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/LoadReportTests.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 
+import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 
@@ -11,6 +12,7 @@
 import io.dotterelcrank.process.limit.RatePermitClient;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
+import io.dotterelcrank.process.rollout.RolloutClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -22,7 +24,9 @@
 	private final Clock.Manual clock = Clock.manual(1_000);
 
 	private final TargetPool pool = new TargetPool(this.clock, RandomSource.XO_RO_SHI_RO_128_PP.create(2),
-			RatePermitClient.Disabled.INSTANCE);
+			RatePermitClient.Disabled.INSTANCE,
+			RolloutGate.of(this.clock, new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000),
+					RolloutClient.Disabled.INSTANCE, new RelayMetrics(new MetricRegistry())));
 
 	private static Target target(String id, long bornMillis, long sequence, boolean leaving, boolean listed,
 			boolean dataCentreOut) {
