Measure prefill by admitted prompts where engines list only started ones

Change: for such engines the meter divides the admitted prompts that were prefilled between two reports by the time since they were admitted or earlier ones were prefilled. The ledger counts the part of the oldest prompt that must have been prefilled since.

Tests of the touched classes pass.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
@@ -97,7 +98,8 @@
 		this.speedMeter.recordReport(this.clock.millis(),
 				activeRequests.stream()
 					.map((request) -> new EngineSpeedMeter.Run(request.id(), request.tokens(), request.events()))
-					.toList());
+					.toList(),
+				admittedPrompts().toList());
 		updateRunning(activeRequests);
 		Map<String, Long> prefilledById = new HashMap<>();
 		Set<String> started = new HashSet<>();
@@ -191,6 +193,13 @@
 		return Math.round(this.typicalPromptTokens);
 	}
 
+	private Stream<EngineSpeedMeter.Prompt> admittedPrompts() {
+		return this.admitted.entrySet()
+			.stream()
+			.map((entry) -> new EngineSpeedMeter.Prompt(entry.getKey(), entry.getValue().promptTokens(),
+					entry.getValue().admittedMillis()));
+	}
+
 	private long pendingPrefillTokens() {
 		long tokens = 0;
 		int unreported = 0;
@@ -204,6 +213,9 @@
 				tokens += Math.max(0, unknownPendingTokens() - entry.getValue());
 			}
 		}
+		tokens -= admittedPrompts().limit(1)
+			.mapToLong((oldest) -> this.speedMeter.prefilledTokens(this.clock.millis(), oldest))
+			.sum();
 		int unknownWaiting = Math.max(0, this.lastReport.waiting() - unreported);
 		return tokens + unknownWaiting * unknownPendingTokens();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -137,7 +137,7 @@
 		 * Part of the time that a prompt may queue by which a start may be later than at
 		 * the engine with the earliest one, for the sake of a lower load.
 		 */
-		private static final double MAX_LATER_START_FRACTION = 1.0 / 6;
+		private static final double MAX_LATER_START_FRACTION = 1.0 / 10;
 
 		/**
 		 * Cost of a second that generations run longer, in seconds of a later start: what
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/EngineSpeedMeter.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/EngineSpeedMeter.java
@@ -65,6 +65,15 @@
 	/** Preempted requests whose tokens are being prefilled again, by id. */
 	private final Set<String> rereading = new HashSet<>();
 
+	/** Whether the engine lists requests whose prompts are not prefilled. */
+	private boolean listsUnread;
+
+	/** Whether an admitted prompt was not prefilled as of the last report. */
+	private boolean lastUnread;
+
+	/** When the last listed prompt was prefilled. */
+	private long prefilledMillis;
+
 	/** When prefill was last observed. */
 	private long lastPrefillMillis;
 
@@ -85,17 +94,27 @@
 	/**
 	 * Records a report.
 	 * @param nowMillis when it was read, in milliseconds
-	 * @param runs all requests that hold KV cache memory
+	 * @param runs requests that the engine lists
+	 * @param prompts admitted prompts that were not prefilled as of the last report
 	 */
-	public void recordReport(long nowMillis, Collection<Run> runs) {
+	public void recordReport(long nowMillis, Collection<Run> runs, Collection<Prompt> prompts) {
 		Map<String, Run> current = new HashMap<>();
 		runs.forEach((run) -> current.put(run.id(), run));
 		this.rereading.retainAll(current.keySet());
+		this.listsUnread |= !this.listsUnread && runs.stream().anyMatch((run) -> run.events() == 0);
+		boolean unread = prompts.stream().anyMatch((prompt) -> !prefilled(prompt, current));
 		long elapsedMillis = nowMillis - this.lastMillis;
 		if (this.lastMillis >= 0 && elapsedMillis > 0 && elapsedMillis <= MAX_INTERVAL_MILLIS) {
-			recordDecoding(nowMillis, elapsedMillis, current);
-			recordPrefill(nowMillis, elapsedMillis, current);
+			boolean quiet = prompts.isEmpty() && quiet(this.lastRuns) && quiet(current);
+			recordDecoding(nowMillis, elapsedMillis, current, quiet && !this.lastUnread);
+			if (this.listsUnread) {
+				recordPrefill(nowMillis, elapsedMillis, current);
+			}
+			else {
+				recordPrefilledPrompts(nowMillis, elapsedMillis, current, prompts);
+			}
 		}
+		this.lastUnread = unread;
 		this.lastRuns = current;
 		this.lastMillis = nowMillis;
 	}
@@ -115,17 +134,50 @@
 			}
 		}
 		if (prefilling) {
-			if (!prefillKnown(nowMillis)) {
-				this.recentPrefill = DecayingRate.of(SHORT_HORIZON_MILLIS);
-				this.averagePrefill = DecayingRate.of(LONG_HORIZON_MILLIS);
+			recordPrefilled(nowMillis, tokens, elapsedMillis);
+		}
+	}
+
+	/**
+	 * Records the prompts that were prefilled since the last report, at half of the
+	 * interval on average. Prefill of the first began when it was admitted, or when that
+	 * of earlier ones was complete.
+	 */
+	private void recordPrefilledPrompts(long nowMillis, long elapsedMillis, Map<String, Run> current,
+			Collection<Prompt> prompts) {
+		long tokens = 0;
+		long beginMillis = nowMillis;
+		for (Prompt prompt : prompts) {
+			if (prefilled(prompt, current)) {
+				tokens += prompt.tokens();
+				beginMillis = Math.min(beginMillis, prompt.admittedMillis());
 			}
-			this.recentPrefill.record(nowMillis, tokens, elapsedMillis);
-			this.averagePrefill.record(nowMillis, tokens, elapsedMillis);
-			this.lastPrefillMillis = nowMillis;
 		}
+		if (tokens > 0) {
+			beginMillis = Math.max(beginMillis, this.prefilledMillis);
+			this.prefilledMillis = nowMillis - elapsedMillis / 2;
+			if (this.prefilledMillis > beginMillis) {
+				recordPrefilled(nowMillis, tokens, this.prefilledMillis - beginMillis);
+			}
+		}
+	}
+
+	private static boolean prefilled(Prompt prompt, Map<String, Run> runs) {
+		Run run = runs.get(prompt.id());
+		return run != null && run.events() > 0;
 	}
 
-	private void recordDecoding(long nowMillis, long elapsedMillis, Map<String, Run> current) {
+	private void recordPrefilled(long nowMillis, long tokens, long millis) {
+		if (!prefillKnown(nowMillis)) {
+			this.recentPrefill = DecayingRate.of(SHORT_HORIZON_MILLIS);
+			this.averagePrefill = DecayingRate.of(LONG_HORIZON_MILLIS);
+		}
+		this.recentPrefill.record(nowMillis, tokens, millis);
+		this.averagePrefill.record(nowMillis, tokens, millis);
+		this.lastPrefillMillis = nowMillis;
+	}
+
+	private void recordDecoding(long nowMillis, long elapsedMillis, Map<String, Run> current, boolean withoutPrefill) {
 		long tokens = 0;
 		long millis = 0;
 		for (Run run : current.values()) {
@@ -145,7 +197,7 @@
 			}
 		}
 		if (millis > 0) {
-			boolean quiet = this.rereading.isEmpty() && quiet(this.lastRuns) && quiet(current);
+			boolean quiet = withoutPrefill && this.rereading.isEmpty();
 			this.decode.record(nowMillis, tokens, millis);
 			(quiet ? this.quietDecode : this.disturbedDecode).record(nowMillis, tokens, millis);
 		}
@@ -168,6 +220,22 @@
 				stepMillis(this.disturbedDecode));
 	}
 
+	/**
+	 * Estimates how much of a prompt is prefilled that the engine does not list yet.
+	 * @param nowMillis present time, in milliseconds
+	 * @param prompt the oldest of the admitted prompts that are not prefilled
+	 * @return number of tokens; 0 if the prefill rate is not known or the engine lists
+	 * such prompts
+	 */
+	public long prefilledTokens(long nowMillis, Prompt prompt) {
+		if (this.listsUnread || !prefillKnown(nowMillis)) {
+			return 0;
+		}
+		long beganMillis = Math.max(this.prefilledMillis, prompt.admittedMillis());
+		double tokens = speed(nowMillis).prefillTokensPerSecond() * (nowMillis - beganMillis) / MILLIS_PER_SECOND;
+		return Math.round(Math.max(0, Math.min(prompt.tokens(), tokens)));
+	}
+
 	private boolean prefillKnown(long nowMillis) {
 		return this.averagePrefill.perMilli() > 0 && nowMillis - this.lastPrefillMillis <= MAX_PREFILL_AGE_MILLIS;
 	}
@@ -176,6 +244,16 @@
 		return (tokens.perMilli() > 0) ? 1 / tokens.perMilli() : EngineSpeed.UNKNOWN_FIGURE;
 	}
 
+	/**
+	 * A prompt that was admitted. Immutable.
+	 *
+	 * @param id id of the attempt
+	 * @param tokens tokens of the prompt
+	 * @param admittedMillis when it was admitted, in milliseconds
+	 */
+	public record Prompt(String id, long tokens, long admittedMillis) {
+	}
+
 	/**
 	 * A request that holds KV cache memory. Immutable.
 	 *
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/UnequalEngines.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/UnequalEngines.java
@@ -224,6 +224,7 @@
 					new EngineLoad("e" + this.number, "s", "dc", "10.0.0.1:80", 1, this.running.size(), 0, 0, used,
 							MEMORY_TOKENS, false, -1, -1),
 					this.running.stream()
+						.filter((request) -> request.tokens >= PROMPT_TOKENS)
 						.map((request) -> new EngineReport.ActiveRequest(request.id, Math.round(request.tokens),
 								Math.max(0, (long) (request.tokens - PROMPT_TOKENS + 4) / 4)))
 						.toList());
