--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionLedger.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
@@ -108,7 +109,8 @@
 		this.speedMeter.recordReport(this.clock.millis(),
 				activeRequests.stream()
 					.map((request) -> new EngineSpeedMeter.Run(request.id(), request.tokens(), request.events()))
-					.toList());
+					.toList(),
+				admittedPrompts().toList());
 		this.readable = true;
 		updateRunning(activeRequests);
 		Map<String, Long> prefilledById = new HashMap<>();
@@ -226,6 +228,13 @@
 		return Math.round(this.typicalPromptTokens);
 	}
 
+	private Stream<EngineSpeedMeter.Prompt> admittedPrompts() {
+		return this.admitted.entrySet()
+			.stream()
+			.map((entry) -> new EngineSpeedMeter.Prompt(entry.getKey(), entry.getValue().promptTokens(),
+					entry.getValue().admittedMillis()));
+	}
+
 	private long pendingPrefillTokens() {
 		long tokens = 0;
 		int unreported = 0;
@@ -239,6 +248,9 @@
 				tokens += Math.max(0, unknownPendingTokens() - entry.getValue());
 			}
 		}
+		tokens -= admittedPrompts().limit(1)
+			.mapToLong((oldest) -> this.speedMeter.prefilledTokens(this.clock.millis(), oldest))
+			.sum();
 		int unknownWaiting = Math.max(0, this.lastReport.waiting() - unreported);
 		return tokens + unknownWaiting * unknownPendingTokens()
 				+ this.stallMonitor.stalledTokens(largestPendingPromptTokens());
