Log only stalls that last, and none of engines that leave

What is admitted during a stall is unchanged.

Tests: CatalogueTests, RelayEntry*, StallMonitorTests green.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -216,7 +216,7 @@
 	ENGINE_STALLED(867, Level.WARN, "engine={} stalled millis={} load={}"),
 
 	/** An engine starts requests again. */
-	ENGINE_STALL_ENDED(868, Level.INFO, "engine={} no longer stalled millis={}"),
+	ENGINE_STALL_ENDED(868, Level.INFO, "engine={} no longer stalled"),
 
 	/** A request goes to another engine, as a sidecar does not respond. */
 	REQUEST_DIVERTED(869, Level.INFO, "request={} diverted from={} to={}"),
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -66,6 +66,9 @@
 	 */
 	static final double PREFILL_CHANGE_FRACTION = 1.0 / 3;
 
+	/** Length from which on a stall is logged, in milliseconds. */
+	static final long MIN_LOGGED_STALL_MILLIS = 250;
+
 	private static final Logger logger = LoggerFactory.getLogger(RelaySidecarDaemon.class);
 
 	private final RelaySidecarSettings settings;
@@ -102,6 +105,9 @@
 	/** How long the engine was stalled at the last poll, in milliseconds. */
 	private long stalledMillis;
 
+	/** Whether the present stall was logged. */
+	private boolean stallLogged;
+
 	private RelaySidecarDaemon(RelaySidecarSettings settings, RelayPlatform platform) {
 		this.settings = settings;
 		this.platform = platform;
@@ -180,14 +186,22 @@
 		}
 	}
 
+	/**
+	 * Logs stalls that last; an engine that is leaving starts nothing by intent.
+	 */
 	private void logStall() {
-		long stalledBefore = this.stalledMillis;
-		this.stalledMillis = this.ledger.stalledMillis();
-		if (stalledBefore == 0 && this.stalledMillis > 0) {
-			LogEvent.ENGINE_STALLED.log(logger, this.settings.engine(), this.stalledMillis, this.ledger.load());
+		EngineLoad load = this.ledger.load();
+		if (load == null) {
+			return;
+		}
+		this.stalledMillis = load.leaving() ? 0 : this.ledger.stalledMillis();
+		if (!this.stallLogged && this.stalledMillis >= MIN_LOGGED_STALL_MILLIS) {
+			this.stallLogged = true;
+			LogEvent.ENGINE_STALLED.log(logger, this.settings.engine(), this.stalledMillis, load);
 		}
-		else if (stalledBefore > 0 && this.stalledMillis == 0) {
-			LogEvent.ENGINE_STALL_ENDED.log(logger, this.settings.engine(), stalledBefore);
+		else if (this.stallLogged && this.stalledMillis == 0) {
+			this.stallLogged = false;
+			LogEvent.ENGINE_STALL_ENDED.log(logger, this.settings.engine());
 		}
 	}
 
