Add the commands rollout start, status and abort

Cause: a roll-out could be ordered and followed only by writing and reading records. Change: the stand-in platform has keyed tables, which the verbs read and write under a condition; the tests of whole roll-outs use them, so that order, decision and withdrawal go through the command line and the store. Ruled out: the operators' table of the users' platform, which the product may not write. Conclusion: operators of the stand-in platform can roll out, follow and abort.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/Main.java
@@ -30,6 +30,9 @@
 import io.dotterelcrank.daemon.command.HostRestoreVerb;
 import io.dotterelcrank.daemon.command.LoadVerb;
 import io.dotterelcrank.daemon.command.PlacementSetVerb;
+import io.dotterelcrank.daemon.command.RolloutAbortVerb;
+import io.dotterelcrank.daemon.command.RolloutStartVerb;
+import io.dotterelcrank.daemon.command.RolloutStatusVerb;
 import io.dotterelcrank.daemon.command.SidecarVerb;
 import io.dotterelcrank.daemon.command.StandinVerb;
 import io.dotterelcrank.daemon.command.StatusVerb;
@@ -117,6 +120,9 @@
 		builder.withGroup("host")
 			.withDescription("Drain a host and restore it")
 			.withCommands(List.of(HostDrainVerb.class, HostRestoreVerb.class));
+		builder.withGroup("rollout")
+			.withDescription("Move a service to another version, step by step")
+			.withCommands(List.of(RolloutStartVerb.class, RolloutStatusVerb.class, RolloutAbortVerb.class));
 		builder.withGroup("placement").withDescription("Models that engines serve").withCommand(PlacementSetVerb.class);
 		return builder.build();
 	}
--- a/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/PlatformServer.java
+++ b/dotterelcrank-standin/src/main/java/io/dotterelcrank/standin/http/PlatformServer.java
@@ -14,6 +14,7 @@
 import io.dotterelcrank.standin.platform.LogFault;
 import io.dotterelcrank.standin.platform.StandinHostList;
 import io.dotterelcrank.standin.platform.StandinLog;
+import io.dotterelcrank.standin.platform.StandinTables;
 import io.dotterelcrank.standin.platform.StandinWeightStore;
 
 /**
@@ -32,10 +33,13 @@
 
 	private final StandinWeightStore weightStore;
 
+	private final StandinTables tables;
+
 	private final Undertow server;
 
-	private PlatformServer(StandinLog log, StandinHostList hostList, StandinWeightStore weightStore, int port)
-			throws IOException {
+	private PlatformServer(StandinLog log, StandinHostList hostList, StandinWeightStore weightStore,
+			StandinTables tables, int port) throws IOException {
+		this.tables = tables;
 		this.log = log;
 		this.hostList = hostList;
 		this.weightStore = weightStore;
@@ -53,7 +57,22 @@
 	 */
 	public static PlatformServer start(StandinLog log, StandinHostList hostList, StandinWeightStore weightStore,
 			int port) throws IOException {
-		return new PlatformServer(log, hostList, weightStore, port);
+		return start(log, hostList, weightStore, StandinTables.empty(), port);
+	}
+
+	/**
+	 * Starts a server.
+	 * @param log log to serve
+	 * @param hostList host list to serve
+	 * @param weightStore weight store to serve
+	 * @param tables keyed tables to serve
+	 * @param port port to bind on the loopback address, or 0 for a free one
+	 * @return a running server
+	 * @throws IOException if the port cannot be bound
+	 */
+	public static PlatformServer start(StandinLog log, StandinHostList hostList, StandinWeightStore weightStore,
+			StandinTables tables, int port) throws IOException {
+		return new PlatformServer(log, hostList, weightStore, tables, port);
 	}
 
 	private void handle(HttpServerExchange exchange) throws IOException {
@@ -74,6 +93,13 @@
 			}
 			case "POST permits" -> ExchangeSupport.dispatchBlocking(exchange,
 					() -> ExchangeSupport.sendJson(exchange, this.weightStore.requestPermit(name)));
+			case "GET tables" -> ExchangeSupport.sendJson(exchange, this.tables.list(name).join());
+			case "POST tables" -> ExchangeSupport.receiveBody(exchange, (body) -> {
+				String key = exchange.getQueryParameters().get("key").getFirst();
+				byte[] value = SharedJsonMapper.mapper().readValue(body, byte[].class);
+				long endOffset = ExchangeSupport.longParameter(exchange, "at", 0);
+				ExchangeSupport.sendJson(exchange, this.tables.tryAppend(name, endOffset, key, value).join());
+			});
 			case "POST faults" -> {
 				this.log.injectFault(LogFault.valueOf(name.toUpperCase(Locale.ROOT)));
 				ExchangeSupport.sendJson(exchange, "done");
