Count outcomes only of whole executions, and list decisions less often

Cause: a resumed generation starts with the work of another engine, so its first event came sooner than that of any other; followers could list the decisions besides their reader while the store is slow; a host whose response was lost did not write the state of the decision that it had made. Change: resumed attempts give no time, only failures; only readers list, at most once per wait; a proposal counts as this host's own decision if it is the one in force.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -142,12 +142,13 @@
 
 	/**
 	 * Cancels the exchange, since the request has ended or another attempt streams. A
-	 * target that was slow to respond is recorded with the time that it has taken so far.
+	 * target that was slow to respond is recorded with the time that it has taken so far,
+	 * unless it had a part of the work from another.
 	 */
 	void abandon() {
 		boolean slow = this.request.now() - this.sentMillis >= this.request.route().latencyGoalMillis()
 				* RetryPolicy.HEDGE_AFTER_GOAL_FRACTION;
-		if (slow && !this.outcomeRecorded) {
+		if (slow && !this.outcomeRecorded && !this.resumed) {
 			recordOutcome(false);
 		}
 		cancel();
@@ -208,7 +209,7 @@
 				if (!this.active || !this.request.forwardEvent(this, event)) {
 					return;
 				}
-				if (!this.eventReceived) {
+				if (!this.eventReceived && !this.resumed) {
 					recordOutcome(false);
 				}
 				this.eventReceived = true;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
@@ -190,7 +190,7 @@
 	 * Returns whether a peer reads the table for this host.
 	 * @return {@code true} until the time of the last {@link #follow} has passed
 	 */
-	boolean following() {
+	public boolean following() {
 		return this.followUntilMillis > this.clock.millis();
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -17,6 +17,7 @@
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
+import io.dotterelcrank.process.rollout.RolloutClient;
 import io.dotterelcrank.process.rollout.RolloutDecision;
 import io.dotterelcrank.process.rollout.RolloutOrder;
 import io.dotterelcrank.process.rollout.RolloutSettings;
@@ -57,6 +58,9 @@
 	/** Evidence sent to other hosts, in order. */
 	private final List<Message.CrashEvidence> crashEvidence = new ArrayList<>();
 
+	/** Evidence of roll-outs sent to other hosts, in order. */
+	private final List<Message.RolloutEvidence> rolloutEvidence = new ArrayList<>();
+
 	private final MetricRegistry metrics = new MetricRegistry();
 
 	private final RelayService relayService;
@@ -78,7 +82,8 @@
 					.withAdmission(this.admissionClient)
 					.withEngineLoads(this.loadReader)
 					.withRetryLoans(this.retryLoanRequests::add)
-					.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence)),
+					.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence))
+					.withRollouts(new RecordingRolloutClient()),
 				new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000, "h", rollouts),
 				RandomSource.XO_RO_SHI_RO_128_PP.create(5), this.metrics);
 		if (withPlan) {
@@ -172,10 +177,15 @@
 		List<RolloutDecision> decisions = (stage != null)
 				? List.of(new RolloutDecision(order.service(), order.version(), order.offset(), stage, "test"))
 				: List.of();
-		this.relayService.rolloutGate().update(new RolloutView(List.of("h"), 0, List.of(order), List.of(), decisions));
+		this.relayService.rolloutGate()
+			.update(new RolloutView(List.of("h", "i"), 0, List.of(order), List.of(), decisions));
 		this.relayService.updateTargets(this.targetList);
 	}
 
+	List<Message.RolloutEvidence> rolloutEvidence() {
+		return this.rolloutEvidence;
+	}
+
 	long counter(String name) {
 		return this.metrics.counter(name).getCount();
 	}
@@ -264,4 +274,21 @@
 		return this.relayService;
 	}
 
+	/**
+	 * Records evidence.
+	 */
+	private final class RecordingRolloutClient implements RolloutClient {
+
+		@Override
+		public void send(String host, Message.RolloutEvidence evidence) {
+			RelayFixture.this.rolloutEvidence.add(evidence);
+		}
+
+		@Override
+		public void propose(RolloutDecision decision) {
+			// The test makes the decisions.
+		}
+
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RolloutGateTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RolloutGateTests.java
@@ -7,8 +7,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.rollout.RolloutDecision;
 import io.dotterelcrank.process.rollout.RolloutOrder;
+import io.dotterelcrank.process.rollout.VersionCounts;
 import io.dotterelcrank.request.Ran;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -165,6 +167,57 @@
 		assertThat(this.caller.endCount()).isOne();
 	}
 
+	private VersionCounts countsAfterNextEvidence() {
+		this.fixture.advance(1_100);
+		List<Message.RolloutEvidence> sent = this.fixture.rolloutEvidence();
+		return sent.get(sent.size() - 1).counts().get(0);
+	}
+
+	@Test
+	void outcomesOfTargetsAreCountedUnlessTheyDidNotRunOrLeaveAsAnnounced() {
+		this.fixture.listTarget("old", "desk", "v1");
+		this.fixture.rollOut(DESK_ORDER, RolloutDecision.Stage.TRIAL);
+		for (int i = 0; i < 5; i++) {
+			this.fixture.accept("/order/1", new RecordingCallerChannel());
+		}
+		exchange(0).respond(200, "booked");
+		exchange(1).respond(500, "failed");
+		exchange(2).fail(Ran.UNKNOWN);
+		exchange(3).fail(Ran.NO);
+		this.fixture.listTarget("old", "desk", true);
+		exchange(4).fail(Ran.UNKNOWN);
+		VersionCounts counts = countsAfterNextEvidence();
+		assertThat(counts.candidate()).isFalse();
+		assertThat(counts.requests()).isEqualTo(3);
+		assertThat(counts.failed()).isEqualTo(2);
+	}
+
+	@Test
+	void breakOfAStreamIsAFailureBesideItsFirstEvent() {
+		this.fixture.listTarget("e1", "bench", "v1");
+		this.fixture.rollOut(BENCH_ORDER, RolloutDecision.Stage.TRIAL);
+		this.fixture.accept("/notes/1", this.caller);
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		assertThat(countsAfterNextEvidence().failed()).isZero();
+		exchange(0).fail(Ran.UNKNOWN);
+		VersionCounts counts = countsAfterNextEvidence();
+		assertThat(counts.requests()).isEqualTo(2);
+		assertThat(counts.failed()).isOne();
+	}
+
+	@Test
+	void targetThatIsSlowWhenAHedgeRespondsIsCounted() {
+		this.fixture.listTarget("old", "desk", "v1");
+		this.fixture.listTarget("old2", "desk", "v1");
+		this.fixture.rollOut(DESK_ORDER, RolloutDecision.Stage.TRIAL);
+		this.fixture.accept("/lookup/1", this.caller);
+		this.fixture.advance(250);
+		exchange(1).respond(200, "found");
+		assertThat(exchange(0).cancelled()).isTrue();
+		assertThat(countsAfterNextEvidence().requests()).isEqualTo(2);
+	}
+
 	@Test
 	void versionsAreTreatedAlikeWithoutRolloutsInTheDeployment() {
 		RelayFixture disabled = new RelayFixture();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RolloutFeed.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RolloutFeed.java
@@ -75,7 +75,7 @@
 	/** Newest decisions by service. */
 	private final Map<String, RolloutDecision> decisions = new LinkedHashMap<>();
 
-	/** Newest decisions that this host has made, by service. */
+	/** Newest decisions that this host has proposed, by service. */
 	private final Map<String, RolloutDecision> ownDecisions = new HashMap<>();
 
 	/** Services with a proposal that has no outcome yet. */
@@ -86,6 +86,8 @@
 	/** Whether the decisions are being listed besides the feed. */
 	private boolean listing;
 
+	private long nextListingMillis;
+
 	private PeerTableSync peerSync;
 
 	private TableSharing sharing;
@@ -157,6 +159,7 @@
 	void removeOrder(String service) {
 		if (this.orders.remove(service) != null) {
 			this.withdrawn.add(service);
+			updateWait();
 		}
 	}
 
@@ -182,11 +185,12 @@
 	}
 
 	/**
-	 * Lists the decisions if a roll-out runs and they are older than usual, since a read
-	 * with a longer wait was started before the order.
+	 * Lists the decisions if a roll-out runs and this host reads them, but they are older
+	 * than usual, since a read with a longer wait was started before the order.
 	 */
 	void keepCurrent() {
-		if (running() && this.feed.reachable() && !this.listing
+		boolean readsItself = this.feed.reachable() && !this.feed.following();
+		if (running() && readsItself && !this.listing && this.runtime.clock().millis() >= this.nextListingMillis
 				&& this.feed.ageMillis() > MAX_AGE_WAITS * runningWaitMillis()) {
 			readAgain();
 		}
@@ -227,6 +231,7 @@
 			return;
 		}
 		this.proposing.add(decision.service());
+		this.ownDecisions.put(decision.service(), decision);
 		long endOffset = this.feed.records().nextOffset();
 		byte[] value = RolloutRecord.encode(decision);
 		this.runtime.store()
@@ -237,7 +242,6 @@
 				LogEvent.ROLLOUT_ANSWERED.log(logger, decision.service(), decision.version(), decision.stage(),
 						outcome);
 				if (failure == null && accepted) {
-					this.ownDecisions.put(decision.service(), decision);
 					this.feed.applyPeerRecords(new KeyedTable.Update(endOffset,
 							List.of(new KeyedRecord(decision.service(), endOffset, value))), endOffset + 1, 0);
 					return;
@@ -269,6 +273,7 @@
 	private void readAgain() {
 		long startedMillis = this.runtime.clock().millis();
 		this.listing = true;
+		this.nextListingMillis = startedMillis + runningWaitMillis();
 		this.runtime.store()
 			.list(RolloutRecord.TABLE)
 			.whenComplete((batch, failure) -> this.runtime.controlScheduler().execute(() -> {
