--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
@@ -13,7 +13,6 @@
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.overload.WaitingOrder;
-import io.dotterelcrank.request.ResultCode;
 
 /**
  * The requests of this host whose response is not complete, and those among them that
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -11,7 +11,6 @@
 import io.dotterelcrank.process.overload.WaitingOrder;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
-import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/EngineSpeedMeter.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/EngineSpeedMeter.java
@@ -142,6 +142,10 @@
 	 * Records the prompts that were prefilled since the last report, at half of the
 	 * interval on average. Prefill of the first began when it was admitted, or when that
 	 * of earlier ones was complete.
+	 * @param nowMillis time of the report, in milliseconds
+	 * @param elapsedMillis time since the report before, in milliseconds
+	 * @param current running requests in the report, by id
+	 * @param prompts admitted prompts, oldest first
 	 */
 	private void recordPrefilledPrompts(long nowMillis, long elapsedMillis, Map<String, Run> current,
 			Collection<Prompt> prompts) {
