--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/EvidenceLedger.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/EvidenceLedger.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.Message;
@@ -116,6 +117,19 @@
 		return anyIdle;
 	}
 
+	/**
+	 * Returns how many requests the old version runs, as far as hosts have told.
+	 * @param hosts names of the entry hosts
+	 * @return number of outstanding requests
+	 */
+	long outstanding(Collection<String> hosts) {
+		return hosts.stream()
+			.map(this::newest)
+			.filter(Objects::nonNull)
+			.mapToLong((report) -> report.evidence().outstanding())
+			.sum();
+	}
+
 	/**
 	 * Returns whether most hosts have told evidence lately.
 	 * @param hosts names of the entry hosts
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/ExposureGate.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/ExposureGate.java
@@ -8,9 +8,9 @@
  * Limits what the new version of a service gets from this host while it is tried.
  * Addresses bad versions: whatever the other hosts do, and whether or not a decision
  * comes, the new version gets at most its share of all requests. Invariant: over all
- * hosts it gets at most the trial share of the requests sent, plus a part of the slack. A
- * host that may have restarted during the roll-out has no part of the slack, so that the
- * bound also holds if every host restarts. Not thread-safe.
+ * hosts it gets at most the exposed share of the requests sent, plus a part of the slack.
+ * A host that may have restarted during the roll-out has no part of the slack, so that
+ * the bound also holds if every host restarts. Not thread-safe.
  */
 final class ExposureGate {
 
@@ -28,6 +28,12 @@
 
 	private static final double SLACK_FRACTION = 0.6;
 
+	/**
+	 * Credit up to which a whole request is within the exposed share as soon as trial
+	 * share and credit allow it.
+	 */
+	private static final double FREE_CREDIT = 1 - TRIAL_FRACTION;
+
 	private final RolloutSettings settings;
 
 	/** Whether this host has a part of the slack. */
@@ -67,14 +73,20 @@
 		double slack = SLACK_FRACTION * this.settings.exposedSlack();
 		int rank = RendezvousHash.rank(key, hosts, (name) -> name).indexOf(host);
 		this.firstSends = TRIAL_REQUESTS / trialShare() / Math.max(1, hosts.size());
-		if (!this.first || rank < 0 || slack <= 0) {
+		double stagger = 1 - (rank + 0.5) / hosts.size();
+		if (rank < 0) {
 			this.credit = 0;
 		}
+		else if (!this.first) {
+			this.credit = Math.min(FREE_CREDIT, stagger);
+		}
 		else if (hosts.size() <= 2 * slack) {
-			this.credit = slack / hosts.size() + 0.5 - (rank + 0.5) / hosts.size();
+			this.credit = slack / hosts.size() - 0.5 + stagger;
 		}
 		else {
-			this.credit = Math.max(0, 1 - (rank + 0.5) / (2 * slack));
+			// What hosts may exceed the exposed share by adds up to the slack at most.
+			double excess = Math.sqrt(2 * TRIAL_FRACTION * slack / hosts.size());
+			this.credit = Math.min(Math.min(1, FREE_CREDIT + excess), stagger);
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/LatencyHistogram.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/LatencyHistogram.java
@@ -4,16 +4,16 @@
 import java.util.List;
 
 /**
- * Counts of response times in classes that are half an octave wide, so that the counts of
- * many hosts can be summed before a bound is derived from them. Addresses services of
- * which each host sees only a few responses. Not thread-safe.
+ * Counts of response times in classes that are a quarter of an octave wide, so that the
+ * counts of many hosts can be summed before a bound is derived from them. Addresses
+ * services of which each host sees only a few responses. Not thread-safe.
  */
 final class LatencyHistogram {
 
 	/** Number of classes; the last one holds everything above. */
-	static final int CLASSES = 36;
+	static final int CLASSES = 68;
 
-	private static final int CLASSES_PER_OCTAVE = 2;
+	private static final int CLASSES_PER_OCTAVE = 4;
 
 	private final double[] counts = new double[CLASSES];
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/Rollout.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/Rollout.java
@@ -49,7 +49,11 @@
 
 	private final VersionAssessment assessment = new VersionAssessment();
 
-	private final VersionTest test;
+	private final RolloutDecider.TestFactory tests;
+
+	private final long rollbackMillis;
+
+	private VersionTest test;
 
 	/** When the order was given, as far as this host knows. */
 	private long orderedMillis;
@@ -60,8 +64,11 @@
 
 	private long stageMillis;
 
+	/** Whether this host sends nothing to the new version by its own evidence. */
 	private boolean stopped;
 
+	private long stoppedMillis;
+
 	private int outstanding;
 
 	private long turn = -1;
@@ -75,6 +82,8 @@
 		this.gate = new ExposureGate(settings, first);
 		this.trial = new TrialChoice(key(order));
 		this.sliceMillis = Math.max(1, settings.rollbackMillis() / RolloutDecider.SLICES);
+		this.rollbackMillis = settings.rollbackMillis();
+		this.tests = tests;
 		this.test = tests.create(LOCAL_FALSE_ALARM, RolloutDecider.MISS);
 		this.orderedMillis = clock.millis();
 		this.assessedMillis = clock.millis();
@@ -245,13 +254,19 @@
 	 */
 	void assess() {
 		long slices = (this.clock.millis() - this.assessedMillis) / this.sliceMillis;
-		if (slices < 1 || this.stopped) {
+		if (slices < 1) {
 			return;
 		}
 		this.assessedMillis = this.clock.millis();
 		this.assessment.assess(this.counts, slices, this.test);
-		if (this.test.verdict() == VersionTest.Verdict.BAD) {
+		if (this.stopped && this.clock.millis() - this.stoppedMillis >= this.rollbackMillis) {
+			// The evidence of all hosts has not confirmed that of this one.
+			this.stopped = false;
+			this.test = this.tests.create(LOCAL_FALSE_ALARM, RolloutDecider.MISS);
+		}
+		if (!this.stopped && this.test.verdict() == VersionTest.Verdict.BAD) {
 			this.stopped = true;
+			this.stoppedMillis = this.clock.millis();
 			LogEvent.ROLLOUT_STOPPED.log(logger, this.order.service(), this.order.version(), this.test.evidence());
 		}
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/RolloutDecider.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/RolloutDecider.java
@@ -31,6 +31,9 @@
 	/** Slices over which the rate of the requests is measured. */
 	private static final int RATE_SLICES = 2;
 
+	/** Highest rate that is believed, in units of the average one. */
+	private static final double MAX_RATE = 2;
+
 	private final Clock clock;
 
 	private final StagePlanner planner;
@@ -98,12 +101,14 @@
 		if (this.clock.millis() - this.assessedMillis >= this.sliceMillis || this.assessedMillis == Long.MIN_VALUE) {
 			assess();
 		}
-		Optional<StagePlanner.Step> step = this.planner.plan(new StagePlanner.Facts(view.stage(), view.stageMillis(),
-				orderAgeMillis(), view.runsAlready(), this.test.verdict(), this.shiftTest.verdict(),
-				this.ledger.sends(), this.ledger.candidateSends(), this.requestsPerMilli, view.candidateTargets(),
-				view.oldTargets(), view.stage() == Stage.SHIFTING && this.ledger.isOldVersionIdle(view.hostsSince(),
-						FRESH_SLICES * this.sliceMillis, SILENT_SLICES * this.sliceMillis),
-				this::evidence));
+		Optional<StagePlanner.Step> step = this.planner
+			.plan(new StagePlanner.Facts(view.stage(), view.stageMillis(), orderAgeMillis(), view.runsAlready(),
+					this.test.verdict(), this.shiftTest.verdict(), this.ledger.sends(), this.ledger.candidateSends(),
+					this.requestsPerMilli, view.candidateTargets(), view.oldTargets(),
+					view.stage() == Stage.SHIFTING && this.ledger.isOldVersionIdle(view.hostsSince(),
+							FRESH_SLICES * this.sliceMillis, SILENT_SLICES * this.sliceMillis),
+					(view.stage() == Stage.SHIFTING) ? this.ledger.outstanding(view.hostsSince().keySet()) : 0,
+					this::evidence));
 		// A host that hears few others has no evidence for more than the beginning.
 		return step.filter((next) -> next.stage() == Stage.TRIAL
 				|| this.ledger.isHeardOfMost(view.hostsSince().keySet(), SILENT_SLICES * this.sliceMillis));
@@ -117,7 +122,10 @@
 		this.assessment.assess(this.ledger.cells(), Math.max(1, elapsedMillis / this.sliceMillis), this.test,
 				this.shiftTest);
 		if (nowMillis - this.ratedMillis >= RATE_SLICES * this.sliceMillis) {
-			this.requestsPerMilli = (double) (this.ledger.sends() - this.ratedSends) / (nowMillis - this.ratedMillis);
+			double average = (double) this.ledger.sends() / Math.max(1, orderAgeMillis());
+			// Evidence that was held up comes all at once.
+			this.requestsPerMilli = Math.min(MAX_RATE * average,
+					(double) (this.ledger.sends() - this.ratedSends) / (nowMillis - this.ratedMillis));
 			this.ratedMillis = nowMillis;
 			this.ratedSends = this.ledger.sends();
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/StagePlanner.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/StagePlanner.java
@@ -18,9 +18,9 @@
 	private static final double SHIFT_FRACTION = 0.1;
 
 	/** Bounds of it, in units of the time for a roll-back. */
-	private static final double MIN_SHIFT = 0.65;
+	private static final double MIN_SHIFT = 0.9;
 
-	private static final double MAX_SHIFT = 1.2;
+	private static final double MAX_SHIFT = 1.4;
 
 	/** Time in which the old version becomes idle at best, in the same units. */
 	private static final double QUICK_SHIFT = 0.4;
@@ -28,8 +28,10 @@
 	/** Time from a proposal until it is in force at all hosts, in the same units. */
 	private static final double SPREAD = 0.1;
 
-	/** Time for which the new version must have had all requests, in the same units. */
-	private static final double SOAK = 0.25;
+	/**
+	 * Max time for which the new version has all requests before the old one is emptied.
+	 */
+	private static final double MAX_SOAK = 0.4;
 
 	/** Number of new targets for each old one from which on all requests may move. */
 	private static final double MIN_TARGETS = 0.5;
@@ -66,7 +68,8 @@
 	 * @return time since the move began, in milliseconds
 	 */
 	long soakedMillis() {
-		return rampMillis() + Math.round(SOAK * this.settings.rollbackMillis());
+		double unit = this.settings.rollbackMillis();
+		return Math.round(Math.min(shiftMillis() - QUICK_SHIFT * unit, rampMillis() + MAX_SOAK * unit));
 	}
 
 	/**
@@ -106,7 +109,9 @@
 			return Optional.empty();
 		}
 		boolean quick = leftMillis <= QUICK_SHIFT * this.settings.rollbackMillis();
-		double soakRequests = facts.requestsPerMilli() * replaceMillis();
+		// The bound grows with each request, by the exposed share.
+		double soakRequests = (1 - this.settings.exposedShare()) * facts.requestsPerMilli()
+				* (replaceMillis() - rampMillis() / 2d);
 		if (!quick && spareRequests(facts) < soakRequests) {
 			return Optional.empty();
 		}
@@ -126,7 +131,8 @@
 		}
 		long leftMillis = this.durationMillis - facts.ageMillis();
 		double spreadMillis = SPREAD * this.settings.rollbackMillis();
-		boolean doubtful = facts.shiftVerdict() == VersionTest.Verdict.DOUBTFUL;
+		boolean doubtful = facts.shiftVerdict() == VersionTest.Verdict.DOUBTFUL
+				|| facts.verdict() == VersionTest.Verdict.DOUBTFUL;
 		boolean soaked = facts.stageMillis() >= soakedMillis();
 		if (soaked && !doubtful && facts.oldIdle()) {
 			return Optional.of(step(Stage.COMPLETED, facts, "old version idle"));
@@ -137,8 +143,9 @@
 		// Who has seen the new version at work with all requests may end what it began.
 		boolean trusted = soaked && facts.shiftVerdict() == VersionTest.Verdict.GOOD;
 		return (!trusted && leftMillis > 0
-				&& spareRequests(facts) < facts.requestsPerMilli() * Math.min(leftMillis, spreadMillis))
-						? rollBack(facts, "exposure used up") : Optional.empty();
+				&& spareRequests(facts) < facts.requestsPerMilli() * Math.min(leftMillis, spreadMillis)
+						+ (soaked ? facts.oldOutstanding() : 0)) ? rollBack(facts, "exposure used up")
+								: Optional.empty();
 	}
 
 	private double spareRequests(Facts facts) {
@@ -169,11 +176,12 @@
 	 * @param candidateTargets number of targets of the new version
 	 * @param oldTargets number of targets of the old version
 	 * @param oldIdle whether the old version runs nothing and gets nothing
+	 * @param oldOutstanding number of requests that it runs, which will be moved
 	 * @param evidence returns the evidence for operators
 	 */
 	record Facts(Stage stage, long stageMillis, long ageMillis, boolean runsAlready, VersionTest.Verdict verdict,
 			VersionTest.Verdict shiftVerdict, long sends, long candidateSends, double requestsPerMilli,
-			int candidateTargets, int oldTargets, boolean oldIdle, Supplier<String> evidence) {
+			int candidateTargets, int oldTargets, boolean oldIdle, long oldOutstanding, Supplier<String> evidence) {
 	}
 
 	/**
