--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/rollout/ExposureGateProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/rollout/ExposureGateProperties.java
@@ -6,7 +6,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
