Try a new version only where engines have room, beside those that run

Change: the preference for the new version yields to any engine with room; holders run the version of their source; a version taken for the only one is tried as soon as another is listed; a version without an order waits for the time of a roll-back; contact needs orders and decisions; no version counts as incumbent without an order. Before and after: requestGoesToTheOldVersionWhileTheEngineOnTrialIsFull, engineOnTrialKeepsNoBackupOfTheOldVersion and versionTakenForTheOnlyOneIsTriedOnceOthersAreListed are new; the wait in versionThatIsSeenBeforeItsOrderWaitsForIt became longer.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -1,7 +1,6 @@
 package io.dotterelcrank.process.relay;
 
 import java.util.Optional;
-import java.util.Set;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -149,7 +148,7 @@
 	 * @return the chosen engine, or {@code null} if none has the capacity
 	 */
 	private TrackedTarget chooseHolder(TrackedTarget engine, PlacementStrategy.Demand demand) {
-		return this.relayService.targetPool().choose(this.request.service(), demand, Set.of(engine.id())).target();
+		return this.relayService.targetPool().chooseHolder(this.request.service(), demand, engine).orElse(null);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -170,8 +170,32 @@
 					&& hasFreeConnection(target, service, demand.entryHosts()))
 			.toList();
 		List<TrackedTarget> reachable = candidates.stream().filter((target) -> !target.inBackoff()).toList();
-		List<TrackedTarget> preferred = this.rolloutGate.preferred(reachable.isEmpty() ? candidates : reachable);
-		return new Choice(true, strategy(service).choose(preferred, demand).orElse(null));
+		List<TrackedTarget> best = reachable.isEmpty() ? candidates : reachable;
+		PlacementStrategy strategy = strategy(service);
+		return new Choice(true,
+				strategy.choose(this.rolloutGate.preferred(best), demand)
+					.or(() -> strategy.choose(best, demand))
+					.orElse(null));
+	}
+
+	/**
+	 * Chooses the engine that keeps a KV backup or KV copy. It runs the version of the
+	 * source, since the generation goes on there, unless that version is being replaced
+	 * or not known.
+	 * @param service service of the generation
+	 * @param demand resources that the backup or copy needs
+	 * @param source engine that runs the generation
+	 * @return the chosen engine, if any
+	 */
+	Optional<TrackedTarget> chooseHolder(ServiceSpec service, PlacementStrategy.Demand demand, TrackedTarget source) {
+		String version = source.membership().registration().version();
+		boolean anyVersion = version.isEmpty() || this.rolloutGate.isBeingReplaced(source);
+		List<TrackedTarget> candidates = accepting(service).stream()
+			.filter((target) -> target != source && !target.inBackoff() && target.membership().listed()
+					&& (anyVersion || target.membership().registration().version().equals(version))
+					&& withinRate(target, service, demand.entryHosts()))
+			.toList();
+		return candidates.isEmpty() ? Optional.empty() : strategy(service).choose(candidates, demand);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/Rollout.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/Rollout.java
@@ -35,7 +35,8 @@
 
 	private final RolloutOrder order;
 
-	private final boolean runsAlready;
+	/** Whether no other version has been seen. */
+	private boolean runsAlready;
 
 	private final StagePlanner planner;
 
@@ -117,6 +118,13 @@
 		return this.runsAlready;
 	}
 
+	/**
+	 * Records that other versions run, so that the new one has to be tried.
+	 */
+	void recordOtherVersions() {
+		this.runsAlready = false;
+	}
+
 	boolean ended() {
 		return this.stage != null && this.stage.isFinal();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/RolloutControl.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/RolloutControl.java
@@ -263,8 +263,9 @@
 				this.clock.millis(), graceMillis());
 	}
 
+	// The orders that a host in contact knows may be as old as their interval.
 	private long graceMillis() {
-		return (long) (CONTACT_FRACTION * this.settings.rollbackMillis());
+		return this.settings.rollbackMillis();
 	}
 
 	private ServiceState service(String name) {
@@ -282,7 +283,7 @@
 			return true;
 		}
 		if (!service.isOrdered()) {
-			return service.versions.allows(target.version());
+			return target.version().isEmpty() || service.versions.allows(target.version());
 		}
 		if (service.rollout.isCandidate(target.version())) {
 			return service.rollout.allowsCandidate(target.id(), checkContact());
@@ -453,72 +454,4 @@
 		return list;
 	}
 
-	/**
-	 * State of one service.
-	 */
-	private static final class ServiceState {
-
-		private final ServiceVersions versions = new ServiceVersions();
-
-		private List<TargetRegistration> targets = List.of();
-
-		private int candidateTargets;
-
-		private int oldTargets;
-
-		private Rollout rollout;
-
-		private RolloutDecider decider;
-
-		private RolloutDecision decision;
-
-		private boolean withdrawn;
-
-		private List<String> deciders = List.of();
-
-		private boolean decides;
-
-		private long decidesSinceMillis;
-
-		private long nextEvidenceMillis;
-
-		private long sentMillis;
-
-		private long sentSends = -1;
-
-		private RolloutDecision.Stage proposed;
-
-		private long nextProposalMillis;
-
-		boolean isOrdered() {
-			return this.rollout != null && !this.withdrawn;
-		}
-
-		private List<TargetRegistration> candidates() {
-			return this.targets.stream()
-				.filter((target) -> this.rollout.isCandidate(target.version()) && !target.leaving())
-				.toList();
-		}
-
-		void updateVersions(String ordered, boolean inContact, long nowMillis, long graceMillis) {
-			if (!this.targets.isEmpty()) {
-				this.versions.update(this.targets, ordered, inContact, nowMillis, graceMillis);
-			}
-		}
-
-		void updateTrial() {
-			if (!isOrdered() || this.rollout.ended()) {
-				return;
-			}
-			List<TargetRegistration> candidates = candidates();
-			this.candidateTargets = candidates.size();
-			this.oldTargets = (int) this.targets.stream()
-				.filter((target) -> !this.rollout.isCandidate(target.version()) && !target.leaving()
-						&& this.versions.allows(target.version()))
-				.count();
-			this.rollout.updateTargets(candidates, this.oldTargets);
-		}
-
-	}
-
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/ServiceVersions.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/ServiceVersions.java
@@ -108,6 +108,28 @@
 		return alone;
 	}
 
+	/**
+	 * Returns whether targets of other versions run that were not replaced.
+	 * @param version version that is ordered
+	 * @return {@code true} if the version has to be tried beside them
+	 */
+	boolean othersRun(String version) {
+		return this.present.stream()
+			.anyMatch((other) -> !other.isEmpty() && !other.equals(version) && !this.barred.contains(other));
+	}
+
+	/**
+	 * Withdraws the rank of an incumbent, which was taken for the only version that runs
+	 * while the others were not listed.
+	 * @param version version that is ordered
+	 */
+	void demote(String version) {
+		this.incumbents.remove(version);
+		this.incumbents.addAll(this.present);
+		this.incumbents.remove(version);
+		this.incumbents.removeAll(this.barred);
+	}
+
 	/**
 	 * Ends a roll-out whose version gets nothing any more.
 	 * @param version version that was ordered
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/StagePlanner.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/rollout/StagePlanner.java
@@ -98,7 +98,7 @@
 	}
 
 	private Optional<Step> planTrial(Facts facts) {
-		if (facts.runsAlready()) {
+		if (facts.runsAlready() && facts.oldTargets() == 0) {
 			return Optional.of(new Step(Stage.SHIFTING, "no other version runs"));
 		}
 		if (facts.verdict() == VersionTest.Verdict.BAD) {
@@ -123,7 +123,7 @@
 	}
 
 	private Optional<Step> planShifting(Facts facts) {
-		if (facts.runsAlready()) {
+		if (facts.runsAlready() && facts.oldTargets() == 0) {
 			return Optional.of(new Step(Stage.COMPLETED, "no other version runs"));
 		}
 		if (facts.verdict() == VersionTest.Verdict.BAD || facts.shiftVerdict() == VersionTest.Verdict.BAD) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RolloutGateTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RolloutGateTests.java
@@ -112,6 +112,39 @@
 		this.fixture.listTarget(exchange(index).request().target().id(), "bench", true);
 	}
 
+	private void tryEngine(String id) {
+		List.of("e1", "e2", "e3").forEach((old) -> this.fixture.listTarget(old, "bench", "v1"));
+		this.fixture.listTarget(id, "bench", "v2");
+		this.fixture.rollOut(BENCH_ORDER, RolloutDecision.Stage.TRIAL);
+	}
+
+	@Test
+	void requestGoesToTheOldVersionWhileTheEngineOnTrialIsFull() {
+		tryEngine("e4");
+		this.fixture.reportLoad("e4", 20, RelayFixture.MEMORY_TOKENS);
+		this.fixture.accept("/notes/1", this.caller);
+		assertThat(sendCount()).isOne();
+		assertThat(exchange(0).request().target().id()).isNotEqualTo("e4");
+	}
+
+	@Test
+	void engineOnTrialKeepsNoBackupOfTheOldVersion() {
+		tryEngine("e4");
+		for (String id : List.of("e1", "e2", "e3", "e4")) {
+			this.fixture.reportLoad(id, 0, 0);
+		}
+		int ofOldVersion = 0;
+		for (int i = 0; i < 8; i++) {
+			this.fixture.accept("/notes/1", new RecordingCallerChannel());
+			boolean trial = exchange(i).request().target().id().equals("e4");
+			exchange(i).request()
+				.backupHolder()
+				.ifPresent((holder) -> assertThat(holder.id().equals("e4")).isEqualTo(trial));
+			ofOldVersion += trial ? 0 : 1;
+		}
+		assertThat(ofOldVersion).isPositive();
+	}
+
 	@Test
 	void streamIsNeitherResumedNorCopiedAtARolledBackVersion() {
 		List.of("e1", "e2").forEach((id) -> this.fixture.listTarget(id, "bench", "v1"));
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/rollout/RolloutControlTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/rollout/RolloutControlTests.java
@@ -85,11 +85,49 @@
 		this.control.updateTargets(List.of(this.old));
 		this.control.updateTargets(List.of(this.old, this.candidate));
 		assertThat(this.control.allows(this.candidate)).isFalse();
-		for (int i = 0; i < 20; i++) {
+		for (int i = 0; i < 49; i++) {
 			advance(100);
 			this.control.poll();
 		}
+		assertThat(this.control.allows(this.candidate)).isFalse();
+		for (int i = 0; i < 2; i++) {
+			advance(100);
+			this.control.poll();
+		}
+		assertThat(this.control.allows(this.candidate)).isTrue();
+	}
+
+	@Test
+	void versionTakenForTheOnlyOneIsTriedOnceOthersAreListed() {
+		this.control.updateAge(0);
+		this.control.updateTargets(List.of(this.candidate));
+		this.control.updateOrder(new RolloutOrder("service", "v2", 60_000, 1));
+		this.control.poll();
+		decide(1, Stage.TRIAL);
 		assertThat(this.control.allows(this.candidate)).isTrue();
+		this.control.updateTargets(List.of(this.old, this.candidate));
+		assertThat(this.control.allows(this.old)).isTrue();
+		int allowed = 0;
+		for (int i = 0; i < 100; i++) {
+			boolean allows = this.control.allows(this.candidate);
+			this.control.recordSend(allows ? this.candidate : this.old);
+			allowed += allows ? 1 : 0;
+		}
+		assertThat(allowed).isLessThan(100 / 10 + 50);
+		for (int i = 0; i < 10; i++) {
+			advance(200);
+			this.control.poll();
+		}
+		assertThat(this.recorder.proposed).extracting(RolloutDecision::stage).doesNotContain(Stage.COMPLETED);
+	}
+
+	@Test
+	void targetsWithoutAVersionGetRequestsWhileNothingIsOrdered() {
+		TargetRegistration unknown = target("sidecar", "");
+		this.control.updateAge(0);
+		this.control.updateTargets(List.of(this.old));
+		this.control.updateTargets(List.of(this.old, unknown));
+		assertThat(this.control.allows(unknown)).isTrue();
 	}
 
 	@Test
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RolloutFeed.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RolloutFeed.java
@@ -334,13 +334,14 @@
 	}
 
 	/**
-	 * Returns the age of what a new version's requests depend on: of the decisions while
-	 * a roll-out runs, else the time since the orders were due to be read.
+	 * Returns the age of what a new version's requests depend on: the time since the
+	 * orders were due to be read and, while a roll-out runs, the age of the decisions if
+	 * that is longer.
 	 * @return age in milliseconds
 	 */
 	private long ageMillis() {
-		return running() ? this.feed.ageMillis()
-				: Math.max(0, this.operatorsFeed.ageMillis() - this.operatorsFeed.intervalMillis());
+		long ordersMillis = Math.max(0, this.operatorsFeed.ageMillis() - this.operatorsFeed.intervalMillis());
+		return running() ? Math.max(this.feed.ageMillis(), ordersMillis) : ordersMillis;
 	}
 
 }
