--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/prefill/PrefillBudget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/prefill/PrefillBudget.java
@@ -67,8 +67,8 @@
 	 * them seconds, which would fill the queues of all engines beyond what those with a
 	 * short goal can wait. A generation with much time left is sent only where its own
 	 * prompt fits within the limit too, so that those with a shorter goal find room; once
-	 * its time runs short it competes with them as an equal. Generations whose goal is
-	 * not much longer than the shortest are treated as if there were one goal.
+	 * its time runs short it is placed like them. Generations whose goal is not much
+	 * longer than the shortest are treated as if there were one goal.
 	 */
 	final class ForMixedGoals implements PrefillBudget {
 
@@ -101,8 +101,8 @@
 		}
 
 		/**
-		 * Returns whether the goal leaves time to wait once for all that an engine may
-		 * hold before the generation takes part in the shortest goal's competition.
+		 * Returns whether the goal leaves the shortest goal's time after a wait for as
+		 * much as an engine may hold.
 		 * @param prompt prompt of the generation
 		 * @return {@code false} if yielding would put the goal at risk
 		 */
