--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/EngineSpeedMeter.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/speed/EngineSpeedMeter.java
@@ -142,6 +142,10 @@
 	 * Records the prompts that were prefilled since the last report, at half of the
 	 * interval on average. Prefill of the first began when it was admitted, or when that
 	 * of earlier ones was complete.
+	 * @param nowMillis when the report was read, in milliseconds
+	 * @param elapsedMillis time since the last report, in milliseconds
+	 * @param current requests that the engine lists, by id
+	 * @param prompts admitted prompts that were not prefilled as of the last report
 	 */
 	private void recordPrefilledPrompts(long nowMillis, long elapsedMillis, Map<String, Run> current,
 			Collection<Prompt> prompts) {
