--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -36,12 +36,14 @@
 	 * @param entryHosts number of entry hosts, each of which knows only its own requests
 	 * @param maxQueueMillis time that prefill of the prompts ahead may take, in
 	 * milliseconds
+	 * @param ownQueueMillis the same by the request's own latency goal, whatever others
+	 * need
 	 * @param maxMemoryFraction fraction of an engine's memory that may be in use, this
 	 * request included; {@link #NO_LIMIT} if the limit of all requests is enough
 	 * @param reserveTokens memory that has to stay free for other requests, in tokens
 	 */
 	record Demand(long promptTokens, long expectedTotalTokens, String dataCentre, double remotePenaltySeconds,
-			int entryHosts, long maxQueueMillis, double maxMemoryFraction, long reserveTokens) {
+			int entryHosts, long maxQueueMillis, long ownQueueMillis, double maxMemoryFraction, long reserveTokens) {
 
 		/** Value of {@link #maxMemoryFraction} without a limit. */
 		static final double NO_LIMIT = Double.POSITIVE_INFINITY;
@@ -55,7 +57,7 @@
 		static Demand of(Optional<GenerationTraits> traits, String dataCentre, int entryHosts, long maxQueueMillis) {
 			return new Demand(traits.map(GenerationTraits::promptTokens).orElse(0L),
 					traits.map(GenerationTraits::expectedTotalTokens).orElse(0L), dataCentre,
-					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, maxQueueMillis, NO_LIMIT, 0);
+					REQUEST_REMOTE_PENALTY_SECONDS, entryHosts, maxQueueMillis, maxQueueMillis, NO_LIMIT, 0);
 		}
 
 		/**
@@ -65,7 +67,7 @@
 		 */
 		Demand withReserve(long tokens) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.maxQueueMillis, this.maxMemoryFraction, tokens);
+					this.entryHosts, this.maxQueueMillis, this.ownQueueMillis, this.maxMemoryFraction, tokens);
 		}
 
 		/**
@@ -75,7 +77,7 @@
 		 */
 		Demand withMaxQueueMillis(long millis) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, millis, this.maxMemoryFraction, this.reserveTokens);
+					this.entryHosts, millis, this.ownQueueMillis, this.maxMemoryFraction, this.reserveTokens);
 		}
 
 		/**
@@ -84,7 +86,7 @@
 		 */
 		Demand forPromptOnly() {
 			return new Demand(this.promptTokens, this.promptTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.maxQueueMillis, this.maxMemoryFraction, this.reserveTokens);
+					this.entryHosts, this.maxQueueMillis, this.ownQueueMillis, this.maxMemoryFraction, this.reserveTokens);
 		}
 
 		/**
@@ -97,7 +99,7 @@
 		Demand forKvCopy(String sourceDataCentre, double copySecondsPerToken) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, sourceDataCentre,
 					REQUEST_REMOTE_PENALTY_SECONDS + copySecondsPerToken * this.expectedTotalTokens, this.entryHosts,
-					this.maxQueueMillis, this.maxMemoryFraction, this.reserveTokens);
+					this.maxQueueMillis, this.ownQueueMillis, this.maxMemoryFraction, this.reserveTokens);
 		}
 
 		/**
@@ -108,7 +110,7 @@
 		 */
 		Demand withMaxMemoryFraction(double fraction) {
 			return new Demand(this.promptTokens, this.expectedTotalTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.maxQueueMillis, fraction, this.reserveTokens);
+					this.entryHosts, this.maxQueueMillis, this.ownQueueMillis, fraction, this.reserveTokens);
 		}
 
 	}
@@ -222,7 +224,7 @@
 				return Double.POSITIVE_INFINITY;
 			}
 			double earliest = starts.stream().mapToDouble(ScoredTarget::cost).min().orElse(0);
-			return earliest + MAX_LATER_START_FRACTION * demand.maxQueueMillis() / MILLIS_PER_SECOND;
+			return earliest + MAX_LATER_START_FRACTION * demand.ownQueueMillis() / MILLIS_PER_SECOND;
 		}
 
 		/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -46,7 +46,7 @@
 
 	private static PlacementStrategy.Demand demand() {
 		return new PlacementStrategy.Demand(3_000, 3_500, "giza",
-				PlacementStrategy.Demand.REQUEST_REMOTE_PENALTY_SECONDS, 4, 1_800, PlacementStrategy.Demand.NO_LIMIT,
+				PlacementStrategy.Demand.REQUEST_REMOTE_PENALTY_SECONDS, 4, 1_800, 1_800, PlacementStrategy.Demand.NO_LIMIT,
 				0);
 	}
 
@@ -83,7 +83,7 @@
 		TrackedTarget reported = engine("reported", "giza", 3_000, 15_000);
 		TrackedTarget unreported = new TrackedTarget(this.clock, reported.membership(),
 				RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
-		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(3_000, 3_500, "giza", 0, 20, 1_800,
+		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(3_000, 3_500, "giza", 0, 20, 1_800, 1_800,
 				PlacementStrategy.Demand.NO_LIMIT, 0);
 		int chosenCount = 0;
 		for (int request = 0; request < 1_000; request++) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/GenerationStatisticsTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/GenerationStatisticsTests.java
@@ -27,7 +27,7 @@
 		double expectedRate = (promptTokens >= 500) ? promptTokens * 1_000.0 / firstEventMillis : 7_000;
 		assertThat(this.statistics.prefillTokensPerSecond()).isCloseTo(expectedRate, within(expectedRate / 100));
 		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(promptTokens, promptTokens + outputTokens, "dc",
-				0, 1, goalMillis, PlacementStrategy.Demand.NO_LIMIT, 0);
+				0, 1, goalMillis, goalMillis, PlacementStrategy.Demand.NO_LIMIT, 0);
 		long queueTokens = PlacementStrategy.ForEngines
 			.maxPendingPrefillTokens(this.statistics.prefillTokensPerSecond(), demand);
 		assertThat(Math.round(queueTokens * 1_000 / this.statistics.prefillTokensPerSecond())).isCloseTo(goalMillis,
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/UnequalEngines.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/UnequalEngines.java
@@ -268,7 +268,7 @@
 
 		boolean tryPlace(Request request) {
 			PlacementStrategy.Demand demand = new PlacementStrategy.Demand(PROMPT_TOKENS, request.totalTokens(), "dc",
-					0, HOSTS, MAX_QUEUE_MILLIS, PlacementStrategy.Demand.NO_LIMIT, 0);
+					0, HOSTS, MAX_QUEUE_MILLIS, MAX_QUEUE_MILLIS, PlacementStrategy.Demand.NO_LIMIT, 0);
 			List<TrackedTarget> candidates = this.targets.entrySet()
 				.stream()
 				.sorted(Comparator.comparingInt((entry) -> entry.getKey().number))
