--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
@@ -152,6 +152,9 @@
 	}
 
 	void placeWaiting() {
+		if (this.waiting.isEmpty()) {
+			return;
+		}
 		this.waiting.sort(WaitingOrder.COMPARATOR);
 		for (RelayedRequest request : List.copyOf(this.waiting)) {
 			run(request, () -> {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/PlacementStrategy.java
@@ -86,7 +86,8 @@
 		 */
 		Demand forPromptOnly() {
 			return new Demand(this.promptTokens, this.promptTokens, this.dataCentre, this.remotePenaltySeconds,
-					this.entryHosts, this.maxQueueMillis, this.ownQueueMillis, this.maxMemoryFraction, this.reserveTokens);
+					this.entryHosts, this.maxQueueMillis, this.ownQueueMillis, this.maxMemoryFraction,
+					this.reserveTokens);
 		}
 
 		/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -46,8 +46,8 @@
 
 	private static PlacementStrategy.Demand demand() {
 		return new PlacementStrategy.Demand(3_000, 3_500, "giza",
-				PlacementStrategy.Demand.REQUEST_REMOTE_PENALTY_SECONDS, 4, 1_800, 1_800, PlacementStrategy.Demand.NO_LIMIT,
-				0);
+				PlacementStrategy.Demand.REQUEST_REMOTE_PENALTY_SECONDS, 4, 1_800, 1_800,
+				PlacementStrategy.Demand.NO_LIMIT, 0);
 	}
 
 	@Test
