--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/OverloadControl.java
@@ -46,6 +46,8 @@
 
 	private final UniformRandomProvider random;
 
+	private final boolean yieldsToShorterGoals;
+
 	private final RefusalPolicy refusalPolicy = new RefusalPolicy.ForExpectedStart();
 
 	/** Backlogs by service. */
@@ -63,7 +65,8 @@
 	/** Number of entry hosts, this one included. */
 	private int entryHosts = 1;
 
-	OverloadControl(Clock clock, TargetPool targetPool, UniformRandomProvider random) {
+	OverloadControl(Clock clock, TargetPool targetPool, UniformRandomProvider random, boolean yieldsToShorterGoals) {
+		this.yieldsToShorterGoals = yieldsToShorterGoals;
 		this.clock = clock;
 		this.targetPool = targetPool;
 		this.random = random;
@@ -170,7 +173,7 @@
 	 * @return budget for the present mix of latency goals
 	 */
 	PrefillBudget prefillBudget(ServiceSpec service) {
-		return PrefillBudget.of(goalMix(service).shortestGoalMillis());
+		return PrefillBudget.of(this.yieldsToShorterGoals ? goalMix(service).shortestGoalMillis() : GoalMix.NO_GOAL);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -109,7 +109,7 @@
 		this.quarantine = Quarantine.of(clock, clients.crashEvidence(), random);
 		this.rolloutGate = RolloutGate.of(clock, settings, clients.rollouts(), this.metrics);
 		this.targetPool = new TargetPool(clock, random, this::requestRatePermit, this.rolloutGate);
-		this.overloadControl = new OverloadControl(clock, this.targetPool, random);
+		this.overloadControl = new OverloadControl(clock, this.targetPool, random, settings.yieldsToShorterGoals());
 		this.loadSampler = new LoadSampler(clock, trafficThread, clients.engineLoads(), this.targetPool, random);
 		this.startedMillis = clock.millis();
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelaySettings.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelaySettings.java
@@ -16,12 +16,14 @@
  * process, in milliseconds
  * @param host name of the host; used only for roll-outs
  * @param rollouts bounds of roll-outs
+ * @param yieldsToShorterGoals whether generations with much time left leave room at
+ * engines for those with a shorter latency goal
  */
 public record RelaySettings(String dataCentre, double retryRatio, double retrySlack, long retryWindowMillis,
-		long configMillis, long graceMillis, String host, RolloutSettings rollouts) {
+		long configMillis, long graceMillis, String host, RolloutSettings rollouts, boolean yieldsToShorterGoals) {
 
 	/**
-	 * Creates settings of a deployment without roll-outs.
+	 * Creates settings of a deployment without roll-outs, in which no generation yields.
 	 * @param dataCentre data centre of the process
 	 * @param retryRatio retries allowed per request; shared by all hosts
 	 * @param retrySlack additional retries allowed per window; shared by all hosts
@@ -33,7 +35,7 @@
 	public RelaySettings(String dataCentre, double retryRatio, double retrySlack, long retryWindowMillis,
 			long configMillis, long graceMillis) {
 		this(dataCentre, retryRatio, retrySlack, retryWindowMillis, configMillis, graceMillis, "",
-				RolloutSettings.DISABLED);
+				RolloutSettings.DISABLED, false);
 	}
 
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/MixedGoalsTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/MixedGoalsTests.java
@@ -11,7 +11,7 @@
  */
 class MixedGoalsTests {
 
-	private final RelayFixture fixture = new RelayFixture();
+	private final RelayFixture fixture = RelayFixture.yieldingToShorterGoals();
 
 	private void reportUnread(long tokens) {
 		List.of("e1", "e2", "e3").forEach((engine) -> this.fixture.reportLoad(engine, 2, 3_000, tokens));
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -73,10 +73,11 @@
 	}
 
 	private RelayFixture(boolean withPlan, boolean withTargets, boolean withLoadReports) {
-		this(withPlan, withTargets, withLoadReports, RolloutSettings.DISABLED);
+		this(withPlan, withTargets, withLoadReports, RolloutSettings.DISABLED, false);
 	}
 
-	private RelayFixture(boolean withPlan, boolean withTargets, boolean withLoadReports, RolloutSettings rollouts) {
+	private RelayFixture(boolean withPlan, boolean withTargets, boolean withLoadReports, RolloutSettings rollouts,
+			boolean yieldsToShorterGoals) {
 		this.relayService = RelayService.of(this.clock, this.scheduler,
 				RelayClients.of(this.targetClient)
 					.withAdmission(this.admissionClient)
@@ -84,7 +85,7 @@
 					.withRetryLoans(this.retryLoanRequests::add)
 					.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence))
 					.withRollouts(new RecordingRolloutClient()),
-				new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000, "h", rollouts),
+				new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000, "h", rollouts, yieldsToShorterGoals),
 				RandomSource.XO_RO_SHI_RO_128_PP.create(5), this.metrics);
 		if (withPlan) {
 			this.relayService.updatePlan(plan(1));
@@ -114,7 +115,14 @@
 	 * Creates a fixture without targets whose deployment has roll-outs.
 	 */
 	static RelayFixture withRollouts() {
-		return new RelayFixture(true, false, false, new RolloutSettings(0.1, 50, 5_000));
+		return new RelayFixture(true, false, false, new RolloutSettings(0.1, 50, 5_000), false);
+	}
+
+	/**
+	 * Creates a fixture in which generations yield to those with a shorter goal.
+	 */
+	static RelayFixture yieldingToShorterGoals() {
+		return new RelayFixture(true, true, true, RolloutSettings.DISABLED, true);
 	}
 
 	static RelayFixture withoutPlan() {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
@@ -43,7 +43,8 @@
 				new RelaySettings(common.dataCentre(), reader.decimal("repeat-ratio", null, "0.2", 0, MAX_RETRIES),
 						reader.decimal("repeat-slack", null, "0", 0, MAX_RETRIES),
 						secondsAsMillis(reader, "repeat-window-seconds", "10"), millis(reader, "config-millis", "2000"),
-						secondsAsMillis(reader, "grace-seconds", "8"), common.name(), rollouts(reader)),
+						secondsAsMillis(reader, "grace-seconds", "8"), common.name(), rollouts(reader),
+						reader.choice("yield-to-shorter-goals", null, "no", "yes|no").equals("yes")),
 				millis(reader, "drain-millis", "2000"));
 		reader.throwIfInvalid();
 		return settings;
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelaySettingsReaderTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelaySettingsReaderTests.java
@@ -124,6 +124,14 @@
 		return RelaySettingsReader.entry(environment).relay().rollouts();
 	}
 
+	@Test
+	void yieldingToShorterGoalsIsOffUnlessItIsSwitchedOn() throws RequestException {
+		assertThat(RelaySettingsReader.entry(environment()).relay().yieldsToShorterGoals()).isFalse();
+		assertThat(read("YIELD_TO_SHORTER_GOALS", "yes").relay().yieldsToShorterGoals()).isTrue();
+		assertThatExceptionOfType(RequestException.class).isThrownBy(() -> read("YIELD_TO_SHORTER_GOALS", "maybe"))
+			.withMessageContaining("--yield-to-shorter-goals");
+	}
+
 	@Property(seed = "31")
 	void everyPrintedDoubleIsRead(@ForAll @DoubleRange(min = 0, max = 1e9) double value) throws RequestException {
 		assertThat(read("REPEAT_SLACK", Double.toString(value)).relay().retrySlack()).isEqualTo(value);
