Keep a deleted key deleted when an older record of it arrives late

What callers could see: a data centre that operators had put back, or a target that had been removed, was in force again at one host. Cause: a listing has no tombstones, so a table that was listed accepted any record of a key that it did not hold, also one from before the listing. A host that had been paused pushed such a record after it resumed. Change: a record of a key that is not held is ignored if deletions after it are not known. Evidence: recordFromBeforeTheListingDoesNotBringADeletedKeyBack failed before (one change instead of none). Why it works: a table holds the newest record of each key that existed when it was listed, so a missing key was deleted.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTable.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTable.java
@@ -87,6 +87,10 @@
 		if (current != null && current.offset() >= record.offset()) {
 			return false;
 		}
+		if (current == null && record.offset() < this.deletionsKnownFrom) {
+			// The key was deleted before the listing, or its tombstone was discarded.
+			return false;
+		}
 		this.records.put(record.key(), record);
 		if (record.deleted()) {
 			this.tombstones++;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/KeyedTableTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/KeyedTableTests.java
@@ -60,6 +60,14 @@
 		assertThat(this.table.since(0)).hasSize(1);
 	}
 
+	/** A host that had been paused pushed a record that was deleted meanwhile. */
+	@Test
+	void recordFromBeforeTheListingDoesNotBringADeletedKeyBack() {
+		this.table.applyListing(List.of(record("b", 2)), 4);
+		assertThat(this.table.apply(new KeyedTable.Update(1, List.of(record("a", 1))), 2)).isEmpty();
+		assertThat(this.table.apply(new KeyedTable.Update(4, List.of(record("a", 4))), 5)).hasSize(1);
+	}
+
 	@Test
 	void oldestTombstonesAreDiscardedFirst() {
 		for (int i = 0; i < KeyedTable.MAX_TOMBSTONES + 10; i++) {
