Let followers leave a reader that cannot read the store

What callers saw: a route that had been added two seconds before was unknown (404), or a key that had been revoked was still accepted, at hosts that reach the store (rule CONFIG). Cause: hosts stayed with a reader whose reads failed. It went on pushing with the age of its records, which counted as current up to 0.9 of the bound, and then the hosts waited for its silence, 0.3 more. It also got records from its own followers and pushed them back with their age, so that the hosts followed it again, although it read nothing. Class: times that each part keeps for itself, whose sum nobody bounds; what was heard counts as what was read. Change: a push tells how long ago the sender itself has read the store. A host follows it only until that is too old, and is told at once when a read fails. The operators' table is read with waits of 0.5 of the bound instead of 0.8, as a reader without responses looks like one without news for so long. ReadSchedule has all fractions; DC862 tells why a host reads. The simulated store listed keys as of the call and its end as of the response; it now takes both at once, as the interface says. Why it works: wait, age and order of take-over add up to 0.69 of the bound, and the read of a host that takes over has the rest.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -240,6 +240,9 @@
 	/** The state of a roll-out was written for the operators. */
 	ROLLOUT_REPORTED(861, Level.INFO, "rollout service={} version={} stage={} written for operators"),
 
+	/** The peer that reads a table for this host has not read it for too long. */
+	TABLE_UNFOLLOWED(862, Level.INFO, "table={} no longer read by peer={} age={}"),
+
 	/** An engine starts none of the requests that it holds, or does not report. */
 	ENGINE_STALLED(867, Level.WARN, "engine={} stalled millis={} load={}"),
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -255,14 +255,15 @@
 
 	/**
 	 * Records of a keyed table that the sender has read for the receiver, or only the
-	 * news that it still reads them.
+	 * news that it still reads them, or no longer does.
 	 *
 	 * @param sender name of the sending host
 	 * @param table name of the table
 	 * @param fromOffset offset from which on the records are complete, deletions
 	 * included; 0 if they are all records of the table
 	 * @param nextOffset offset that the sender reads next
-	 * @param ageMillis how long ago the records were current, in milliseconds
+	 * @param ageMillis how long ago the sender itself has read the store, in
+	 * milliseconds; {@link Integer#MAX_VALUE} if its last call failed
 	 * @param records records of the table, in the order of their offsets
 	 */
 	record RecordsPush(String sender, String table, long fromOffset, long nextOffset, long ageMillis,
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
@@ -51,6 +51,9 @@
 	/** When the records were last known to be current, in milliseconds; 0 for never. */
 	private long lastCurrentMillis;
 
+	/** When the store last responded to this host, in milliseconds; 0 for never. */
+	private long lastReadMillis;
+
 	/** Whether the last call to the store succeeded. */
 	private boolean reachable = true;
 
@@ -60,7 +63,16 @@
 	/** Until when a peer reads the table for this host. */
 	private long followUntilMillis;
 
-	/** Called after each successful read. */
+	/** Peer that was followed last; empty if none was. */
+	private String followedPeer = "";
+
+	/**
+	 * Goes on reading when following ends; {@code null} if a call to the store is under
+	 * way or due.
+	 */
+	private Scheduler.ScheduledTask resumption;
+
+	/** Called after each read, and after each failed call. */
 	private Runnable readListener = () -> {
 	};
 
@@ -134,6 +146,7 @@
 	private void handleBatch(KeyedTableStore.Batch batch, Throwable failure, boolean isListing) {
 		if (failure != null) {
 			recordFailure(failure.getMessage());
+			this.readListener.run();
 			this.control.schedule(RETRY_MILLIS, this::readUnlessFollowing);
 			return;
 		}
@@ -148,6 +161,7 @@
 			return;
 		}
 		this.lastCurrentMillis = this.clock.millis();
+		this.lastReadMillis = this.lastCurrentMillis;
 		List<KeyedRecord> changes = isListing ? this.records.applyListing(batch.records(), batch.nextOffset())
 				: this.records.apply(batch.records(), batch.nextOffset());
 		this.listed = true;
@@ -164,7 +178,7 @@
 
 	private void readUnlessFollowing() {
 		if (following()) {
-			this.control.schedule(this.followUntilMillis - this.clock.millis(), this::readUnlessFollowing);
+			scheduleResumption();
 			return;
 		}
 		if (this.followUntilMillis > 0) {
@@ -174,6 +188,13 @@
 		start();
 	}
 
+	private void scheduleResumption() {
+		this.resumption = this.control.schedule(this.followUntilMillis - this.clock.millis(), () -> {
+			this.resumption = null;
+			readUnlessFollowing();
+		});
+	}
+
 	/**
 	 * Suspends reading, since a peer reads the table for this host.
 	 * @param peer name of the peer
@@ -184,9 +205,28 @@
 		if (!following()) {
 			LogEvent.TABLE_FOLLOWED.log(logger, this.table, peer);
 		}
+		this.followedPeer = peer;
 		this.followUntilMillis = this.clock.millis() + millis;
 	}
 
+	/**
+	 * Ends following a peer that no longer reads the table. Has no effect if another one
+	 * is followed.
+	 * @param peer name of the peer
+	 * @param delayMillis time until reading goes on, in milliseconds
+	 */
+	void unfollow(String peer, long delayMillis) {
+		if (!following() || !this.followedPeer.equals(peer)) {
+			return;
+		}
+		LogEvent.TABLE_UNFOLLOWED.log(logger, this.table, peer, ageMillis());
+		this.followUntilMillis = Math.min(this.followUntilMillis, this.clock.millis() + delayMillis);
+		if (this.resumption != null) {
+			this.resumption.cancel();
+			scheduleResumption();
+		}
+	}
+
 	/**
 	 * Returns whether a peer reads the table for this host.
 	 * @return {@code true} until the time of the last {@link #follow} has passed
@@ -204,8 +244,9 @@
 	}
 
 	/**
-	 * Sets the listener of successful reads.
-	 * @param listener called on the control thread, after the records were applied
+	 * Sets the listener of reads.
+	 * @param listener called on the control thread, after the records were applied or the
+	 * call has failed
 	 */
 	void onRead(Runnable listener) {
 		this.readListener = listener;
@@ -247,6 +288,17 @@
 		return (this.lastCurrentMillis == 0) ? Integer.MAX_VALUE : this.clock.millis() - this.lastCurrentMillis;
 	}
 
+	/**
+	 * Returns how long ago this host itself has read the table. Unlike
+	 * {@link #ageMillis}, it does not count records that peers have read.
+	 * @return time since the store last responded, in milliseconds;
+	 * {@link Integer#MAX_VALUE} if it never did, or if the last call failed
+	 */
+	long readAgeMillis() {
+		boolean read = this.reachable && this.lastReadMillis > 0;
+		return read ? this.clock.millis() - this.lastReadMillis : Integer.MAX_VALUE;
+	}
+
 	/**
 	 * Returns the records.
 	 * @return the live table, confined to the control thread
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -21,9 +21,11 @@
  * centre, or of several if each has only a few. The hosts of a group are ranked; a host
  * that reads a table pushes its records to all hosts that rank after it, and a host that
  * gets current records from one that ranks before it does not read. Invariants: the host
- * that ranks first always reads; a host that gets no push for
- * {@link SharedTable#followMillis()} reads by itself; several readers at once do no harm,
- * as offsets only advance. Confined to the control thread.
+ * that ranks first always reads; a host follows only a host that reads the store itself,
+ * and reads by itself if it gets no push for {@link SharedTable#followMillis()}, if the
+ * reader's last read is older than {@link SharedTable#maxReadAgeMillis}, or at once if
+ * the reader's call has failed; several readers at once do no harm, as offsets only
+ * advance. Confined to the control thread.
  */
 public final class TableSharing {
 
@@ -138,10 +140,12 @@
 
 	private void push(SharedTable table) {
 		table.pushedMillis = this.clock.millis();
-		if (!table.feed.listed() || table.feed.following() || table.feed.ageMillis() > table.maxAgeMillis()) {
-			return;
+		boolean current = table.feed.readAgeMillis() <= table.maxReadAgeMillis();
+		boolean reads = current && table.feed.listed() && !table.feed.following();
+		if (reads || (table.followed && !current)) {
+			group().followers().forEach((member) -> follower(member.address()).push(table));
 		}
-		group().followers().forEach((member) -> follower(member.address()).push(table));
+		table.followed = reads;
 	}
 
 	private ReaderGroup group() {
@@ -166,17 +170,24 @@
 			if (push.fromOffset() <= table.feed.records().nextOffset()) {
 				table.feed.applyPeerRecords(new KeyedTable.Update(push.fromOffset(), push.records()), push.nextOffset(),
 						push.ageMillis());
-				ReaderGroup group = group();
-				if (group.mayFollow(push.sender()) && push.ageMillis() <= table.maxAgeMillis()
-						&& push.nextOffset() >= table.feed.records().nextOffset()) {
-					table.feed.follow(push.sender(),
-							(long) (table.followMillis * (1 + STAGGER_FRACTION * group.rank())));
-				}
 			}
+			followOrRead(table, push);
 			link.send(new Message.RecordsPushAck(push.table(), table.feed.records().nextOffset()));
 		});
 	}
 
+	private void followOrRead(SharedTable table, Message.RecordsPush push) {
+		ReaderGroup group = group();
+		long staggerMillis = (long) (table.followMillis * STAGGER_FRACTION * group.rank());
+		long leftMillis = table.maxReadAgeMillis() - push.ageMillis();
+		if (leftMillis < 0) {
+			table.feed.unfollow(push.sender(), staggerMillis);
+		}
+		else if (group.mayFollow(push.sender()) && push.nextOffset() >= table.feed.records().nextOffset()) {
+			table.feed.follow(push.sender(), Math.min(table.followMillis, leftMillis) + staggerMillis);
+		}
+	}
+
 	/**
 	 * Returns how this host gets each table.
 	 * @return "store" or "peer" by name of the table, for dumps
@@ -198,6 +209,9 @@
 
 		private long pushedMillis;
 
+		/** Whether hosts may follow this one, as far as the last push said. */
+		private boolean followed;
+
 		SharedTable(TableFeed feed, long followMillis) {
 			this.feed = feed;
 			this.followMillis = followMillis;
@@ -208,10 +222,10 @@
 		}
 
 		/**
-		 * Returns the age up to which the records of a reader count as current.
+		 * Returns how long ago a reader's last read may be.
 		 * @return age in milliseconds
 		 */
-		long maxAgeMillis() {
+		long maxReadAgeMillis() {
 			return this.feed.intervalMillis() + this.followMillis / PUSHES_PER_FOLLOW;
 		}
 
@@ -254,7 +268,7 @@
 			KeyedTable.Update update = (fromOffset < records.nextOffset()) ? records.updateSince(fromOffset)
 					: new KeyedTable.Update(fromOffset, List.of());
 			this.link.send(new Message.RecordsPush(TableSharing.this.self.name(), table.feed.table(),
-					update.fromOffset(), records.nextOffset(), table.feed.ageMillis(), update.records()));
+					update.fromOffset(), records.nextOffset(), table.feed.readAgeMillis(), update.records()));
 		}
 
 		@Override
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
+import org.apache.commons.rng.simple.RandomSource;
+
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.common.PlatformException;
 import io.dotterelcrank.common.Scheduler;
@@ -46,10 +48,13 @@
 	/** Names of two hosts, in both orders, whose messages are lost. */
 	private final Set<String> cutPairs = new HashSet<>();
 
-	private final long boundMillis;
+	private final ReadSchedule schedule;
+
+	/** Reads that the store holds until there are records. */
+	private final List<HeldRead> heldReads = new ArrayList<>();
 
-	SimulatedHosts(int hostCount, int dataCentres, long boundMillis) {
-		this.boundMillis = boundMillis;
+	private SimulatedHosts(int hostCount, int dataCentres, ReadSchedule schedule) {
+		this.schedule = schedule;
 		for (int i = 0; i < hostCount; i++) {
 			this.members
 				.add(new Member("h" + i, new InetSocketAddress("10.0.0." + (i + 1), 80), "dc" + (i % dataCentres)));
@@ -57,6 +62,14 @@
 		this.members.forEach((member) -> this.hosts.put(member.name(), new Host(member)));
 	}
 
+	static SimulatedHosts polling(int hostCount, int dataCentres, long boundMillis) {
+		return new SimulatedHosts(hostCount, dataCentres, ReadSchedule.polling(boundMillis));
+	}
+
+	static SimulatedHosts longPolling(int hostCount, int dataCentres, long boundMillis) {
+		return new SimulatedHosts(hostCount, dataCentres, ReadSchedule.longPolling(boundMillis));
+	}
+
 	void start() {
 		this.members.forEach((member) -> this.hosts.get(member.name()).start());
 	}
@@ -76,15 +89,23 @@
 	long append(String key) {
 		long offset = this.log.size();
 		this.log.add(new KeyedRecord(key, offset, new byte[] { 1 }));
+		answerHeldReads();
 		return offset;
 	}
 
 	long delete(String key) {
 		long offset = this.log.size();
 		this.log.add(new KeyedRecord(key, offset, null));
+		answerHeldReads();
 		return offset;
 	}
 
+	private void answerHeldReads() {
+		List<HeldRead> held = List.copyOf(this.heldReads);
+		this.heldReads.clear();
+		held.forEach(HeldRead::answer);
+	}
+
 	/**
 	 * Deletes all records but the newest of each key.
 	 */
@@ -119,7 +140,7 @@
 
 		private boolean paused;
 
-		private boolean storeReachable = true;
+		private StorePath storePath = StorePath.OPEN;
 
 		private long storeCalls;
 
@@ -129,20 +150,28 @@
 
 		private TableFeed feed;
 
+		private PeerTableSync peerSync;
+
 		Host(Member member) {
 			this.member = member;
 		}
 
 		private void start() {
-			long intervalMillis = (long) (0.3 * SimulatedHosts.this.boundMillis);
-			this.feed = TableFeed.polling("op", this, SimulatedHosts.this.clock, this.control, intervalMillis,
-					(changes) -> {
-					});
+			ReadSchedule schedule = SimulatedHosts.this.schedule;
+			this.feed = (schedule.waitMillis() > 0) ? TableFeed.longPolling("op", this, SimulatedHosts.this.clock,
+					this.control, schedule.waitMillis(), schedule.pauseMillis(), (changes) -> {
+					}) : TableFeed.polling("op", this, SimulatedHosts.this.clock, this.control, schedule.pauseMillis(),
+							(changes) -> {
+							});
 			this.sharing = TableSharing.of(this, this.control, SimulatedHosts.this.clock, this.member,
 					() -> SimulatedHosts.this.members);
-			this.sharing.add(this.feed, (long) (0.3 * SimulatedHosts.this.boundMillis));
+			this.sharing.add(this.feed, schedule.followMillis());
+			this.peerSync = PeerTableSync.of(this, this.control, this::peers,
+					RandomSource.XO_RO_SHI_RO_128_PP.create(this.member.name().hashCode()));
+			this.peerSync.add(this.feed);
 			this.feed.start();
 			this.sharing.start();
+			this.peerSync.start();
 		}
 
 		void setPaused(boolean nowPaused) {
@@ -154,8 +183,26 @@
 			}
 		}
 
-		void setStoreReachable(boolean reachable) {
-			this.storeReachable = reachable;
+		private List<InetSocketAddress> peers() {
+			return SimulatedHosts.this.members.stream()
+				.filter((other) -> other != this.member)
+				.map(Member::address)
+				.toList();
+		}
+
+		/**
+		 * Sets what becomes of this host's calls to the store, those that it holds
+		 * included.
+		 */
+		void setStorePath(StorePath path) {
+			this.storePath = path;
+			if (path == StorePath.REFUSED) {
+				List<HeldRead> broken = SimulatedHosts.this.heldReads.stream()
+					.filter((read) -> read.host == this)
+					.toList();
+				SimulatedHosts.this.heldReads.removeAll(broken);
+				broken.forEach(HeldRead::fail);
+			}
 		}
 
 		boolean reads() {
@@ -184,15 +231,18 @@
 
 		@Override
 		public CompletableFuture<Batch> list(String table) {
-			Map<String, KeyedRecord> newest = new HashMap<>();
-			SimulatedHosts.this.log.forEach((record) -> newest.put(record.key(), record));
-			newest.values().removeIf(KeyedRecord::deleted);
-			return respond(() -> new Batch(List.copyOf(newest.values()), SimulatedHosts.this.log.size(), false));
+			return respond(0, () -> {
+				Map<String, KeyedRecord> newest = new HashMap<>();
+				SimulatedHosts.this.log.forEach((record) -> newest.put(record.key(), record));
+				newest.values().removeIf(KeyedRecord::deleted);
+				return new Batch(List.copyOf(newest.values()), SimulatedHosts.this.log.size(), false);
+			});
 		}
 
 		@Override
 		public CompletableFuture<Batch> read(String table, long fromOffset, long waitMillis) {
-			return respond(() -> {
+			boolean held = waitMillis > 0 && fromOffset >= SimulatedHosts.this.log.size();
+			return respond(held ? waitMillis : 0, () -> {
 				if (fromOffset < SimulatedHosts.this.firstOffset) {
 					return new Batch(List.of(), fromOffset, true);
 				}
@@ -201,22 +251,27 @@
 			});
 		}
 
-		private CompletableFuture<Batch> respond(Supplier<Batch> batch) {
+		private CompletableFuture<Batch> respond(long waitMillis, Supplier<Batch> batch) {
 			this.storeCalls++;
-			CompletableFuture<Batch> response = new CompletableFuture<>();
-			boolean reachable = this.storeReachable;
-			SimulatedHosts.this.scheduler.schedule(reachable ? LATENCY_MILLIS : STORE_TIMEOUT_MILLIS, () -> {
-				Batch answer = reachable ? batch.get() : null;
-				SimulatedHosts.this.scheduler.schedule(LATENCY_MILLIS, () -> run(() -> {
-					if (answer != null) {
-						response.complete(answer);
-					}
-					else {
-						response.completeExceptionally(new PlatformException("unreachable"));
-					}
-				}));
+			HeldRead read = new HeldRead(this, batch);
+			SimulatedHosts.this.scheduler.schedule(LATENCY_MILLIS, () -> {
+				if (this.storePath == StorePath.REFUSED) {
+					read.fail();
+				}
+				else if (this.storePath == StorePath.OPEN && waitMillis > 0) {
+					SimulatedHosts.this.heldReads.add(read);
+					SimulatedHosts.this.scheduler.schedule(waitMillis, () -> {
+						if (SimulatedHosts.this.heldReads.remove(read)) {
+							read.answer();
+						}
+					});
+				}
+				else {
+					read.answer();
+				}
 			});
-			return response;
+			SimulatedHosts.this.scheduler.schedule(waitMillis + STORE_TIMEOUT_MILLIS, read::fail);
+			return read.response;
 		}
 
 		@Override
@@ -278,6 +333,54 @@
 
 	}
 
+	/**
+	 * What becomes of a host's calls to the store.
+	 */
+	enum StorePath {
+
+		/** Calls are answered. */
+		OPEN,
+
+		/** Calls fail at once, and so do those that the store holds. */
+		REFUSED,
+
+		/** Calls are not answered, nor are those that the store holds. */
+		SILENT
+
+	}
+
+	/**
+	 * A call to the store that has no response yet.
+	 */
+	private final class HeldRead {
+
+		private final Host host;
+
+		private final Supplier<KeyedTableStore.Batch> batch;
+
+		private final CompletableFuture<KeyedTableStore.Batch> response = new CompletableFuture<>();
+
+		HeldRead(Host host, Supplier<KeyedTableStore.Batch> batch) {
+			this.host = host;
+			this.batch = batch;
+		}
+
+		void answer() {
+			if (this.host.storePath == StorePath.SILENT) {
+				return;
+			}
+			KeyedTableStore.Batch answer = this.batch.get();
+			SimulatedHosts.this.scheduler.schedule(LATENCY_MILLIS,
+					() -> this.host.run(() -> this.response.complete(answer)));
+		}
+
+		void fail() {
+			SimulatedHosts.this.scheduler.schedule(LATENCY_MILLIS, () -> this.host
+				.run(() -> this.response.completeExceptionally(new PlatformException("unreachable"))));
+		}
+
+	}
+
 	/**
 	 * Link from a reader to a follower. Messages are lost without notice while the pair
 	 * is cut, and for good once one was lost.
@@ -310,7 +413,14 @@
 
 		@Override
 		public void send(Message message) {
-			deliver(this.peer, () -> this.peer.sharing.handlePush(new ReplyLink(), (Message.RecordsPush) message));
+			deliver(this.peer, () -> {
+				if (message instanceof Message.RecordsPush push) {
+					this.peer.sharing.handlePush(new ReplyLink(), push);
+				}
+				else if (message instanceof Message.RecordsRequest request) {
+					this.peer.peerSync.handleRequest(new ReplyLink(), request);
+				}
+			});
 		}
 
 		@Override
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingProperties.java
@@ -26,20 +26,27 @@
 
 	private static final int HOSTS = 5;
 
+	private static final int DATA_CENTRES = 1;
+
 	private static final int STEPS = 60;
 
 	private static final long STEP_MILLIS = 150;
 
 	@Property(tries = 10_000, seed = "51")
 	void recordsAreInForceWithinTheBound(@ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
-		new Run(seed).play();
+		new Run(seed, SimulatedHosts.polling(HOSTS, DATA_CENTRES, BOUND_MILLIS)).play();
+	}
+
+	@Property(tries = 10_000, seed = "52")
+	void recordsOfALongPolledTableAreInForceWithinTheBound(@ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
+		new Run(seed, SimulatedHosts.longPolling(HOSTS, DATA_CENTRES, BOUND_MILLIS)).play();
 	}
 
 	private static final class Run {
 
 		private final Random random;
 
-		private final SimulatedHosts hosts = new SimulatedHosts(HOSTS, 1, BOUND_MILLIS);
+		private final SimulatedHosts hosts;
 
 		private final boolean[] disturbed = new boolean[HOSTS];
 
@@ -58,8 +65,9 @@
 
 		private long nowMillis;
 
-		Run(int seed) {
+		Run(int seed, SimulatedHosts hosts) {
 			this.random = new Random(seed);
+			this.hosts = hosts;
 		}
 
 		void play() {
@@ -107,11 +115,10 @@
 
 		private void disturb(int host) {
 			this.disturbed[host] = true;
-			if (this.random.nextBoolean()) {
-				this.hosts.host(host).setPaused(true);
-			}
-			else {
-				this.hosts.host(host).setStoreReachable(false);
+			switch (this.random.nextInt(4)) {
+				case 0 -> this.hosts.host(host).setStorePath(SimulatedHosts.StorePath.REFUSED);
+				case 1 -> this.hosts.host(host).setStorePath(SimulatedHosts.StorePath.SILENT);
+				default -> this.hosts.host(host).setPaused(true);
 			}
 		}
 
@@ -121,7 +128,7 @@
 				this.calmSinceMillis[host] = this.nowMillis;
 			}
 			this.hosts.host(host).setPaused(false);
-			this.hosts.host(host).setStoreReachable(true);
+			this.hosts.host(host).setStorePath(SimulatedHosts.StorePath.OPEN);
 		}
 
 		private void check() {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingTests.java
@@ -3,6 +3,8 @@
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -13,7 +15,7 @@
 
 	private static final long BOUND_MILLIS = 2_000;
 
-	private final SimulatedHosts hosts = new SimulatedHosts(8, 2, BOUND_MILLIS);
+	private final SimulatedHosts hosts = SimulatedHosts.polling(8, 2, BOUND_MILLIS);
 
 	private int[] readers() {
 		return IntStream.range(0, this.hosts.size()).filter((index) -> this.hosts.host(index).reads()).toArray();
@@ -36,7 +38,7 @@
 
 	@Test
 	void fewHostsInManyDataCentresShareOneReader() {
-		SimulatedHosts few = new SimulatedHosts(4, 4, BOUND_MILLIS);
+		SimulatedHosts few = SimulatedHosts.polling(4, 4, BOUND_MILLIS);
 		few.start();
 		few.advance(5_000);
 		assertThat(IntStream.range(0, 4).filter((index) -> few.host(index).reads()).count()).isOne();
@@ -71,13 +73,48 @@
 		this.hosts.start();
 		this.hosts.advance(5_000);
 		int reader = readers()[0];
-		this.hosts.host(reader).setStoreReachable(false);
+		this.hosts.host(reader).setStorePath(SimulatedHosts.StorePath.REFUSED);
 		long offset = this.hosts.append("config");
 		this.hosts.advance(2 * BOUND_MILLIS);
 		assertThat(IntStream.range(0, this.hosts.size()).filter((index) -> index != reader))
 			.allMatch((index) -> this.hosts.host(index).nextOffset() > offset);
 	}
 
+	/** A store that turns the reader away kept all its followers on an old version. */
+	@ParameterizedTest
+	@EnumSource(value = SimulatedHosts.StorePath.class, names = { "REFUSED", "SILENT" })
+	void versionIsInForceInTimeThoughTheReaderHasNoPathToTheStore(SimulatedHosts.StorePath path) {
+		SimulatedHosts three = SimulatedHosts.longPolling(3, 3, BOUND_MILLIS);
+		three.start();
+		three.advance(5_000);
+		int reader = IntStream.range(0, 3).filter((index) -> three.host(index).reads()).findFirst().orElseThrow();
+		three.host(reader).setStorePath(path);
+		for (int version = 0; version < 30; version++) {
+			three.advance(60);
+			long offset = three.append("config");
+			three.advance(BOUND_MILLIS);
+			assertThat(IntStream.range(0, 3).filter((index) -> index != reader)).as("version %d", version)
+				.allMatch((index) -> three.host(index).nextOffset() > offset);
+		}
+	}
+
+	/** Its records came from a follower, which stopped reading because of them. */
+	@Test
+	void hostThatGetsItsRecordsFromPeersIsNotFollowed() {
+		SimulatedHosts three = SimulatedHosts.longPolling(3, 3, BOUND_MILLIS);
+		three.start();
+		three.advance(5_000);
+		int reader = IntStream.range(0, 3).filter((index) -> three.host(index).reads()).findFirst().orElseThrow();
+		three.host(reader).setStorePath(SimulatedHosts.StorePath.REFUSED);
+		three.advance(BOUND_MILLIS);
+		for (int check = 0; check < 100; check++) {
+			three.advance(100);
+			assertThat(IntStream.range(0, 3).filter((index) -> index != reader && three.host(index).reads()).count())
+				.as("readers at check %d", check)
+				.isOne();
+		}
+	}
+
 	@Test
 	void linkThatWentSilentIsReplaced() {
 		this.hosts.start();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -33,6 +33,7 @@
 import io.dotterelcrank.process.relay.RelayService;
 import io.dotterelcrank.process.relay.RolloutView;
 import io.dotterelcrank.process.replica.PeerTableSync;
+import io.dotterelcrank.process.replica.ReadSchedule;
 import io.dotterelcrank.process.replica.TableFeed;
 import io.dotterelcrank.process.replica.TableSharing;
 import io.dotterelcrank.version.plan.CallerLimits;
@@ -44,25 +45,6 @@
  */
 public final class RelayEntryDaemon implements Daemon {
 
-	/**
-	 * Maximum time that the store holds a read of the operators' table, as a fraction of
-	 * the time within which a configuration must be in force; a stalled connection is
-	 * detected after it.
-	 */
-	static final double OPERATORS_LONG_POLL_FRACTION = 0.8;
-
-	/**
-	 * Interval between reads of the targets' table, as a fraction of the drain time (see
-	 * {@link RelayEntrySettings}).
-	 */
-	static final double TARGETS_POLL_FRACTION = 0.3;
-
-	/**
-	 * Time without a push after which a host reads a table by itself, as a fraction of
-	 * the time within which its changes must be in force.
-	 */
-	static final double FOLLOW_FRACTION = 0.3;
-
 	/**
 	 * Interval at which plan age, targets and the number of entry hosts are passed to the
 	 * traffic thread, in milliseconds.
@@ -208,20 +190,20 @@
 	}
 
 	private void startFeeds() {
+		ReadSchedule operatorsSchedule = ReadSchedule.longPolling(this.settings.relay().configMillis());
+		ReadSchedule targetsSchedule = ReadSchedule.polling(this.settings.drainMillis());
 		this.operatorsFeed = TableFeed.longPolling(this.platform.operatorsTable(), this.runtime.store(),
-				this.runtime.clock(), this.runtime.controlScheduler(),
-				(long) (this.settings.relay().configMillis() * OPERATORS_LONG_POLL_FRACTION), 0,
-				this::handleOperatorRecords);
+				this.runtime.clock(), this.runtime.controlScheduler(), operatorsSchedule.waitMillis(),
+				operatorsSchedule.pauseMillis(), this::handleOperatorRecords);
 		this.targetsFeed = TableFeed.polling(this.platform.targetsTable(), this.runtime.store(), this.runtime.clock(),
-				this.runtime.controlScheduler(), (long) (this.settings.drainMillis() * TARGETS_POLL_FRACTION),
-				this::handleTargetRecords);
+				this.runtime.controlScheduler(), targetsSchedule.pauseMillis(), this::handleTargetRecords);
 		this.rollouts.connect(this.peerSync, this.sharing, this.operatorsFeed);
 		this.peerSync.add(this.operatorsFeed);
 		this.peerSync.add(this.targetsFeed);
 		this.peerSync.add(this.runtime.readMembers(() -> {
 		}));
-		this.sharing.add(this.operatorsFeed, (long) (this.settings.relay().configMillis() * FOLLOW_FRACTION));
-		this.sharing.add(this.targetsFeed, (long) (this.settings.drainMillis() * FOLLOW_FRACTION));
+		this.sharing.add(this.operatorsFeed, operatorsSchedule.followMillis());
+		this.sharing.add(this.targetsFeed, targetsSchedule.followMillis());
 		this.operatorsFeed.start();
 		this.targetsFeed.start();
 		this.peerSync.start();
