Call no route or key unknown in a plan older than the bound

What callers saw: 404 or 401 for a route or key that had been in force for longer than the time within which it must be at every host. Clients do not repeat such a request. Cause: a plan counted as fresh up to 1.75 times that time, as followers' plans could be that old; the incident's host had not heard of a read for 2.2 s of 2. Change: beyond the bound, the response is 503, not run, with a time to return. The message of either names the version that decided and its age, which had to be found in other lines. Evidence: nothingIsUnknownInAPlanOlderThanTheBound failed before (UNKNOWN_ROUTE and UNKNOWN_KEY instead of NOT_READY); it replaces a test that allowed 3.5 s. Why it works: within the bound, a plan that was current at its start has all that must be in force; beyond it, nobody can say so.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -32,13 +32,6 @@
 	/** Time between two polls of waiting and active requests, in milliseconds. */
 	static final long POLL_MILLIS = 50;
 
-	/**
-	 * Max age of a plan whose missing routes and keys are reported as unknown, as a
-	 * multiple of the time within which a change must be in force. An older plan may lack
-	 * some.
-	 */
-	static final double MAX_FRESH_PLAN_AGE_FACTOR = 1.75;
-
 	/**
 	 * Time from the start of the process within which requests wait for the first plan
 	 * and the first targets, in milliseconds; reading them takes a few tenths of a
@@ -266,9 +259,12 @@
 		return this.activeRequests;
 	}
 
-	boolean planIsFresh() {
-		return this.clock.millis() - this.planConfirmedMillis <= this.settings.configMillis()
-				* MAX_FRESH_PLAN_AGE_FACTOR;
+	/**
+	 * Returns the age of the plan.
+	 * @return time since the plan was last known to be current, in milliseconds
+	 */
+	long planAgeMillis() {
+		return this.clock.millis() - this.planConfirmedMillis;
 	}
 
 	WindowedRetryBudget retryBudget(String service) {
@@ -429,7 +425,7 @@
 	public Map<String, Object> dump() {
 		Map<String, Object> dump = new LinkedHashMap<>();
 		dump.put("planVersion", (this.plan != null) ? this.plan.version() : -1);
-		dump.put("planAgeMillis", this.clock.millis() - this.planConfirmedMillis);
+		dump.put("planAgeMillis", planAgeMillis());
 		dump.put("entryHosts", this.entryHosts);
 		dump.put("requestsUnderWay", this.activeRequests.size());
 		dump.put("requestsWaiting", this.activeRequests.waiting().size());
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -85,7 +85,7 @@
 		}
 		try {
 			RouteResolver.Resolution resolution = RouteResolver.resolve(this.request, plan,
-					this.relayService.planIsFresh());
+					this.relayService.planAgeMillis(), this.relayService.settings().configMillis());
 			this.route = resolution.route();
 			this.service = resolution.service();
 			this.workspace = resolution.workspace();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RouteResolver.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RouteResolver.java
@@ -26,21 +26,26 @@
 	 * Resolves a request.
 	 * @param request the caller's request
 	 * @param plan plan in force at this host
-	 * @param planFresh whether the plan may lack no change that must be in force
+	 * @param planAgeMillis time since the plan was known to be current, in milliseconds
+	 * @param boundMillis time within which a change must be in force, in milliseconds; an
+	 * older plan may lack one
 	 * @return route, service and workspace
 	 * @throws RequestException if there is none, with a failure that states that the
 	 * request has not run
 	 */
-	static Resolution resolve(CallerRequest request, ServingPlan plan, boolean planFresh) throws RequestException {
+	static Resolution resolve(CallerRequest request, ServingPlan plan, long planAgeMillis, long boundMillis)
+			throws RequestException {
 		Optional<Route> route = plan.route(request.host(), request.uri());
 		if (route.isEmpty()) {
-			throw unknown(ResultCode.UNKNOWN_ROUTE, "no route for " + request.host() + request.uri(), planFresh);
+			throw unknown(ResultCode.UNKNOWN_ROUTE, "no route for " + request.host() + request.uri(), plan,
+					planAgeMillis, boundMillis);
 		}
 		Optional<Workspace> workspace = Optional.empty();
 		if (plan.requiresApiKeys() && !route.get().apiKeyOptional()) {
 			workspace = request.apiKey().flatMap(plan::workspace);
 			if (workspace.isEmpty()) {
-				throw unknown(ResultCode.UNKNOWN_KEY, "the key belongs to no workspace", planFresh);
+				throw unknown(ResultCode.UNKNOWN_KEY, "the key belongs to no workspace", plan, planAgeMillis,
+						boundMillis);
 			}
 		}
 		Optional<ServiceSpec> service = plan.service(route.get().selectService(routingFraction(request)));
@@ -51,10 +56,10 @@
 		return new Resolution(route.get(), service.get(), workspace);
 	}
 
-	private static RequestException unknown(ResultCode code, String message, boolean planFresh) {
-		Failure failure = planFresh ? Failure.notRun(code, message)
-				: Failure.notRun(ResultCode.NOT_READY, message + ", but the configuration may be stale");
-		return failure.toException();
+	private static RequestException unknown(ResultCode code, String reason, ServingPlan plan, long planAgeMillis,
+			long boundMillis) {
+		String message = reason + " in version " + plan.version() + ", current " + planAgeMillis + " ms ago";
+		return Failure.notRun((planAgeMillis <= boundMillis) ? code : ResultCode.NOT_READY, message).toException();
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -36,6 +36,9 @@
  */
 final class RelayFixture {
 
+	/** Time within which a configuration must be in force, in milliseconds. */
+	static final long CONFIG_MILLIS = 2_000;
+
 	/** KV cache memory of each engine, in tokens. */
 	static final long MEMORY_TOKENS = 34_000;
 
@@ -85,7 +88,7 @@
 					.withRetryLoans(this.retryLoanRequests::add)
 					.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence))
 					.withRollouts(new RecordingRolloutClient()),
-				new RelaySettings("giza", 0.2, 54, 10_000, 2_000, 8_000, "h", rollouts, yieldsToShorterGoals),
+				new RelaySettings("giza", 0.2, 54, 10_000, CONFIG_MILLIS, 8_000, "h", rollouts, yieldsToShorterGoals),
 				RandomSource.XO_RO_SHI_RO_128_PP.create(5), this.metrics);
 		if (withPlan) {
 			this.relayService.updatePlan(plan(1));
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -55,13 +55,20 @@
 		assertThat(sendCount()).isZero();
 	}
 
+	/** Routes and keys added within the bound were called unknown. */
 	@Test
-	void unknownRouteInStalePlanIsNotReady() {
-		this.fixture.relayService().updatePlanAge(3_500 + 1);
+	void nothingIsUnknownInAPlanOlderThanTheBound() {
+		this.fixture.relayService().updatePlanAge(RelayFixture.CONFIG_MILLIS + 1);
+		RecordingCallerChannel second = new RecordingCallerChannel();
 		this.fixture.accept("/nothing/", this.caller);
-		assertThat(this.caller.failure().code()).isEqualTo(ResultCode.NOT_READY);
-		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
-		assertThat(this.caller.failure().retryAfterMillis()).isPositive();
+		this.fixture.accept("/order/1", "other", second);
+		assertThat(List.of(this.caller, second)).allSatisfy((channel) -> {
+			assertThat(channel.failure().code()).isEqualTo(ResultCode.NOT_READY);
+			assertThat(channel.failure().ran()).isEqualTo(Ran.NO);
+			assertThat(channel.failure().retryAfterMillis()).isPositive();
+		});
+		assertThat(this.caller.failure().message()).contains("in version 1, current 2001 ms ago");
+		assertThat(sendCount()).isZero();
 	}
 
 	@Test
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RouteResolverTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RouteResolverTests.java
@@ -25,16 +25,16 @@
 				Optional.empty(), 1_000, 0);
 	}
 
-	private static Failure failure(String uri, String key, boolean planFresh) {
-		return catchThrowableOfType(RequestException.class,
-				() -> RouteResolver.resolve(request(uri, key), RelayFixture.plan(1), planFresh))
+	private static Failure failure(String uri, String key, long planAgeMillis) {
+		return catchThrowableOfType(RequestException.class, () -> RouteResolver.resolve(request(uri, key),
+				RelayFixture.plan(1), planAgeMillis, RelayFixture.CONFIG_MILLIS))
 			.failure();
 	}
 
 	@Test
 	void findsRouteServiceAndWorkspace() throws RequestException {
-		RouteResolver.Resolution resolution = RouteResolver.resolve(request("/order/1", "key"), RelayFixture.plan(1),
-				true);
+		RouteResolver.Resolution resolution = RouteResolver.resolve(request("/order/1", "key"), RelayFixture.plan(1), 0,
+				RelayFixture.CONFIG_MILLIS);
 		assertThat(resolution.route().name()).isEqualTo("/order/");
 		assertThat(resolution.service().name()).isEqualTo("desk");
 		assertThat(resolution.workspace().map(Workspace::name)).contains("shop");
@@ -42,16 +42,16 @@
 
 	@Test
 	void unknownRouteAndKeyAreFinalUnderFreshPlan() {
-		assertThat(failure("/none/", "key", true).code()).isEqualTo(ResultCode.UNKNOWN_ROUTE);
-		assertThat(failure("/order/1", "other", true).code()).isEqualTo(ResultCode.UNKNOWN_KEY);
-		assertThat(failure("/order/1", null, true).code()).isEqualTo(ResultCode.UNKNOWN_KEY);
+		assertThat(failure("/none/", "key", RelayFixture.CONFIG_MILLIS).code()).isEqualTo(ResultCode.UNKNOWN_ROUTE);
+		assertThat(failure("/order/1", "other", RelayFixture.CONFIG_MILLIS).code()).isEqualTo(ResultCode.UNKNOWN_KEY);
+		assertThat(failure("/order/1", null, RelayFixture.CONFIG_MILLIS).code()).isEqualTo(ResultCode.UNKNOWN_KEY);
 	}
 
 	@Test
 	void unknownRouteAndKeyMayBeRetriedUnderStalePlan() {
-		assertThat(failure("/none/", "key", false).code()).isEqualTo(ResultCode.NOT_READY);
-		assertThat(failure("/order/1", "other", false).code()).isEqualTo(ResultCode.NOT_READY);
-		assertThat(failure("/order/1", "other", false).ran()).isEqualTo(Ran.NO);
+		assertThat(failure("/none/", "key", RelayFixture.CONFIG_MILLIS + 1).code()).isEqualTo(ResultCode.NOT_READY);
+		assertThat(failure("/order/1", "other", RelayFixture.CONFIG_MILLIS + 1).code()).isEqualTo(ResultCode.NOT_READY);
+		assertThat(failure("/order/1", "other", RelayFixture.CONFIG_MILLIS + 1).ran()).isEqualTo(Ran.NO);
 	}
 
 }
