Give each generation and each call a connection of its own

What callers saw, at the product's own interface: a generation was started at a second engine although the first was running it (its refusal was read as this one's), and a call got the response of another call. Cause: OkHttp keeps connections and takes bytes that are left over from one response for the next one; the responses of engines and plain services do not name their request. Class: a response is matched to its request by its place on a connection alone. Change: clients of generations, their resumption and calls to plain services keep no connection. Reports, orders and cancellations change nothing that runs and keep theirs. Why it works: what arrives after the response has nobody who reads it.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/HttpEngineClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/HttpEngineClient.java
@@ -6,6 +6,7 @@
 
 import okhttp3.Call;
 import okhttp3.Callback;
+import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
 import okio.BufferedSource;
@@ -30,6 +31,11 @@
 
 	private final JsonHttpClient client;
 
+	/** A refusal must not be one of another generation. */
+	private final OkHttpClient streamClient = JsonHttpClient.newSingleUseClientBuilder()
+		.readTimeout(STREAM_READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+		.build();
+
 	private HttpEngineClient(JsonHttpClient client) {
 		this.client = client;
 	}
@@ -55,12 +61,7 @@
 	}
 
 	private void readStream(Request request, Listener listener) {
-		this.client.httpClient()
-			.newBuilder()
-			.readTimeout(STREAM_READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-			.build()
-			.newCall(request)
-			.enqueue(new StreamCallback(listener));
+		this.streamClient.newCall(request).enqueue(new StreamCallback(listener));
 	}
 
 	@Override
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/HttpServiceClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/HttpServiceClient.java
@@ -21,7 +21,7 @@
 /**
  * Client of a plain service over HTTP. Each call is sent at most once: the library's
  * retries on connection failure, redirects and responses that request a retry are off.
- * Thread-safe.
+ * Each call has a connection of its own. Thread-safe.
  */
 public final class HttpServiceClient implements ServiceClient {
 
@@ -38,7 +38,7 @@
 
 	private HttpServiceClient(String address) {
 		this.requestClient = JsonHttpClient.of(address);
-		this.httpClient = JsonHttpClient.newClientBuilder()
+		this.httpClient = JsonHttpClient.newSingleUseClientBuilder()
 			.readTimeout(0, TimeUnit.MILLISECONDS)
 			.addNetworkInterceptor(HttpServiceClient::hideRetryAfter)
 			.eventListenerFactory((call) -> call.request().tag(SendTracker.class))
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/JsonHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/JsonHttpClient.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JavaType;
 import com.fasterxml.jackson.databind.type.TypeFactory;
+import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -70,11 +71,13 @@
 	}
 
 	/**
-	 * Returns the HTTP client, for requests with other timeouts.
-	 * @return the client
+	 * Creates a builder for clients whose connections carry one request each, for
+	 * responses that do not name their request: surplus bytes on a kept connection would
+	 * be read as the next response.
+	 * @return a new builder with timeouts and limits set
 	 */
-	OkHttpClient httpClient() {
-		return this.httpClient;
+	static OkHttpClient.Builder newSingleUseClientBuilder() {
+		return newClientBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS));
 	}
 
 	/**
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/ScriptedTarget.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/ScriptedTarget.java
@@ -16,13 +16,13 @@
  * A target that responds to each request with the next script: bytes to send, optionally
  * followed by {@link #CLOSE} or {@link #RESET}.
  */
-final class ScriptedTarget implements AutoCloseable {
+public final class ScriptedTarget implements AutoCloseable {
 
 	/** At the end of a script: closes the connection. */
-	static final String CLOSE = "<close>";
+	public static final String CLOSE = "<close>";
 
 	/** At the end of a script: resets the connection. */
-	static final String RESET = "<reset>";
+	public static final String RESET = "<reset>";
 
 	private final ServerSocket server;
 
@@ -33,18 +33,18 @@
 
 	private volatile int connections;
 
-	ScriptedTarget() throws IOException {
+	public ScriptedTarget() throws IOException {
 		this.server = new ServerSocket(0, 50, new InetSocketAddress("127.0.0.1", 0).getAddress());
 		Thread thread = new Thread(this::accept, "target");
 		thread.setDaemon(true);
 		thread.start();
 	}
 
-	InetSocketAddress address() {
+	public InetSocketAddress address() {
 		return new InetSocketAddress("127.0.0.1", this.server.getLocalPort());
 	}
 
-	void respondWith(String script) {
+	public void respondWith(String script) {
 		this.scripts.add(script);
 	}
 
@@ -52,7 +52,7 @@
 		return this.requests;
 	}
 
-	int connections() {
+	public int connections() {
 		return this.connections;
 	}
 
