Show that the relay takes no repeated refusal and no broken head for a response

Reported by operators of a similar system; ruled out for requests of callers on the users' platform. Cause of the difference: a request that may not be repeated never uses a kept connection, a connection that brought a refusal is closed, and responses name the attempt. Netty reports a head that ends with its connection as a failed one, which ends as unknown. Change: tests only.

--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import io.dotterelcrank.common.Clock;
@@ -231,6 +233,32 @@
 		assertThat(this.target.requests()).hasSize(1);
 	}
 
+	static IntStream headCuts() {
+		return IntStream.range(1, (CONFIRMED_HEAD + "Content-Length: 5\r\n\r\n").length());
+	}
+
+	@ParameterizedTest
+	@MethodSource("headCuts")
+	void headThatBreaksOffIsNoResponse(int length) throws IOException {
+		String cut = (CONFIRMED_HEAD + "Content-Length: 5\r\n\r\n").substring(0, length);
+		for (String path : List.of("/order/x", "/stream/x", "/lookup/x")) {
+			this.target.respondWith(cut + ScriptedTarget.CLOSE);
+			assertThat(sendAndReadAll(post(path, "b"))).as(path).startsWith("HTTP/1.1 502").contains("Ran: unknown");
+		}
+		assertThat(this.target.requests()).hasSize(3);
+	}
+
+	@Test
+	void refusalThatATargetWritesTwiceRefusesNoOtherRequest() throws IOException {
+		String refusal = "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+		for (String path : List.of("/lookup/x", "/order/x", "/stream/x")) {
+			this.target.respondWith(refusal + refusal);
+			this.target.respondWith(CONFIRMED_HEAD + "Content-Length: 2\r\n\r\nok");
+			assertThat(sendAndReadAll(post("/lookup/x", "b"))).startsWith("HTTP/1.1 503").contains("Ran: no");
+			assertThat(sendAndReadAll(post(path, "b"))).as(path).startsWith("HTTP/1.1 200").endsWith("ok");
+		}
+	}
+
 	@Test
 	void unexpectedBytesCloseTheConnection() throws IOException {
 		this.target.respondWith(
