Send nothing late in a planned stop that could outlast it

What callers saw: in a planned stop of an entry host, requests that came late in the grace time were taken and sent on, and cut at its end without a response, also such that may not be repeated. Reported by operators of a similar system; possible here with timeouts above 0.26 of the grace time (2 s of 8), and for generations that still waited for memory. Cause: what is accepted depended on the kind of request and the time since the signal, not on how long the request may take; the comment that the rest of the grace time is longer than all timeouts was true for the first deployments only. Waiting requests were not asked again. Change: after 0.3 of the grace time each send is refused if the request may end after the process; waiting ones are given back as not run. What is active at the very end gets an error that says whether it may have run, instead of a closed connection. Why it works: deadline and timeout end each request by themselves, and both are known before the send.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
@@ -13,6 +13,7 @@
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.overload.WaitingOrder;
+import io.dotterelcrank.request.ResultCode;
 
 /**
  * The requests of this host whose response is not complete, and those among them that
@@ -121,6 +122,16 @@
 		}
 	}
 
+	/**
+	 * Ends all requests.
+	 * @param reason why, for logs and error messages
+	 */
+	void endAll(String reason) {
+		for (RelayedRequest request : List.copyOf(this.active)) {
+			run(request, () -> request.endInFailure(ResultCode.ENTRY_LEAVING, reason));
+		}
+	}
+
 	void remove(RelayedRequest request) {
 		this.active.remove(request);
 		this.unpolled.remove(request);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/DrainState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/DrainState.java
@@ -10,10 +10,10 @@
 final class DrainState {
 
 	/**
-	 * Fraction of the grace period after which new streams are refused; the rest lets
-	 * streams end that a balancer still sends meanwhile.
+	 * Fraction of the grace period in which everything is sent to targets, since a
+	 * balancer still sends new requests.
 	 */
-	static final double STREAM_ACCEPT_FRACTION = 0.3;
+	static final double EARLY_FRACTION = 0.3;
 
 	private final Clock clock;
 
@@ -26,6 +26,9 @@
 	/** When new requests start to be refused; 0 if not draining. */
 	private long acceptsUntilMillis;
 
+	/** When the process ends, whatever is active; 0 if not draining. */
+	private long endsAtMillis;
+
 	DrainState(Clock clock, long graceMillis) {
 		this.clock = clock;
 		this.graceMillis = graceMillis;
@@ -34,10 +37,12 @@
 	/**
 	 * Starts draining.
 	 * @param acceptMillis how long new requests are still accepted, in milliseconds
+	 * @param endMillis time until the process ends at the latest, in milliseconds
 	 */
-	void start(long acceptMillis) {
+	void start(long acceptMillis, long endMillis) {
 		this.startedMillis = this.clock.millis();
 		this.acceptsUntilMillis = this.startedMillis + acceptMillis;
+		this.endsAtMillis = this.startedMillis + endMillis;
 	}
 
 	boolean started() {
@@ -53,11 +58,17 @@
 	}
 
 	/**
-	 * Returns whether new streams are refused.
-	 * @return {@code true} in a graceful shutdown, except at its beginning
+	 * Returns whether a request is not to be sent to a target any more, as the process
+	 * may end before its response does.
+	 * @param stream whether the response is a stream, which may take much longer than
+	 * what is left
+	 * @param endsByMillis when the request ends at the latest, by the clock of the
+	 * process
+	 * @return {@code false} early in a graceful shutdown and before
 	 */
-	boolean refusesStreams() {
-		return millis() > this.graceMillis * STREAM_ACCEPT_FRACTION;
+	boolean refusesSend(boolean stream, long endsByMillis) {
+		boolean early = millis() <= this.graceMillis * EARLY_FRACTION;
+		return started() && !early && (stream || endsByMillis > this.endsAtMillis);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -218,13 +218,21 @@
 	}
 
 	/**
-	 * Starts draining for a graceful shutdown: active requests continue; new streams are
-	 * refused after a while and later all new requests, so that none is active when the
-	 * process ends.
+	 * Starts draining for a graceful shutdown: active requests continue; after a while,
+	 * those that could outlast the process are refused, and later all new ones.
 	 * @param acceptMillis how long new requests are still accepted, in milliseconds
+	 * @param endMillis time until the process ends at the latest, in milliseconds
 	 */
-	public void startDraining(long acceptMillis) {
-		this.drainState.start(acceptMillis);
+	public void startDraining(long acceptMillis, long endMillis) {
+		this.drainState.start(acceptMillis, endMillis);
+	}
+
+	/**
+	 * Ends all active requests, right before the process does: callers learn whether
+	 * their request may have run.
+	 */
+	public void endActiveRequests() {
+		this.activeRequests.endAll("the entry host has shut down");
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -98,8 +98,7 @@
 	}
 
 	private void startPlacement() {
-		DrainState drainState = this.relayService.drainState();
-		if (drainState.refusesRequests() || (streaming() && drainState.refusesStreams())) {
+		if (this.relayService.drainState().refusesRequests() || this.placement.outlastsShutdown()) {
 			endWithError(Failure.notRun(ResultCode.ENTRY_LEAVING, "the entry host is shutting down"));
 			return;
 		}
@@ -115,7 +114,7 @@
 		this.placement.start();
 	}
 
-	private long timeoutAtMillis() {
+	long timeoutAtMillis() {
 		return this.request.arrivedAtMillis() + Math.min(this.request.deadlineMillis(), this.route.timeoutMillis());
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -99,7 +99,7 @@
 	 * @return {@code false} if it has to wait
 	 */
 	boolean tryPlace() {
-		if (refusedForItsContent()) {
+		if (refusedForItsContent() || refusedForShutdown()) {
 			return true;
 		}
 		if (startsOrAwaitsLoadSample()) {
@@ -187,6 +187,23 @@
 		return culprit.isPresent();
 	}
 
+	private boolean refusedForShutdown() {
+		boolean refused = outlastsShutdown();
+		if (refused) {
+			this.request.endInFailure(ResultCode.ENTRY_LEAVING, "the entry host is shutting down");
+		}
+		return refused;
+	}
+
+	/**
+	 * Returns whether the process may end before the response to a request that is sent
+	 * now.
+	 * @return {@code true} if the request must not be sent to a target any more
+	 */
+	boolean outlastsShutdown() {
+		return this.relayService.drainState().refusesSend(this.request.streaming(), this.request.timeoutAtMillis());
+	}
+
 	/**
 	 * Ends a request that no target can take now, if it would start too late.
 	 * @return {@code false} if it waits
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -147,6 +147,7 @@
 				List.of(route("/notes/", RequestKind.STREAMING, 39_000, 1_800, "bench", 1),
 						route("/summary/", RequestKind.STREAMING, 39_000, 4_000, "bench", 1),
 						route("/order/", RequestKind.NON_IDEMPOTENT, 800, 300, "desk", 1),
+						route("/deposit/", RequestKind.NON_IDEMPOTENT, 6_000, 300, "desk", 1),
 						route("/lookup/", RequestKind.IDEMPOTENT, 800, 300, "desk", 2)),
 				List.of(bench, desk), List.of(new Workspace("shop", List.of("key"), OptionalInt.of(3))),
 				CallerLimits.INITIAL);
@@ -245,6 +246,13 @@
 					Optional.ofNullable(key), traits, generation ? 39_000 : 1_500, this.clock.millis()), caller);
 	}
 
+	RelayedRequest acceptCall(String path, long deadlineMillis, RecordingCallerChannel caller) {
+		this.requestCount++;
+		return this.relayService.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path,
+				List.of(), new byte[0], Optional.of("key"), Optional.empty(), deadlineMillis, this.clock.millis()),
+				caller);
+	}
+
 	RelayedRequest acceptGeneration(List<String> sharedParts, RecordingCallerChannel caller) {
 		this.requestCount++;
 		return this.relayService.accept(
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayedRequestTests.java
@@ -395,7 +395,7 @@
 
 	@Test
 	void drainingHostRefusesStreamsFirstAndThenAllRequests() {
-		this.fixture.relayService().startDraining(5_600);
+		this.fixture.relayService().startDraining(5_600, 7_680);
 		this.fixture.advance(3_000);
 		this.fixture.accept("/order/1", this.caller);
 		assertThat(sendCount()).isOne();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -59,13 +59,13 @@
 
 	/**
 	 * Fraction of the grace period after which the process ends even if requests are
-	 * active.
+	 * active, which get an error first.
 	 */
 	static final double FORCED_STOP_FRACTION = 0.96;
 
 	/**
-	 * Fraction of the grace period during which new requests are accepted; the rest is
-	 * longer than the timeouts of non-streaming routes.
+	 * Fraction of the grace period during which new requests are accepted; those that
+	 * could outlast the process are refused before.
 	 */
 	static final double ACCEPT_FRACTION = 0.7;
 
@@ -340,17 +340,24 @@
 	public void stop() {
 		this.runtime.trafficLoop().execute(() -> {
 			LogEvent.PROCESS_STOPPING.log(logger, this.settings.common().name(), this.service.activeRequests());
-			this.service.startDraining((long) (this.settings.relay().graceMillis() * ACCEPT_FRACTION));
+			long graceMillis = this.settings.relay().graceMillis();
+			this.service.startDraining((long) (graceMillis * ACCEPT_FRACTION),
+					(long) (graceMillis * FORCED_STOP_FRACTION));
 			this.callerServer.closeAfterResponses();
 		});
 		long startedMillis = this.runtime.clock().millis();
 		long graceMillis = this.settings.relay().graceMillis();
 		boolean complete = false;
-		while (!complete) {
+		boolean forced = false;
+		while (!complete && !forced) {
 			pause();
 			long elapsedMillis = this.runtime.clock().millis() - startedMillis;
-			complete = elapsedMillis > graceMillis * FORCED_STOP_FRACTION
-					|| (elapsedMillis > graceMillis * IDLE_CLOSE_FRACTION && tryCloseCallerServer());
+			complete = elapsedMillis > graceMillis * IDLE_CLOSE_FRACTION && tryCloseCallerServer();
+			forced = elapsedMillis > graceMillis * FORCED_STOP_FRACTION;
+		}
+		if (!complete) {
+			this.runtime.trafficLoop().execute(this.service::endActiveRequests);
+			pause();
 		}
 		LogEvent.PROCESS_STOPPED.log(logger, this.settings.common().name(), this.service.activeRequests());
 	}
