Read the rest of a partial read at once, and count it as current only then

What callers could see: a host whose read of a table did not bring all records, as they did not fit into a response of 1 MB, said that it was current, and for the targets' table waited for the next poll. A burst of large configurations at a host that takes over can be so large. Cause: the offset after the table's last record was in each response and was not read. Class: a host counts as current what it has not read. Change: a batch says whether it is partial. Why it works: neither the age for followers nor that for unknown routes begins anew before the last record of the table has been read.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTableStore.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTableStore.java
@@ -55,11 +55,24 @@
 	 * Records of a table. Immutable.
 	 *
 	 * @param records records in the order of their offsets; in a listing, of their keys
-	 * @param nextOffset offset after the last record of the table
+	 * @param nextOffset offset after the last record that the batch covers
 	 * @param expired whether records at and after the first offset to read have expired,
 	 * so that the table must be listed again
+	 * @param partial whether the table had more records, which did not fit into a
+	 * response
 	 */
-	record Batch(List<KeyedRecord> records, long nextOffset, boolean expired) {
+	record Batch(List<KeyedRecord> records, long nextOffset, boolean expired, boolean partial) {
+
+		/**
+		 * Creates a batch that brings the table up to date, or has expired.
+		 * @param records the records
+		 * @param nextOffset offset after the last record of the table
+		 * @param expired whether the table must be listed again
+		 */
+		public Batch(List<KeyedRecord> records, long nextOffset, boolean expired) {
+			this(records, nextOffset, expired, false);
+		}
+
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableFeed.java
@@ -160,16 +160,18 @@
 			start();
 			return;
 		}
-		this.lastCurrentMillis = this.clock.millis();
-		this.lastReadMillis = this.lastCurrentMillis;
+		if (!batch.partial()) {
+			this.lastCurrentMillis = this.clock.millis();
+			this.lastReadMillis = this.lastCurrentMillis;
+		}
 		List<KeyedRecord> changes = isListing ? this.records.applyListing(batch.records(), batch.nextOffset())
 				: this.records.apply(batch.records(), batch.nextOffset());
 		this.listed = true;
 		notifyListener(changes);
 		this.readListener.run();
-		long delayMillis = (this.waitMillis == 0 || !batch.records().isEmpty()) ? this.pauseMillis : 0;
-		if (delayMillis > 0) {
-			this.control.schedule(delayMillis, this::readUnlessFollowing);
+		boolean pauses = !batch.partial() && (this.waitMillis == 0 || !batch.records().isEmpty());
+		if (pauses && this.pauseMillis > 0) {
+			this.control.schedule(this.pauseMillis, this::readUnlessFollowing);
 		}
 		else {
 			readUnlessFollowing();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableFeedTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableFeedTests.java
@@ -54,6 +54,23 @@
 		assertThat(this.feed.ageMillis()).isLessThan(1_000);
 	}
 
+	/** Records beyond the size of a response waited for the next poll. */
+	@Test
+	void restOfAPartialReadIsReadAtOnceAndOnlyThenCurrent() {
+		this.store.responses.add(batch(5, record("config", 4)));
+		this.store.responses.add(new KeyedTableStore.Batch(List.of(record("a", 5)), 6, false, true));
+		this.store.responses.add(batch(7, record("b", 6)));
+		List<Long> agesMillis = new ArrayList<>();
+		this.feed.onRead(() -> agesMillis.add(this.feed.ageMillis()));
+		this.feed.start();
+		advance(510);
+		assertThat(this.store.calls).startsWith("list", "read 5", "read 6");
+		assertThat(this.changes).extracting(KeyedRecord::key).containsExactly("config", "a", "b");
+		assertThat(agesMillis).hasSize(3);
+		assertThat(agesMillis.get(1)).isGreaterThanOrEqualTo(500);
+		assertThat(agesMillis.get(2)).isZero();
+	}
+
 	@Test
 	void listsAgainWhenRecordsExpired() {
 		this.store.responses.add(batch(5, record("config", 4), record("evacuate/giza", 3)));
