Give reports, orders and cancellations of an engine a connection each, too

What could be seen, at the product's own interface: after an engine wrote a report once more, each later report was the one before it, so that admission decided on old load. Change: the engine's client keeps no connections. Evidence: reportThatAnEngineWritesTwiceIsReadOnce failed before (1 instead of 2). Why it works: what arrives after the response has nobody who reads it.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/HttpEngineClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/HttpEngineClient.java
@@ -46,7 +46,7 @@
 	 * @return a new client
 	 */
 	public static HttpEngineClient at(String address) {
-		return new HttpEngineClient(JsonHttpClient.of(address));
+		return new HttpEngineClient(JsonHttpClient.singleUseOf(address));
 	}
 
 	@Override
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/JsonHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/JsonHttpClient.java
@@ -54,6 +54,15 @@
 		return new JsonHttpClient(newClientBuilder().build(), address);
 	}
 
+	/**
+	 * Creates a client whose connections carry one request each.
+	 * @param address address of the system, such as {@code http://127.0.0.1:7000}
+	 * @return a new client
+	 */
+	static JsonHttpClient singleUseOf(String address) {
+		return new JsonHttpClient(newSingleUseClientBuilder().build(), address);
+	}
+
 	/**
 	 * Creates a builder for clients that send each request at most once.
 	 * @return a new builder with timeouts and limits set
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/FaultyTargetTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/client/FaultyTargetTests.java
@@ -115,6 +115,22 @@
 		assertThat(this.target.connections()).isEqualTo(2);
 	}
 
+	/** Each later report was the one before it. */
+	@Test
+	void reportThatAnEngineWritesTwiceIsReadOnce() throws Exception {
+		this.target.respondWith(report(1) + report(1));
+		this.target.respondWith(report(2));
+		EngineClient client = HttpEngineClient.at(address());
+		assertThat(client.report().running()).isEqualTo(1);
+		assertThat(client.report().running()).isEqualTo(2);
+	}
+
+	private static String report(int running) {
+		String body = "{\"memoryTokens\":9,\"usedTokens\":0,\"running\":" + running
+				+ ",\"waiting\":0,\"preemptions\":0," + "\"stepMillis\":7,\"generations\":[],\"cacheEvents\":[]}";
+		return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+	}
+
 	static IntStream cuts() {
 		return IntStream.range(0, HEAD.length());
 	}
