Follow a reader only if its records connect to the held ones

What callers could see: a host that lacks records before those of a push followed the reader all the same, until the records were sent again. Cause: the decision to follow had moved out of the condition that the records were applied. Change: the condition is back; a reader that no longer reads is left in either case. Why it works: a host that follows has all records up to those of the reader.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -167,25 +167,28 @@
 			if (table == null) {
 				return;
 			}
-			if (push.fromOffset() <= table.feed.records().nextOffset()) {
+			boolean gapless = push.fromOffset() <= table.feed.records().nextOffset();
+			if (gapless) {
 				table.feed.applyPeerRecords(new KeyedTable.Update(push.fromOffset(), push.records()), push.nextOffset(),
 						push.ageMillis());
 			}
-			followOrRead(table, push);
+			if (push.ageMillis() > table.maxReadAgeMillis()) {
+				table.feed.unfollow(push.sender(), staggerMillis(table));
+			}
+			else if (gapless && group().mayFollow(push.sender())
+					&& push.nextOffset() >= table.feed.records().nextOffset()) {
+				table.feed.follow(push.sender(), followMillis(table, push.ageMillis()));
+			}
 			link.send(new Message.RecordsPushAck(push.table(), table.feed.records().nextOffset()));
 		});
 	}
 
-	private void followOrRead(SharedTable table, Message.RecordsPush push) {
-		ReaderGroup group = group();
-		long staggerMillis = (long) (table.followMillis * STAGGER_FRACTION * group.rank());
-		long leftMillis = table.maxReadAgeMillis() - push.ageMillis();
-		if (leftMillis < 0) {
-			table.feed.unfollow(push.sender(), staggerMillis);
-		}
-		else if (group.mayFollow(push.sender()) && push.nextOffset() >= table.feed.records().nextOffset()) {
-			table.feed.follow(push.sender(), Math.min(table.followMillis, leftMillis) + staggerMillis);
-		}
+	private long followMillis(SharedTable table, long readAgeMillis) {
+		return Math.min(table.followMillis, table.maxReadAgeMillis() - readAgeMillis) + staggerMillis(table);
+	}
+
+	private long staggerMillis(SharedTable table) {
+		return (long) (table.followMillis * STAGGER_FRACTION * group().rank());
 	}
 
 	/**
