Wait for the first read of the members in a test of a daemon without roll-outs

Cause: daemonWithoutRolloutsReadsAndWritesNothingForAnOrder expects seven kinds of calls after two more reads of the operators' table. Change: the test also waits for that read. It is as strict: the same calls, no others, over a time that is at least as long.

--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RolloutTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RolloutTests.java
@@ -285,7 +285,8 @@
 		startHost("a", 0);
 		awaitService();
 		int reads = this.platform.calls().get("read operators");
-		while (this.platform.calls().get("read operators") < reads + 2) {
+		while (this.platform.calls().get("read operators") < reads + 2
+				|| !this.platform.calls().containsKey("read members")) {
 			assertThat(get(this.hosts.get(0))).startsWith("HTTP/1.1 200");
 		}
 		assertThat(this.platform.calls().keySet()).isEqualTo(Set.of("list operators", "read operators", "list targets",
