--- a/review/2/BudgetCase.java
+++ b/review/2/BudgetCase.java
@@ -53,7 +53,8 @@
 			System.out.println("cannot run: " + ex);
 			exit = 2;
 		}
-		System.exit(exit);
+		// 1 is also the code of a JVM that fails.
+		System.exit((exit == 1) ? 10 : exit);
 	}
 
 	static int play(Standin.Journal journal, Path logs, boolean trouble) throws Exception {
