--- a/review/lab2/Client.java
+++ b/review/lab2/Client.java
@@ -17,7 +17,6 @@
 	Client(String address, int readTimeoutMillis) throws IOException {
 		int colon = address.indexOf(':');
 		this.socket.setTcpNoDelay(true);
-		if (Integer.getInteger("rcvbuf", 0) > 0) this.socket.setReceiveBufferSize(Integer.getInteger("rcvbuf"));
 		this.socket.connect(
 				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
 				1_000);
