--- a/review/lab2/CutCase.java
+++ b/review/lab2/CutCase.java
@@ -13,7 +13,10 @@
 
 	private static final int STREAMS = 18;
 
-	private static final long CUT_MILLIS = 1_500;
+	private static final long CUT_MILLIS = 2_500;
+
+	/** Time after the cut from which on the entry hosts are in touch whatever it was, in seconds. */
+	private static final double CONTACT_SECONDS = 3;
 
 	public static void main(String[] args) throws Exception {
 		Lab.main(args[0], () -> {
@@ -89,13 +92,13 @@
 		return Engine.allRuns.stream().filter((run) -> run.engine == engine).count();
 	}
 
-	/** A run still works 400 ms after the path was back and another run of the same request had begun. */
+	/** A run still works 400 ms after another run of the same request began, and ContactMs after the path was back. */
 	private static void judge(double healed) throws java.io.IOException {
 		List<String> broken = new ArrayList<>();
 		for (Engine.Run former : Engine.allRuns) {
 			for (Engine.Run later : Engine.allRuns) {
 				if (later != former && later.id.equals(former.id) && later.started > former.started) {
-					double from = Math.max(later.started, healed) + 0.4;
+					double from = Math.max(later.started, healed + CONTACT_SECONDS) + 0.4;
 					long count = former.madeAt.stream().filter((made) -> made >= from).count();
 					Lab.note("check   %s goes on at %s from %.3f; %s makes %d events after %.3f", later.id, later.engine.id,
 							later.started, former.engine.id, count, from);
--- a/review/lab2/Engine.java
+++ b/review/lab2/Engine.java
@@ -2,7 +2,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -240,7 +239,7 @@
 
 	}
 
-	/** The network path from entry hosts to one engine, which can be cut: open connections are reset, new ones refused. */
+	/** The network path to one engine, which can be cut: open connections hold all bytes until it is back, new ones are refused. */
 	static final class Path {
 
 		private final String engine;
@@ -249,7 +248,7 @@
 
 		private java.net.ServerSocket server;
 
-		private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+		private volatile boolean cut;
 
 		Path(String engine) throws IOException {
 			this.engine = engine;
@@ -269,8 +268,6 @@
 					Socket engineSide = new Socket("127.0.0.1", Integer.parseInt(this.engine.split(":")[1]));
 					entrySide.setTcpNoDelay(true);
 					engineSide.setTcpNoDelay(true);
-					this.sockets.add(entrySide);
-					this.sockets.add(engineSide);
 					Lab.daemon("path", () -> pipe(entrySide, engineSide));
 					Lab.daemon("path", () -> pipe(engineSide, entrySide));
 				}
@@ -281,26 +278,27 @@
 			byte[] buffer = new byte[65_536];
 			try {
 				for (int n = from.getInputStream().read(buffer); n >= 0; n = from.getInputStream().read(buffer)) {
+					awaitPath();
 					to.getOutputStream().write(buffer, 0, n);
 				}
+				awaitPath();
 				to.shutdownOutput();
 				if (from.isOutputShutdown()) {
-					end(from, to);
+					from.close();
+					to.close();
 				}
 			}
 			catch (IOException ex) {
+				awaitPath();
 				reset(from);
 				reset(to);
-				this.sockets.remove(from);
-				this.sockets.remove(to);
 			}
 		}
 
-		private void end(Socket from, Socket to) throws IOException {
-			from.close();
-			to.close();
-			this.sockets.remove(from);
-			this.sockets.remove(to);
+		private void awaitPath() {
+			while (this.cut) {
+				Lab.sleep(1);
+			}
 		}
 
 		private static void reset(Socket socket) throws IOException {
@@ -311,11 +309,8 @@
 		}
 
 		void cut() throws IOException {
+			this.cut = true;
 			this.server.close();
-			for (Socket socket : new ArrayList<>(this.sockets)) {
-				reset(socket);
-			}
-			this.sockets.clear();
 		}
 
 		void heal() throws IOException {
@@ -324,6 +319,7 @@
 			this.server.bind(new java.net.InetSocketAddress("127.0.0.1",
 					Integer.parseInt(this.address.substring(this.address.indexOf(':') + 1))), 500);
 			accept(this.server);
+			this.cut = false;
 		}
 
 	}
