Let a stream that its caller resumes go on behind the caller's last event

Cause: what a caller has was counted from the first event of the present response. If the generation began again at another engine before that event, the holder of its KV cache was told that the caller has none, in place of the caller's own header, and the repeated events counted as new ones. The engine's record shows Kv-From with Last-Event-Id: 0; the log did not tell what the caller had named, which DC902 now does.

Change: the plan knows which routes let callers resume. There, StreamProgress begins with the event that the caller names, so that every resume names it (backup, reset, copy, second hand-over), events up to it are dropped and a gap behind it is rejected. The time of an event is measured over the events of the response.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -298,7 +298,10 @@
 	SERVER_STUTTERS(900, Level.WARN, "server={} writes bytes that belong to no request, keeps no connection millis={}"),
 
 	/** A peer has lent a retry permit that this host did not ask for, or long ago. */
-	RETRY_LOAN_DROPPED(901, Level.INFO, "retry permit of peer={} dropped service={}");
+	RETRY_LOAN_DROPPED(901, Level.INFO, "retry permit of peer={} dropped service={}"),
+
+	/** A caller resumes a stream of which it has the first events. */
+	CALLER_RESUMES(902, Level.INFO, "request={} resumes a stream route={} lastEvent={}");
 
 	/** Maximum length of a value in the log; values may come from other writers. */
 	static final int MAX_VALUE_CHARS = 500;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -94,6 +94,12 @@
 			endWithError(ex.failure());
 			return;
 		}
+		if (this.route.resumable()) {
+			this.request.lastEventId().ifPresent((eventId) -> {
+				LogEvent.CALLER_RESUMES.log(logger, this.request.id(), this.route.name(), eventId);
+				this.progress.recordResume(eventId);
+			});
+		}
 		startPlacement();
 	}
 
@@ -213,8 +219,7 @@
 	}
 
 	/**
-	 * Returns the priority of this generation among those to be copied off a draining
-	 * engine.
+	 * Returns the priority among generations to be copied off a draining engine.
 	 * @return priority; the highest is copied first, 0 before the first plan
 	 */
 	double copyPriority() {
@@ -326,9 +331,8 @@
 	}
 
 	/**
-	 * Handles an attempt that ended without a complete response: resumes, retries or
-	 * fails the request, unless another attempt is still under way.
-	 * @param attempt the attempt, already removed
+	 * Resumes, retries or fails the request, unless another attempt is still under way.
+	 * @param attempt attempt that ended without a complete response, already removed
 	 * @param ran whether its target has run the request
 	 * @param reason cause of the failure, for logs and the error message
 	 */
@@ -411,9 +415,7 @@
 	}
 
 	void streamCompleted() {
-		statistics().recordStream(lastEventId(), this.progress.streamMillis());
-		statistics().recordMemory(demand().promptTokens() + lastEventId() * tokensPerEvent(),
-				this.progress.streamMillis() + this.progress.firstEventMillis());
+		this.progress.recordCompletion(statistics(), demand().promptTokens(), tokensPerEvent());
 		end("served", "stream complete");
 		this.caller.end();
 	}
@@ -446,7 +448,8 @@
 	}
 
 	/**
-	 * Returns the id of the last event sent to the caller.
+	 * Returns the id of the last event that the caller has, from this response or from
+	 * the one that it resumes.
 	 * @return the id; 0 before the first event
 	 */
 	long lastEventId() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/StreamProgress.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/StreamProgress.java
@@ -4,8 +4,9 @@
 import java.util.OptionalLong;
 
 /**
- * How much of a streamed response its caller has, and when it came. Invariant: event ids
- * only grow by one. Confined to the traffic thread.
+ * How much of a streamed response its caller has, and when it came. What the caller had
+ * before it resumed the stream counts as sent. Invariant: event ids only grow by one.
+ * Confined to the traffic thread.
  */
 final class StreamProgress {
 
@@ -14,9 +15,12 @@
 	/** Whether the caller has the head of the response. */
 	private boolean started;
 
-	/** Id of the last event sent to the caller; empty before the first. */
+	/** Id of the last event that the caller has; empty before the first. */
 	private OptionalLong lastEventId = OptionalLong.empty();
 
+	/** Id of the event after which the caller resumes; 0 unless it resumes a stream. */
+	private long resumedAfterEventId;
+
 	/** Time from arrival to the first event; -1 before it. */
 	private long firstEventMillis = -1;
 
@@ -36,6 +40,15 @@
 		this.arrivedAtMillis = arrivedAtMillis;
 	}
 
+	/**
+	 * Records that the caller resumes a stream of which it has the first events.
+	 * @param eventId id of the last event that it has
+	 */
+	void recordResume(long eventId) {
+		this.resumedAfterEventId = eventId;
+		this.lastEventId = OptionalLong.of(eventId);
+	}
+
 	void recordStart(long nowMillis) {
 		this.started = true;
 		this.lastEventAtMillis = nowMillis;
@@ -98,7 +111,7 @@
 	}
 
 	/**
-	 * Returns the id of the last event sent to the caller.
+	 * Returns the id of the last event that the caller has.
 	 * @return the id; 0 before the first event
 	 */
 	long lastEventId() {
@@ -114,11 +127,16 @@
 	}
 
 	/**
-	 * Returns the time from the first to the last event.
-	 * @return time in milliseconds; only valid after the first event
+	 * Records how long a complete stream took. Only events of this response count for the
+	 * time of an event, but all of the generation for the memory that it held.
+	 * @param statistics statistics of the service
+	 * @param promptTokens length of the prompt in tokens
+	 * @param tokensPerEvent output tokens of an event
 	 */
-	long streamMillis() {
-		return this.lastEventAtMillis - this.arrivedAtMillis - this.firstEventMillis;
+	void recordCompletion(GenerationStatistics statistics, long promptTokens, int tokensPerEvent) {
+		long streamMillis = this.lastEventAtMillis - this.arrivedAtMillis - this.firstEventMillis;
+		statistics.recordStream(lastEventId() - this.resumedAfterEventId, streamMillis);
+		statistics.recordMemory(promptTokens + lastEventId() * tokensPerEvent, streamMillis + this.firstEventMillis);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetRequest.java
@@ -16,7 +16,8 @@
  * @param remainingMillis time until the caller's deadline, in milliseconds
  * @param priority priority among the engine's requests; empty for plain services
  * @param resumeFrom KV copy or backup to resume a generation from; empty for a new one
- * @param lastEventId id of the last event sent to the caller; empty unless resuming
+ * @param lastEventId id of the last event that the caller has; empty unless this host
+ * resumes the generation
  * @param backupHolder engine that is to keep a KV backup of the generation, if any
  */
 public record TargetRequest(CallerRequest request, TargetRegistration target, Optional<String> workspace,
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/Route.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/Route.java
@@ -17,10 +17,12 @@
  * @param apiKeyOptional whether requests without an API key are accepted
  * @param gapGoalMillis longest time between two events of a stream that the route aims
  * at, in milliseconds; 0 if none is set
+ * @param resumable whether a caller may resume a stream, in a new request that names the
+ * last event it has
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, long timeoutMillis,
 		long latencyGoalMillis, int priority, List<WeightedService> services, int maxAttempts, boolean apiKeyOptional,
-		long gapGoalMillis) {
+		long gapGoalMillis, boolean resumable) {
 
 	/**
 	 * Selects a service in proportion to the weights.
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdverseFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdverseFleet.java
@@ -125,7 +125,7 @@
 	private static Route route(String prefix, RequestKind kind, long timeoutMillis, long latencyGoalMillis,
 			String service, int maxAttempts) {
 		return new Route(prefix, "a.example", prefix, kind, timeoutMillis, latencyGoalMillis, 1,
-				List.of(new Route.WeightedService(service, 1)), maxAttempts, false, 100);
+				List.of(new Route.WeightedService(service, 1)), maxAttempts, false, 100, kind == RequestKind.STREAMING);
 	}
 
 	/**
@@ -213,9 +213,10 @@
 				: Optional.empty();
 		long deadlineMillis = oneIn(4) ? between(100, 1_500) : between(1_000, 14_000);
 		CallerRequest request = new CallerRequest(id, "POST", "a.example", route.pathPrefix() + "1", List.of(),
-				id.getBytes(StandardCharsets.UTF_8), Optional.of("key"), traits, deadlineMillis, now());
+				id.getBytes(StandardCharsets.UTF_8), Optional.of("key"), traits, callerHas(id), deadlineMillis, now());
 		JudgedCaller caller = new JudgedCaller(clock(), id, route.kind(),
-				now() + Math.min(deadlineMillis, route.timeoutMillis()), totalEvents(id));
+				now() + Math.min(deadlineMillis, route.timeoutMillis()), totalEvents(id),
+				(route.kind() == RequestKind.STREAMING) ? (int) callerHas(id).orElse(0) : 0);
 		this.ledger.add(caller);
 		RelayedRequest relayed = host.accept(request, caller);
 		if (oneIn(12)) {
@@ -392,4 +393,15 @@
 		return 5 + Math.floorMod(id.hashCode() * 31, 120);
 	}
 
+	/**
+	 * Returns which event the caller of a stream has last from an earlier response.
+	 * @param id id of the request
+	 * @return id of the event; empty for callers that resume no stream
+	 */
+	static OptionalLong callerHas(String id) {
+		int draw = Math.floorMod(id.hashCode() * 17, 4);
+		return (draw == 0) ? OptionalLong.of(1 + Math.floorMod(id.hashCode() * 13, totalEvents(id) - 1))
+				: OptionalLong.empty();
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdverseTarget.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdverseTarget.java
@@ -215,7 +215,9 @@
 	private void startStream(ExecutionLedger.Run run, AdverseExchange exchange) {
 		if (run.active()) {
 			exchange.startStream(this.limit);
-			int resumeAfter = (int) exchange.request().lastEventId().orElse(0);
+			int resumeAfter = (int) exchange.request()
+				.lastEventId()
+				.orElse(AdverseFleet.callerHas(run.attemptId()).orElse(0));
 			nextEvent(run, exchange, resumeAfter + 1);
 		}
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/CrashFleet.java
@@ -248,8 +248,8 @@
 				? Optional.of(new GenerationTraits(1_000, 100, OptionalLong.empty(), parts)) : Optional.empty();
 		RelayService host = this.hosts.get(this.random.nextInt(this.hosts.size()));
 		CallerRequest request = new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path, List.of(),
-				body.getBytes(StandardCharsets.UTF_8), Optional.of("key"), traits, traits.isPresent() ? 39_000 : 1_500,
-				now());
+				body.getBytes(StandardCharsets.UTF_8), Optional.of("key"), traits, OptionalLong.empty(),
+				traits.isPresent() ? 39_000 : 1_500, now());
 		if (this.crashingBodies.containsKey(body) || parts.stream().anyMatch(this.crashingParts::contains)) {
 			this.crashingKeys.add(new RequestContent(request, host).fingerprint());
 		}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/JudgedCaller.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/JudgedCaller.java
@@ -32,6 +32,7 @@
 	/** Received bytes that are no whole event yet. */
 	private String rest = "";
 
+	/** Last event that it has, from this response or from the one that it resumes. */
 	private int lastEventId;
 
 	private boolean started;
@@ -47,12 +48,13 @@
 
 	private long endedMillis;
 
-	JudgedCaller(Clock clock, String id, RequestKind kind, long timeoutAtMillis, int totalEvents) {
+	JudgedCaller(Clock clock, String id, RequestKind kind, long timeoutAtMillis, int totalEvents, int resumedAfter) {
 		this.clock = clock;
 		this.id = id;
 		this.kind = kind;
 		this.timeoutAtMillis = timeoutAtMillis;
 		this.totalEvents = totalEvents;
+		this.lastEventId = resumedAfter;
 	}
 
 	private void finish(String what) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -156,7 +156,7 @@
 	private static Route route(String prefix, RequestKind kind, long timeoutMillis, long latencyGoalMillis,
 			String service, int maxAttempts) {
 		return new Route(prefix, "a.example", prefix, kind, timeoutMillis, latencyGoalMillis, 1,
-				List.of(new Route.WeightedService(service, 1)), maxAttempts, false, 180);
+				List.of(new Route.WeightedService(service, 1)), maxAttempts, false, 180, prefix.equals("/notes/"));
 	}
 
 	void listTarget(String id, String serviceName, boolean leaving) {
@@ -237,29 +237,41 @@
 	}
 
 	RelayedRequest accept(String path, String key, RecordingCallerChannel caller) {
+		return accept(path, key, OptionalLong.empty(), caller);
+	}
+
+	/**
+	 * Accepts a request of a caller that resumes a stream.
+	 */
+	RelayedRequest acceptResumed(String path, long lastEventId, RecordingCallerChannel caller) {
+		return accept(path, "key", OptionalLong.of(lastEventId), caller);
+	}
+
+	private RelayedRequest accept(String path, String key, OptionalLong lastEventId, RecordingCallerChannel caller) {
 		boolean generation = path.startsWith("/notes/") || path.startsWith("/summary/");
 		Optional<GenerationTraits> traits = generation
 				? Optional.of(new GenerationTraits(3_000, 900, OptionalLong.empty(), List.of())) : Optional.empty();
 		this.requestCount++;
 		return this.relayService
 			.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path, List.of(), new byte[0],
-					Optional.ofNullable(key), traits, generation ? 39_000 : 1_500, this.clock.millis()), caller);
+					Optional.ofNullable(key), traits, lastEventId, generation ? 39_000 : 1_500, this.clock.millis()),
+					caller);
 	}
 
 	RelayedRequest acceptCall(String path, long deadlineMillis, RecordingCallerChannel caller) {
 		this.requestCount++;
-		return this.relayService.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path,
-				List.of(), new byte[0], Optional.of("key"), Optional.empty(), deadlineMillis, this.clock.millis()),
-				caller);
+		return this.relayService
+			.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path, List.of(), new byte[0],
+					Optional.of("key"), Optional.empty(), OptionalLong.empty(), deadlineMillis, this.clock.millis()),
+					caller);
 	}
 
 	RelayedRequest acceptGeneration(List<String> sharedParts, RecordingCallerChannel caller) {
 		this.requestCount++;
-		return this.relayService.accept(
-				new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", "/notes/1", List.of(),
-						("prompt " + this.requestCount).getBytes(StandardCharsets.UTF_8), Optional.of("key"),
-						Optional.of(new GenerationTraits(100, 100, OptionalLong.empty(), sharedParts)), 39_000, now()),
-				caller);
+		return this.relayService.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example",
+				"/notes/1", List.of(), ("prompt " + this.requestCount).getBytes(StandardCharsets.UTF_8),
+				Optional.of("key"), Optional.of(new GenerationTraits(100, 100, OptionalLong.empty(), sharedParts)),
+				OptionalLong.empty(), 39_000, now()), caller);
 	}
 
 	long now() {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFleet.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 
 import com.codahale.metrics.MetricRegistry;
@@ -118,9 +119,8 @@
 	private void accept(RelayService host) {
 		String path = this.random.nextBoolean() ? "/lookup/" : "/order/";
 		this.requestCount++;
-		host.accept(
-				new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path + this.requestCount,
-						List.of(), new byte[0], Optional.of("key"), Optional.empty(), 1_500, now()),
+		host.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path + this.requestCount,
+				List.of(), new byte[0], Optional.of("key"), Optional.empty(), OptionalLong.empty(), 1_500, now()),
 				new RecordingCallerChannel());
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestContentTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestContentTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
@@ -19,8 +20,10 @@
 	private final RelayService relayService = new RelayFixture().relayService();
 
 	private String fingerprint(String id, String key, String uri, String body) {
-		return new RequestContent(new CallerRequest(id, "POST", "a.example", uri, List.of(),
-				body.getBytes(StandardCharsets.UTF_8), Optional.of(key), Optional.empty(), 1_500, 0), this.relayService)
+		return new RequestContent(
+				new CallerRequest(id, "POST", "a.example", uri, List.of(), body.getBytes(StandardCharsets.UTF_8),
+						Optional.of(key), Optional.empty(), OptionalLong.empty(), 1_500, 0),
+				this.relayService)
 			.fingerprint();
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RetryPolicyTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RetryPolicyTests.java
@@ -19,7 +19,7 @@
 
 	private static Route route(RequestKind kind, int maxAttempts) {
 		return new Route("r", "a.example", "/x/", kind, 5_000, 1_000, 1, List.of(new Route.WeightedService("s", 1)),
-				maxAttempts, false, 0);
+				maxAttempts, false, 0, false);
 	}
 
 	@Test
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RouteResolverTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RouteResolverTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 
@@ -22,7 +23,7 @@
 
 	private static CallerRequest request(String uri, String key) {
 		return new CallerRequest("id", "POST", "a.example", uri, List.of(), new byte[0], Optional.ofNullable(key),
-				Optional.empty(), 1_000, 0);
+				Optional.empty(), OptionalLong.empty(), 1_000, 0);
 	}
 
 	private static Failure failure(String uri, String key, long planAgeMillis) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WaitingRequestTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/WaitingRequestTests.java
@@ -82,10 +82,9 @@
 
 	private void accept(RelayService service) {
 		this.requestCount++;
-		service.accept(
-				new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", "/deposit/1", List.of(),
-						new byte[0], Optional.of("key"), Optional.empty(), 6_000, this.manualClock.millis()),
-				new RecordingCallerChannel());
+		service.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", "/deposit/1", List.of(),
+				new byte[0], Optional.of("key"), Optional.empty(), OptionalLong.empty(), 6_000,
+				this.manualClock.millis()), new RecordingCallerChannel());
 	}
 
 	/** The request was in no list any more and stayed there until its deadline. */
@@ -159,7 +158,7 @@
 		service
 			.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example", path, List.of(), new byte[0],
 					Optional.of("key"), Optional.of(new GenerationTraits(500, 900, OptionalLong.empty(), List.of())),
-					39_000, this.manualClock.millis()), new RecordingCallerChannel());
+					OptionalLong.empty(), 39_000, this.manualClock.millis()), new RecordingCallerChannel());
 	}
 
 	/** The first of them was refused, since it found itself among too many. */
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/version/plan/ServingPlanTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/version/plan/ServingPlanTests.java
@@ -15,7 +15,7 @@
 	private static Route route(String name, String host, String prefix) {
 		return new Route(name, host, prefix, RequestKind.IDEMPOTENT, 800, 300, 2,
 				List.of(new Route.WeightedService("desk", 90), new Route.WeightedService("desk-new", 10)), 2, false,
-				180);
+				180, false);
 	}
 
 	private final ServingPlan plan = ServingPlan.of(3,
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -59,7 +59,7 @@
 
 	private static Route route(String prefix, RequestKind kind) {
 		return new Route(prefix, "a", prefix, kind, 4_000, 3_000, 0, List.of(new Route.WeightedService("s", 1)), 1,
-				true, 180);
+				true, 180, false);
 	}
 
 	@BeforeEach
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/MemoryPlatform.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/MemoryPlatform.java
@@ -107,7 +107,7 @@
 	public OperatorRecord decodeOperatorRecord(KeyedRecord record) {
 		if (record.key().equals(CONFIG_KEY)) {
 			Route route = new Route("/lookup/", "a", "/lookup/", RequestKind.IDEMPOTENT, 4_000, 3_000, 0,
-					List.of(new Route.WeightedService("s", 1)), 2, true, 180);
+					List.of(new Route.WeightedService("s", 1)), 2, true, 180, false);
 			return new PlanPublished(ServingPlan.of(1, List.of(route),
 					List.of(new ServiceSpec("s", 100, 0, Optional.empty())), List.of(), CallerLimits.INITIAL));
 		}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -76,7 +76,7 @@
 
 	private static Route route(String prefix, RequestKind kind) {
 		return new Route(prefix, "a", prefix, kind, 2_000, 1_500, 0, List.of(new Route.WeightedService("s", 1)), 1,
-				true, 180);
+				true, 180, false);
 	}
 
 	ScriptedTarget target() {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -37,7 +38,8 @@
 			}
 		}
 		return new CallerRequest(head.headers().get("Id", ""), head.method().name(), head.headers().get("Host", ""),
-				head.uri(), headers, body, Optional.empty(), Optional.empty(), deadlineMillis(head), arrivedMillis);
+				head.uri(), headers, body, Optional.empty(), Optional.empty(), OptionalLong.empty(),
+				deadlineMillis(head), arrivedMillis);
 	}
 
 	@Override
