Apply the limits for callers in force to connections that are open already

Cause: the codec takes its limits when it is created, with the connection; until the first plan they are built in. A limit that a new plan raises or lowers had no effect on open connections either.

Change: StrictRequestDecoder gives the codec no limit and applies the one in force once a head is complete; an incomplete head, chunk size or trailers hold no more than a line and headers may. Before the first plan nobody knows what is allowed: a request above the built-in limits for heads and bodies gets 503 and a time to return in place of 431 and 413. DC903 logs requests that are rejected unread, of which there was no line.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -301,7 +301,10 @@
 	RETRY_LOAN_DROPPED(901, Level.INFO, "retry permit of peer={} dropped service={}"),
 
 	/** A caller resumes a stream of which it has the first events. */
-	CALLER_RESUMES(902, Level.INFO, "request={} resumes a stream route={} lastEvent={}");
+	CALLER_RESUMES(902, Level.INFO, "request={} resumes a stream route={} lastEvent={}"),
+
+	/** A request was rejected before all of it was read. */
+	REQUEST_UNREAD(903, Level.INFO, "request of caller={} rejected unread outcome={} message=\"{}\"");
 
 	/** Maximum length of a value in the log; values may come from other writers. */
 	static final int MAX_VALUE_CHARS = 500;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -20,6 +20,8 @@
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.quarantine.Quarantine;
 import io.dotterelcrank.request.CallerRequest;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.ResultCode;
 import io.dotterelcrank.version.plan.CallerLimits;
 import io.dotterelcrank.version.plan.ServingPlan;
 
@@ -156,6 +158,19 @@
 		return (this.plan != null) ? this.plan.limits() : CallerLimits.INITIAL;
 	}
 
+	/**
+	 * Returns the failure of a request that exceeds a limit for callers. Before the first
+	 * plan nobody knows whether operators allow the request, which may be sent again.
+	 * @param code result code if the limit is that of a plan
+	 * @param message human-readable explanation
+	 * @return failure of a request that was not executed
+	 */
+	public Failure limitExceeded(ResultCode code, String message) {
+		return (this.plan != null) ? Failure.notRun(code, message)
+				: Failure.notRun(ResultCode.NOT_READY, "no configuration received yet")
+					.withRetryAfter(RequestPlacement.retryJitterMillis(this.random));
+	}
+
 	/**
 	 * Updates the age of the plan.
 	 * @param ageMillis time since the plan was last known to be current, in milliseconds
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -321,8 +322,16 @@
 	 * @return delay in milliseconds, positive
 	 */
 	long retryAfterMillis() {
-		return (this.returnDelayMillis > 0) ? this.returnDelayMillis
-				: MIN_RETRY_AFTER_MILLIS + this.relayService.random().nextInt(RETRY_AFTER_JITTER_MILLIS);
+		return (this.returnDelayMillis > 0) ? this.returnDelayMillis : retryJitterMillis(this.relayService.random());
+	}
+
+	/**
+	 * Draws a retry delay, so that callers that are refused together return apart.
+	 * @param random source of jitter
+	 * @return delay in milliseconds
+	 */
+	static long retryJitterMillis(UniformRandomProvider random) {
+		return MIN_RETRY_AFTER_MILLIS + random.nextInt(RETRY_AFTER_JITTER_MILLIS);
 	}
 
 	boolean awaitsAdmission() {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -33,7 +33,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.daemon.http.ErrorBody;
 import io.dotterelcrank.process.relay.CallerChannel;
 import io.dotterelcrank.process.relay.RelayedRequest;
@@ -50,6 +53,8 @@
  */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
+	private static final Logger logger = LoggerFactory.getLogger(CallerConnection.class);
+
 	/** Buffered messages of pipelined requests at which reading pauses. */
 	private static final int MAX_PIPELINED_MESSAGES = 64;
 
@@ -178,9 +183,10 @@
 	}
 
 	private void rejectMalformed(Throwable cause) {
-		ResultCode code = (cause instanceof TooLongFrameException) ? ResultCode.HEAD_TOO_LARGE
-				: ResultCode.INVALID_REQUEST;
-		rejectIncomplete(Failure.notRun(code, String.valueOf(cause.getMessage())));
+		String message = String.valueOf(cause.getMessage());
+		rejectIncomplete((cause instanceof TooLongFrameException)
+				? this.server.service().limitExceeded(ResultCode.HEAD_TOO_LARGE, message)
+				: Failure.notRun(ResultCode.INVALID_REQUEST, message));
 	}
 
 	private void beginRequest(HttpRequest request) {
@@ -195,8 +201,9 @@
 	}
 
 	private void rejectTooLarge() {
-		rejectIncomplete(Failure.notRun(ResultCode.REQUEST_TOO_LARGE,
-				"body larger than " + this.server.limits().maxBodyBytes() + " bytes"));
+		rejectIncomplete(this.server.service()
+			.limitExceeded(ResultCode.REQUEST_TOO_LARGE,
+					"body larger than " + this.server.limits().maxBodyBytes() + " bytes"));
 	}
 
 	private void receiveContent(HttpContent content) {
@@ -211,6 +218,7 @@
 	}
 
 	private void rejectIncomplete(Failure failure) {
+		LogEvent.REQUEST_UNREAD.log(logger, this.channel.remoteAddress(), failure.code().name(), failure.message());
 		this.discardsInput = true;
 		new CallerExchange(this.requestHead, false).sendError(failure);
 		this.requestHead = null;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -85,7 +85,7 @@
 					CallerConnection connection = new CallerConnection(server, channel);
 					channel.pipeline()
 						.addLast(connection.arrivalRecorder())
-						.addLast(new StrictRequestDecoder(limits.get().maxHeaderBytes()))
+						.addLast(new StrictRequestDecoder(() -> limits.get().maxHeaderBytes()))
 						.addLast(new ResponseEncoder())
 						.addLast(connection);
 				}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -45,35 +45,59 @@
 
 	private final EventLoop loop = this.group.next();
 
+	private final RelayService service;
+
 	private final int port;
 
+	/** 0 before the first plan. */
+	private long planVersion;
+
 	private RelayServerFixture() throws IOException, InterruptedException {
 		Clock clock = Clock.system();
-		RelayService service = RelayService.of(clock, new EventLoopScheduler(this.loop),
+		this.service = RelayService.of(clock, new EventLoopScheduler(this.loop),
 				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(this.loop), new TestMessageMapper())),
 				new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
 				new MetricRegistry());
 		this.loop.submit(() -> {
-			service.updatePlan(ServingPlan.of(1,
-					List.of(route("/order/", RequestKind.NON_IDEMPOTENT), route("/lookup/", RequestKind.IDEMPOTENT),
-							route("/stream/", RequestKind.STREAMING)),
-					List.of(new ServiceSpec("s", 100, 0, Optional.empty())), List.of(), LIMITS));
-			service.updatePlanAge(0);
-			service.updateTargets(List.of(new Target(
+			this.service.updateTargets(List.of(new Target(
 					new TargetRegistration("t", "s", this.target.address(), "dc", 4, false, 0, 1, 1), 0, true, false)));
-			service.start();
+			this.service.start();
 		}).sync();
 		try (ServerSocket free = new ServerSocket(0)) {
 			this.port = free.getLocalPort();
 		}
-		CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), service, new TestMessageMapper(),
-				() -> LIMITS, clock);
+		CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), this.service,
+				new TestMessageMapper(), this.service::callerLimits, clock);
 	}
 
 	static RelayServerFixture start() throws IOException, InterruptedException {
+		RelayServerFixture fixture = withoutPlan();
+		fixture.putInForce(LIMITS);
+		return fixture;
+	}
+
+	/**
+	 * Starts a server whose host has received no plan.
+	 */
+	static RelayServerFixture withoutPlan() throws IOException, InterruptedException {
 		return new RelayServerFixture();
 	}
 
+	/**
+	 * Puts a new plan in force, which differs in the limits only.
+	 */
+	void putInForce(CallerLimits limits) throws InterruptedException {
+		this.planVersion++;
+		ServingPlan plan = ServingPlan.of(this.planVersion,
+				List.of(route("/order/", RequestKind.NON_IDEMPOTENT), route("/lookup/", RequestKind.IDEMPOTENT),
+						route("/stream/", RequestKind.STREAMING)),
+				List.of(new ServiceSpec("s", 100, 0, Optional.empty())), List.of(), limits);
+		this.loop.submit(() -> {
+			this.service.updatePlan(plan);
+			this.service.updatePlanAge(0);
+		}).sync();
+	}
+
 	private static Route route(String prefix, RequestKind kind) {
 		return new Route(prefix, "a", prefix, kind, 2_000, 1_500, 0, List.of(new Route.WeightedService("s", 1)), 1,
 				true, 180, false);
