Use no shared bound a second time after a process has started again

Cause: what a host may use of a bound that all hosts share was counted by its process. A new one began with the host's whole part of the slack, which the one before had used in the same window. The state of the budgets is now in the dump.

Change: a process that may have taken the place of another one has no part of the slack and a tenth of the ratio until a window has passed since its start, whatever its name; it may borrow from hosts that know what they have used. Cold targets and targets with a request limit that it learns of in its first second have no permit at first. The setting first-start says that the whole system starts for the first time; the deploy file doesn't need it, as traffic begins later.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RatePermitIssuer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RatePermitIssuer.java
@@ -37,6 +37,8 @@
 
 	private final Clock clock;
 
+	private final TargetRateLimiter.Factory limiters;
+
 	/** By target id, oldest first. */
 	private final Map<String, IssuedTarget> targets = new LinkedHashMap<>() {
 
@@ -49,17 +51,19 @@
 
 	};
 
-	private RatePermitIssuer(Clock clock) {
+	private RatePermitIssuer(Clock clock, TargetRateLimiter.Factory limiters) {
 		this.clock = clock;
+		this.limiters = limiters;
 	}
 
 	/**
 	 * Creates an issuer that knows no target.
 	 * @param clock clock of the process
+	 * @param limiters creates the limiter of a target
 	 * @return a new issuer
 	 */
-	public static RatePermitIssuer of(Clock clock) {
-		return new RatePermitIssuer(clock);
+	public static RatePermitIssuer of(Clock clock, TargetRateLimiter.Factory limiters) {
+		return new RatePermitIssuer(clock, limiters);
 	}
 
 	/**
@@ -68,7 +72,8 @@
 	 * @return the permit, a time to ask again, or the news that the limit is lifted
 	 */
 	public Message.RatePermit issue(Message.RatePermitRequest request) {
-		IssuedTarget target = this.targets.computeIfAbsent(request.target(), (id) -> new IssuedTarget(this.clock));
+		IssuedTarget target = this.targets.computeIfAbsent(request.target(),
+				(id) -> new IssuedTarget(this.clock, this.limiters.create()));
 		long knownSinceMillis = this.clock.millis() - Math.max(0, request.knownForMillis());
 		if (!request.limited()) {
 			target.liftedMillis = Math.max(target.liftedMillis, knownSinceMillis);
@@ -104,9 +109,9 @@
 		/** Refusals in the second before. */
 		private int lastRefusals;
 
-		IssuedTarget(Clock clock) {
+		IssuedTarget(Clock clock, TargetRateLimiter permits) {
 			this.clock = clock;
-			this.permits = TargetRateLimiter.of(clock);
+			this.permits = permits;
 		}
 
 		/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/WindowedRetryBudget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/WindowedRetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Map;
 
 import io.dotterelcrank.common.Clock;
 
@@ -10,9 +11,12 @@
  * budget that all hosts share. Addresses two load patterns: targets that fail under load
  * and would then get every request twice; and several engines that leave at once, so that
  * the hosts with most of their generations need more than their fraction, which other
- * hosts lend them. Invariant: over any window, retries and permits lent are at most the
- * ratio of this host's requests plus its fraction of the slack plus the permits borrowed.
- * Not thread-safe.
+ * hosts lend them. A process that starts again does not know what the one before it has
+ * used of the same budget, and a host that comes under a new name may replace another.
+ * Invariants: over any window, retries and permits lent are at most the ratio of this
+ * host's requests plus its fraction of the slack plus the permits borrowed; the sum over
+ * all hosts stays within the budget however often their processes start again. Not
+ * thread-safe.
  */
 public final class WindowedRetryBudget {
 
@@ -28,6 +32,12 @@
 	 */
 	private static final double USABLE_FRACTION = 0.8;
 
+	/**
+	 * Fraction of the ratio that a process may use while the use of the one before it
+	 * counts; it has no part of the slack then. The fraction that is kept back covers it.
+	 */
+	private static final double SUCCESSOR_FRACTION = 0.1;
+
 	/** Max used fraction of this host's budget at which it lends; the rest is its own. */
 	private static final double MAX_LENT_FRACTION = 0.5;
 
@@ -47,21 +57,29 @@
 	/** Retries by bucket. */
 	private final int[] retries = new int[BUCKETS];
 
+	/**
+	 * Until when retries of another process may count against the part of this host, in
+	 * milliseconds.
+	 */
+	private final long predecessorUntilMillis;
+
 	/** Expiry times of the permits borrowed from other hosts, oldest first. */
 	private final Deque<Long> borrowedUntilMillis = new ArrayDeque<>();
 
 	/** Number of the newest bucket, counted from time 0. */
 	private long newestBucket;
 
-	private WindowedRetryBudget(Clock clock, double ratio, double slack, long windowMillis) {
+	private WindowedRetryBudget(Clock clock, double ratio, double slack, long windowMillis, long startedMillis) {
 		this.clock = clock;
 		this.ratio = ratio;
 		this.slack = slack;
 		this.bucketMillis = Math.max(1, windowMillis / WINDOW_BUCKETS);
+		this.predecessorUntilMillis = startedMillis + BUCKETS * this.bucketMillis;
 	}
 
 	/**
-	 * Creates an empty budget.
+	 * Creates the budget of a process before which none has used it, as in a system that
+	 * starts for the first time.
 	 * @param clock clock of the process
 	 * @param ratio retries allowed per request
 	 * @param slack additional retries allowed per window; shared by all hosts
@@ -69,7 +87,21 @@
 	 * @return a budget without recorded requests, so that only the slack is available
 	 */
 	public static WindowedRetryBudget of(Clock clock, double ratio, double slack, long windowMillis) {
-		return new WindowedRetryBudget(clock, ratio, slack, windowMillis);
+		return new WindowedRetryBudget(clock, ratio, slack, windowMillis, clock.millis() - 2 * windowMillis);
+	}
+
+	/**
+	 * Creates the budget of a process that may have taken the place of another one.
+	 * @param clock clock of the process
+	 * @param ratio retries allowed per request
+	 * @param slack additional retries allowed per window; shared by all hosts
+	 * @param windowMillis length of the window, in milliseconds
+	 * @param startedMillis when the process started, by its clock, in milliseconds
+	 * @return a budget that has a part of the slack once a window has passed since
+	 */
+	public static WindowedRetryBudget ofSuccessor(Clock clock, double ratio, double slack, long windowMillis,
+			long startedMillis) {
+		return new WindowedRetryBudget(clock, ratio, slack, windowMillis, startedMillis);
 	}
 
 	/**
@@ -124,8 +156,22 @@
 		return !this.borrowedUntilMillis.isEmpty() || sum(this.retries) + 1 <= allowedRetries(entryHosts);
 	}
 
+	/**
+	 * Returns the state of the budget.
+	 * @param entryHosts number of hosts that share the budget
+	 * @return values by name, for dumps
+	 */
+	public Map<String, Object> dump(int entryHosts) {
+		advanceToCurrentBucket();
+		return Map.of("used", sum(this.retries), "allowed", allowedRetries(entryHosts), "borrowed",
+				this.borrowedUntilMillis.size());
+	}
+
 	private double allowedRetries(int entryHosts) {
-		return USABLE_FRACTION * (this.ratio * sum(this.requests) + this.slack / Math.max(1, entryHosts));
+		double earned = this.ratio * sum(this.requests);
+		boolean successor = this.clock.millis() < this.predecessorUntilMillis;
+		return successor ? SUCCESSOR_FRACTION * earned
+				: USABLE_FRACTION * (earned + this.slack / Math.max(1, entryHosts));
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -16,6 +16,7 @@
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.limit.RatePermitIssuer;
+import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.limit.WindowedRetryBudget;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.quarantine.Quarantine;
@@ -100,14 +101,17 @@
 		this.settings = settings;
 		this.random = random;
 		this.metrics = new RelayMetrics(metrics);
-		this.ratePermitIssuer = RatePermitIssuer.of(clock);
+		this.startedMillis = clock.millis();
+		TargetRateLimiter.Factory limiters = settings.firstStart()
+				? new TargetRateLimiter.Factory.ForFirstProcess(clock)
+				: new TargetRateLimiter.Factory.ForSuccessor(clock, this.startedMillis);
+		this.ratePermitIssuer = RatePermitIssuer.of(clock, limiters);
 		this.drainState = new DrainState(clock, settings.graceMillis());
 		this.quarantine = Quarantine.of(clock, clients.crashEvidence(), random);
 		this.rolloutGate = RolloutGate.of(clock, settings, clients.rollouts(), this.metrics);
-		this.targetPool = new TargetPool(clock, random, this::requestRatePermit, this.rolloutGate);
+		this.targetPool = new TargetPool(clock, random, this::requestRatePermit, this.rolloutGate, limiters);
 		this.overloadControl = new OverloadControl(clock, this.targetPool, random, settings.yieldsToShorterGoals());
 		this.loadSampler = new LoadSampler(clock, trafficThread, clients.engineLoads(), this.targetPool, random);
-		this.startedMillis = clock.millis();
 	}
 
 	/**
@@ -300,8 +304,15 @@
 	}
 
 	WindowedRetryBudget retryBudget(String service) {
-		return this.retryBudgets.computeIfAbsent(service, (name) -> WindowedRetryBudget.of(this.clock,
-				this.settings.retryRatio(), this.settings.retrySlack(), this.settings.retryWindowMillis()));
+		return this.retryBudgets.computeIfAbsent(service, (name) -> newRetryBudget());
+	}
+
+	private WindowedRetryBudget newRetryBudget() {
+		return this.settings.firstStart()
+				? WindowedRetryBudget.of(this.clock, this.settings.retryRatio(), this.settings.retrySlack(),
+						this.settings.retryWindowMillis())
+				: WindowedRetryBudget.ofSuccessor(this.clock, this.settings.retryRatio(), this.settings.retrySlack(),
+						this.settings.retryWindowMillis(), this.startedMillis);
 	}
 
 	boolean retryBudgetAllows(String service) {
@@ -459,6 +470,9 @@
 		dump.put("planVersion", (this.plan != null) ? this.plan.version() : -1);
 		dump.put("planAgeMillis", planAgeMillis());
 		dump.put("entryHosts", this.entryHosts);
+		Map<String, Object> budgets = new LinkedHashMap<>();
+		this.retryBudgets.forEach((service, budget) -> budgets.put(service, budget.dump(this.entryHosts)));
+		dump.put("retryBudgets", budgets);
 		dump.put("requestsUnderWay", this.activeRequests.size());
 		dump.put("requestsWaiting", this.activeRequests.waiting().size());
 		dump.put("shortestGoalMillis", this.overloadControl.shortestGoals());
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelaySettings.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelaySettings.java
@@ -18,12 +18,16 @@
  * @param rollouts bounds of roll-outs
  * @param yieldsToShorterGoals whether generations with much time left leave room at
  * engines for those with a shorter latency goal
+ * @param firstStart whether the system starts for the first time, so that no process
+ * before this one has used the retry budget
  */
 public record RelaySettings(String dataCentre, double retryRatio, double retrySlack, long retryWindowMillis,
-		long configMillis, long graceMillis, String host, RolloutSettings rollouts, boolean yieldsToShorterGoals) {
+		long configMillis, long graceMillis, String host, RolloutSettings rollouts, boolean yieldsToShorterGoals,
+		boolean firstStart) {
 
 	/**
-	 * Creates settings of a deployment without roll-outs, in which no generation yields.
+	 * Creates settings of a deployment without roll-outs that starts for the first time
+	 * and in which no generation yields.
 	 * @param dataCentre data centre of the process
 	 * @param retryRatio retries allowed per request; shared by all hosts
 	 * @param retrySlack additional retries allowed per window; shared by all hosts
@@ -35,7 +39,7 @@
 	public RelaySettings(String dataCentre, double retryRatio, double retrySlack, long retryWindowMillis,
 			long configMillis, long graceMillis) {
 		this(dataCentre, retryRatio, retrySlack, retryWindowMillis, configMillis, graceMillis, "",
-				RolloutSettings.DISABLED, false);
+				RolloutSettings.DISABLED, false, true);
 	}
 
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetPool.java
@@ -15,6 +15,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.process.limit.RatePermitClient;
+import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.process.overload.ConnectionShare;
@@ -41,6 +42,8 @@
 
 	private final RolloutGate rolloutGate;
 
+	private final TargetRateLimiter.Factory coldRateLimiters;
+
 	/** Statistics of the generations by service. */
 	private final Map<String, GenerationStatistics> statistics = new HashMap<>();
 
@@ -68,11 +71,13 @@
 
 	};
 
-	TargetPool(Clock clock, UniformRandomProvider random, RatePermitClient permits, RolloutGate rolloutGate) {
+	TargetPool(Clock clock, UniformRandomProvider random, RatePermitClient permits, RolloutGate rolloutGate,
+			TargetRateLimiter.Factory coldRateLimiters) {
 		this.clock = clock;
 		this.random = random;
 		this.permits = permits;
 		this.rolloutGate = rolloutGate;
+		this.coldRateLimiters = coldRateLimiters;
 	}
 
 	/**
@@ -89,7 +94,8 @@
 			TrackedTarget tracked = this.targets.getOrDefault(registration.id(),
 					this.formerTargets.get(registration.id()));
 			if (tracked == null || tracked.membership().registration().bornMillis() != registration.bornMillis()) {
-				tracked = new TrackedTarget(this.clock, target, this.permits, this.random);
+				tracked = new TrackedTarget(this.clock, target, this.coldRateLimiters.create(), this.permits,
+						this.random);
 			}
 			boolean tookNewWork = tracked.acceptsNewWork();
 			boolean wasLeaving = tracked.leavingAsAnnounced();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TrackedTarget.java
@@ -115,11 +115,12 @@
 	/** Time before which the sidecar gets no admission requests. */
 	private long sidecarBackoffUntilMillis;
 
-	TrackedTarget(Clock clock, Target target, RatePermitClient permits, UniformRandomProvider random) {
+	TrackedTarget(Clock clock, Target target, TargetRateLimiter coldRateLimiter, RatePermitClient permits,
+			UniformRandomProvider random) {
 		this.clock = clock;
 		this.membership = target;
 		this.address = address(target);
-		this.coldRateLimiter = TargetRateLimiter.of(clock);
+		this.coldRateLimiter = coldRateLimiter;
 		this.rateGate = RequestRateGate.of(clock, target.registration().id(), permits, random);
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/RatePermitIssuerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/RatePermitIssuerTests.java
@@ -14,7 +14,8 @@
 
 	private final Clock.Manual clock = Clock.manual(10_000);
 
-	private final RatePermitIssuer issuer = RatePermitIssuer.of(this.clock);
+	private final RatePermitIssuer issuer = RatePermitIssuer.of(this.clock,
+			new TargetRateLimiter.Factory.ForFirstProcess(this.clock));
 
 	private Message.RatePermit ask(double requestsPerSecond) {
 		return this.issuer.issue(new Message.RatePermitRequest("p1", true, requestsPerSecond, 100));
@@ -69,6 +70,21 @@
 		assertThat(ask(4).limited()).isTrue();
 	}
 
+	/** Each process of the issuing host that was killed had a permit of its own. */
+	@Test
+	void issuerThatStartsAgainHasNoPermitInItsFirstMoments() {
+		int granted = 0;
+		for (int process = 0; process < 20; process++) {
+			RatePermitIssuer successor = RatePermitIssuer.of(this.clock,
+					new TargetRateLimiter.Factory.ForSuccessor(this.clock, this.clock.millis()));
+			for (int i = 0; i < 4; i++) {
+				granted += successor.issue(new Message.RatePermitRequest("p1", true, 1, 100)).granted() ? 1 : 0;
+				this.clock.advance(50);
+			}
+		}
+		assertThat(granted).isLessThanOrEqualTo(4);
+	}
+
 	@Test
 	void targetsHaveRatesOfTheirOwn() {
 		assertThat(ask(1).granted()).isTrue();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/TargetRateLimiterProperties.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/limit/TargetRateLimiterProperties.java
@@ -46,6 +46,39 @@
 				}
 			}
 		}
+		checkSeconds(sends, requestsPerSecond);
+	}
+
+	/** Each process of hosts that were killed again and again had a permit of its own. */
+	@Property(tries = 5_000, seed = "14")
+	void hostsThatStartAgainStayWithinTheRate(@ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
+		Random random = new Random(seed);
+		int hosts = 1 + random.nextInt(8);
+		double requestsPerSecond = hosts + random.nextInt(20);
+		Clock.Manual clock = Clock.manual(0);
+		List<TargetRateLimiter> limiters = new ArrayList<>();
+		List<Long> sends = new ArrayList<>();
+		long downUntilMillis = 0;
+		for (long nowMillis = 0; nowMillis < 4_000; nowMillis += 20) {
+			clock.advance(20);
+			if (random.nextInt(15) == 0) {
+				downUntilMillis = nowMillis + 40 + random.nextInt(200);
+				limiters.clear();
+			}
+			while (nowMillis >= downUntilMillis && limiters.size() < hosts) {
+				limiters.add(new TargetRateLimiter.Factory.ForSuccessor(clock, clock.millis()).create());
+			}
+			for (TargetRateLimiter limiter : limiters) {
+				while (limiter.allows(requestsPerSecond, hosts)) {
+					limiter.recordSend();
+					sends.add(nowMillis);
+				}
+			}
+		}
+		checkSeconds(sends, requestsPerSecond);
+	}
+
+	private static void checkSeconds(List<Long> sends, double requestsPerSecond) {
 		for (long startMillis : sends) {
 			long sentWithinSecond = sends.stream()
 				.filter((sent) -> sent >= startMillis && sent < startMillis + 1_000)
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/ForEnginesTests.java
@@ -10,6 +10,7 @@
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.connection.EngineSpeed;
 import io.dotterelcrank.process.limit.RatePermitClient;
+import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 
@@ -34,7 +35,8 @@
 		TrackedTarget target = new TrackedTarget(this.clock,
 				new Target(new TargetRegistration(id, "bench", address, dataCentre, 24, false, 0, 1, 1), 0, true,
 						false),
-				RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
+				TargetRateLimiter.of(this.clock), RatePermitClient.Disabled.INSTANCE,
+				RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 		target.updateLoad(new EngineLoad(id, "bench", dataCentre, "10.0.0.1:80", 1, 2, 0, pendingPrefillTokens,
 				memoryUsed, MEMORY_TOKENS, false, -1, 0));
 		return target;
@@ -82,7 +84,8 @@
 	void engineWithoutLoadReportIsUsedByOneHostOnAverage() {
 		TrackedTarget reported = engine("reported", "giza", 3_000, 15_000);
 		TrackedTarget unreported = new TrackedTarget(this.clock, reported.membership(),
-				RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
+				TargetRateLimiter.of(this.clock), RatePermitClient.Disabled.INSTANCE,
+				RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 		PlacementStrategy.Demand demand = new PlacementStrategy.Demand(3_000, 3_500, "giza", 0, 20, 1_800, 1_800,
 				PlacementStrategy.Demand.NO_LIMIT, 0);
 		int chosenCount = 0;
@@ -96,7 +99,8 @@
 	@Test
 	void allEnginesAreUsedIfNoneReportsItsLoad() {
 		TrackedTarget unreported = new TrackedTarget(this.clock, engine("e", "giza", 0, 0).membership(),
-				RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
+				TargetRateLimiter.of(this.clock), RatePermitClient.Disabled.INSTANCE,
+				RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 		assertThat(chosenId(demand(), unreported)).isEqualTo("e");
 	}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/LoadReportTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/LoadReportTests.java
@@ -10,6 +10,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.process.limit.RatePermitClient;
+import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.process.rollout.RolloutClient;
@@ -26,7 +27,8 @@
 	private final TargetPool pool = new TargetPool(this.clock, RandomSource.XO_RO_SHI_RO_128_PP.create(2),
 			RatePermitClient.Disabled.INSTANCE,
 			RolloutGate.of(this.clock, new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000),
-					RolloutClient.Disabled.INSTANCE, new RelayMetrics(new MetricRegistry())));
+					RolloutClient.Disabled.INSTANCE, new RelayMetrics(new MetricRegistry())),
+			new TargetRateLimiter.Factory.ForFirstProcess(this.clock));
 
 	private static Target target(String id, long bornMillis, long sequence, boolean leaving, boolean listed,
 			boolean dataCentreOut) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -88,7 +88,8 @@
 					.withRetryLoans(this.retryLoanRequests::add)
 					.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence))
 					.withRollouts(new RecordingRolloutClient()),
-				new RelaySettings("giza", 0.2, 54, 10_000, CONFIG_MILLIS, 8_000, "h", rollouts, yieldsToShorterGoals),
+				new RelaySettings("giza", 0.2, 54, 10_000, CONFIG_MILLIS, 8_000, "h", rollouts, yieldsToShorterGoals,
+						true),
 				RandomSource.XO_RO_SHI_RO_128_PP.create(5), this.metrics);
 		if (withPlan) {
 			this.relayService.updatePlan(plan(1));
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TrackedTargetTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/TrackedTargetTests.java
@@ -8,6 +8,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.connection.EngineLoad;
 import io.dotterelcrank.process.limit.RatePermitClient;
+import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 
@@ -23,7 +24,8 @@
 	private final TrackedTarget target = new TrackedTarget(this.clock,
 			new Target(new TargetRegistration("e", "s", new InetSocketAddress("10.0.0.1", 80), "dc", 4, false, 0, 1, 1),
 					0, true, false),
-			RatePermitClient.Disabled.INSTANCE, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
+			TargetRateLimiter.of(this.clock), RatePermitClient.Disabled.INSTANCE,
+			RandomSource.XO_RO_SHI_RO_128_PP.create(2));
 
 	private boolean inBackoffAfter(long millis) {
 		this.clock.advance(millis);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/UnequalEngines.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/UnequalEngines.java
@@ -20,6 +20,7 @@
 import io.dotterelcrank.connection.EngineSpeed;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.process.limit.RatePermitClient;
+import io.dotterelcrank.process.limit.TargetRateLimiter;
 import io.dotterelcrank.process.membership.Target;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.process.prefill.PrefillBudget;
@@ -257,7 +258,8 @@
 						false, 0, 1, 1);
 				this.targets.put(engine,
 						new TrackedTarget(UnequalEngines.this.clock, new Target(registration, 0, true, false),
-								RatePermitClient.Disabled.INSTANCE, UnequalEngines.this.random));
+								TargetRateLimiter.of(UnequalEngines.this.clock), RatePermitClient.Disabled.INSTANCE,
+								UnequalEngines.this.random));
 				update(engine);
 			});
 		}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
@@ -44,7 +44,8 @@
 						reader.decimal("repeat-slack", null, "0", 0, MAX_RETRIES),
 						secondsAsMillis(reader, "repeat-window-seconds", "10"), millis(reader, "config-millis", "2000"),
 						secondsAsMillis(reader, "grace-seconds", "8"), common.name(), rollouts(reader),
-						reader.choice("yield-to-shorter-goals", null, "no", "yes|no").equals("yes")),
+						reader.choice("yield-to-shorter-goals", null, "no", "yes|no").equals("yes"),
+						reader.choice("first-start", null, "no", "yes|no").equals("yes")),
 				millis(reader, "drain-millis", "2000"));
 		reader.throwIfInvalid();
 		return settings;
