End a response that only consists of informational ones

What callers saw: a target that wrote informational responses (1xx) without end kept a request until its deadline, and so did calls to the store and to engines until their timeouts.

Cause: an informational response is skipped and the next one read as the first; nothing counted them.

Change: after eight of them the response is rejected as malformed, and the server gets no kept connections for a while. EndlessServer, a stand-in, writes any part of a response without end.

Evidence: of 20 cases of relay.EndlessResponseTests the two with interim responses failed before (504 after 5 s; no end within 20 s).

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
@@ -28,6 +28,13 @@
  */
 final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> implements PooledHttpClient.RequestHandle {
 
+	/**
+	 * Max number of informational (1xx) responses before a response. A server sends one
+	 * or two at most of what it is asked here; one that sends them without end keeps the
+	 * thread busy.
+	 */
+	static final int MAX_INTERIM_RESPONSES = 8;
+
 	private static final String TIMEOUT_PARAMETER = "timeout=";
 
 	private static final long MILLIS_PER_SECOND = 1_000;
@@ -58,6 +65,9 @@
 	/** Whether an informational (1xx) response is being read, which is skipped. */
 	private boolean interimResponse;
 
+	/** Number of informational responses to the request under way. */
+	private int interimResponses;
+
 	/** Whether bytes of the request may have been sent, so that the server may run it. */
 	private boolean writeStarted;
 
@@ -129,6 +139,7 @@
 		this.request = nextRequest;
 		this.listener = nextListener;
 		this.responseHead = null;
+		this.interimResponses = 0;
 		this.writeStarted = false;
 		this.writeCompleted = false;
 	}
@@ -207,7 +218,10 @@
 		}
 		if (message instanceof HttpResponse head) {
 			this.interimResponse = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-			if (!this.interimResponse) {
+			if (this.interimResponse) {
+				countInterimResponse();
+			}
+			else {
 				this.responseHead = head;
 				this.listener.head(head);
 			}
@@ -217,6 +231,14 @@
 		}
 	}
 
+	private void countInterimResponse() {
+		this.interimResponses++;
+		if (this.interimResponses > MAX_INTERIM_RESPONSES) {
+			this.client.recordStutter(this.address);
+			reject("more than " + MAX_INTERIM_RESPONSES + " informational responses");
+		}
+	}
+
 	private void handleContent(HttpContent content) {
 		if (this.listener != null && content.content().isReadable()) {
 			this.listener.body(ByteBufUtil.getBytes(content.content()));
