Limit what the product's own clients receive for one request

What would be seen: a system that writes without end fills the heap of the process that called it, which ends with all its requests.

Cause: the library bounds heads only. A body, a line of a stream and the line with the size of a chunk are read as long as they are. Two informational responses in a row make it throw an exception that is no IOException.

Informational responses in place of a response are rejected like other malformed heads.

Ruled out: a limit for bodies and lines alone, with which the size of a chunk still filled a heap of 400 MB.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/JsonHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/JsonHttpClient.java
@@ -58,13 +58,14 @@
 	 * Creates a builder for clients that send each request at most once, on a connection
 	 * of its own, and accept no response whose head is malformed. Responses do not name
 	 * their request: surplus bytes on a kept connection would be read as the next one.
-	 * @return a new builder with timeouts and limits set
+	 * @return a new builder with timeouts and limits set, also for what a response holds
 	 */
 	static OkHttpClient.Builder newClientBuilder() {
 		Dispatcher dispatcher = new Dispatcher();
 		dispatcher.setMaxRequests(MAX_CONCURRENT_REQUESTS);
 		dispatcher.setMaxRequestsPerHost(MAX_CONCURRENT_REQUESTS);
-		return new OkHttpClient.Builder().retryOnConnectionFailure(false)
+		return new OkHttpClient.Builder().socketFactory(new LimitedSocketFactory())
+			.retryOnConnectionFailure(false)
 			.followRedirects(false)
 			.followSslRedirects(false)
 			.dispatcher(dispatcher)
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/ResponseHeadCheck.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/client/ResponseHeadCheck.java
@@ -30,7 +30,7 @@
 
 	@Override
 	public Response intercept(Chain chain) throws IOException {
-		Response response = chain.proceed(chain.request());
+		Response response = proceed(chain);
 		if (!sound(response)) {
 			// The library ends the exchange; to close the body would read it first.
 			throw new ProtocolException("malformed head of a response with status " + response.code());
@@ -38,6 +38,17 @@
 		return response;
 	}
 
+	private static Response proceed(Chain chain) throws IOException {
+		try {
+			return chain.proceed(chain.request());
+		}
+		catch (IllegalStateException ex) {
+			// The library skips one informational response and takes the next for the
+			// response.
+			throw new ProtocolException("informational responses in place of a response");
+		}
+	}
+
 	private static boolean sound(Response response) {
 		boolean sound = response.code() >= MIN_STATUS && response.code() <= MAX_STATUS
 				&& !STATUS_LINE.matcher(response.message()).find();
