Let a restarted host earn the part of the retry budget that is kept back

Cause: after a restart of all hosts none had a part of the slack for 11 s, and generations on engines that left were lost meanwhile.

Change: while retries of the process before may count, a process earns the fifth of the slack that the budget keeps back in proportion to its age. The ages of all processes of a host in a window add up to a window at most, so that they earn no more than that together, however often they are killed.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/WindowedRetryBudget.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/WindowedRetryBudget.java
@@ -34,10 +34,17 @@
 
 	/**
 	 * Fraction of the ratio that a process may use while the use of the one before it
-	 * counts; it has no part of the slack then. The fraction that is kept back covers it.
+	 * counts. The fraction that is kept back covers it.
 	 */
 	private static final double SUCCESSOR_FRACTION = 0.1;
 
+	/**
+	 * Fraction of the slack that a process earns in a window while the use of the one
+	 * before it counts. It grows with the age of the process, so that all processes of a
+	 * host in a window earn no more than what is kept back.
+	 */
+	private static final double SUCCESSOR_SLACK_FRACTION = 1 - USABLE_FRACTION;
+
 	/** Max used fraction of this host's budget at which it lends; the rest is its own. */
 	private static final double MAX_LENT_FRACTION = 0.5;
 
@@ -57,11 +64,13 @@
 	/** Retries by bucket. */
 	private final int[] retries = new int[BUCKETS];
 
+	private final long windowMillis;
+
 	/**
-	 * Until when retries of another process may count against the part of this host, in
-	 * milliseconds.
+	 * When the process started; for a window from then on, retries of another process may
+	 * count against the part of this host.
 	 */
-	private final long predecessorUntilMillis;
+	private final long startedMillis;
 
 	/** Expiry times of the permits borrowed from other hosts, oldest first. */
 	private final Deque<Long> borrowedUntilMillis = new ArrayDeque<>();
@@ -74,7 +83,8 @@
 		this.ratio = ratio;
 		this.slack = slack;
 		this.bucketMillis = Math.max(1, windowMillis / WINDOW_BUCKETS);
-		this.predecessorUntilMillis = startedMillis + BUCKETS * this.bucketMillis;
+		this.windowMillis = windowMillis;
+		this.startedMillis = startedMillis;
 	}
 
 	/**
@@ -97,7 +107,8 @@
 	 * @param slack additional retries allowed per window; shared by all hosts
 	 * @param windowMillis length of the window, in milliseconds
 	 * @param startedMillis when the process started, by its clock, in milliseconds
-	 * @return a budget that has a part of the slack once a window has passed since
+	 * @return a budget that has its whole part of the slack once a window has passed
+	 * since
 	 */
 	public static WindowedRetryBudget ofSuccessor(Clock clock, double ratio, double slack, long windowMillis,
 			long startedMillis) {
@@ -169,9 +180,13 @@
 
 	private double allowedRetries(int entryHosts) {
 		double earned = this.ratio * sum(this.requests);
-		boolean successor = this.clock.millis() < this.predecessorUntilMillis;
-		return successor ? SUCCESSOR_FRACTION * earned
-				: USABLE_FRACTION * (earned + this.slack / Math.max(1, entryHosts));
+		double hostSlack = this.slack / Math.max(1, entryHosts);
+		long ageMillis = this.clock.millis() - this.startedMillis;
+		if (ageMillis < BUCKETS * this.bucketMillis) {
+			double age = Math.min(1, (double) ageMillis / this.windowMillis);
+			return SUCCESSOR_FRACTION * earned + SUCCESSOR_SLACK_FRACTION * hostSlack * age;
+		}
+		return USABLE_FRACTION * (earned + hostSlack);
 	}
 
 	/**
