Log pushes of records that are acknowledged late, and trace the lost requests

Change: DC907 names table, peer, time, bytes and number of pushes under way if the acknowledgement takes over half a second, or the link is given up.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -300,6 +300,9 @@
 	/** A peer has lent a retry permit that this host did not ask for, or long ago. */
 	RETRY_LOAN_DROPPED(901, Level.INFO, "retry permit of peer={} dropped service={}"),
 
+	/** A peer has acknowledged records long after they were sent, or not at all. */
+	PUSH_ACKNOWLEDGED_LATE(907, Level.WARN, "table={} push to peer={} under way for millis={} bytes={} pushes={}"),
+
 	/** A caller resumes a stream of which it has the first events. */
 	CALLER_RESUMES(902, Level.INFO, "request={} resumes a stream route={} lastEvent={}"),
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -8,8 +8,13 @@
 import java.util.Map;
 import java.util.function.Supplier;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.KeyedRecord;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.connection.Transport;
@@ -41,12 +46,20 @@
 	/** Pushes without an acknowledgement after which a link is replaced. */
 	static final int MAX_UNACKNOWLEDGED_PUSHES = 4;
 
+	/**
+	 * Time until an acknowledgement from which on it counts as late, in milliseconds; far
+	 * above a round trip.
+	 */
+	static final long LATE_ACK_MILLIS = 500;
+
 	/** Time until a closed link is opened again, in milliseconds. */
 	static final long RECONNECT_MILLIS = 1_000;
 
 	/** Min time between two checks for pushes that are due, in milliseconds. */
 	static final long MIN_TICK_MILLIS = 50;
 
+	private static final Logger logger = LoggerFactory.getLogger(TableSharing.class);
+
 	private final Transport transport;
 
 	private final Scheduler control;
@@ -269,6 +282,14 @@
 
 		private int unacknowledgedPushes;
 
+		/**
+		 * When the oldest push without an acknowledgement was sent; 0 if there is none.
+		 */
+		private long unacknowledgedSinceMillis;
+
+		/** Bytes of records without an acknowledgement. */
+		private long unacknowledgedBytes;
+
 		FollowerLink(InetSocketAddress address) {
 			this.address = address;
 		}
@@ -282,21 +303,38 @@
 				this.link = TableSharing.this.transport.open(this.address, this);
 			}
 			if (this.unacknowledgedPushes >= MAX_UNACKNOWLEDGED_PUSHES) {
+				logIfLate(table.feed.table());
 				this.link.close();
 				return;
 			}
 			this.unacknowledgedPushes++;
+			if (this.unacknowledgedSinceMillis == 0) {
+				this.unacknowledgedSinceMillis = TableSharing.this.clock.millis();
+			}
 			KeyedTable records = table.feed.records();
 			Position end = new Position(records.epoch(), records.nextOffset());
 			Position position = this.positions.getOrDefault(table.feed.table(), end);
 			KeyedTable.Update update = position.isBefore(end)
 					? records.updateSince(position.epoch(), position.nextOffset())
 					: new KeyedTable.Update(records.nextOffset(), List.of(), records.epoch());
+			this.unacknowledgedBytes += update.records().stream().mapToLong(FollowerLink::bytes).sum();
 			this.link
 				.send(new Message.RecordsPush(TableSharing.this.self.name(), table.feed.table(), update.fromOffset(),
 						records.nextOffset(), table.feed.readAgeMillis(), update.records(), update.epoch()));
 		}
 
+		private static long bytes(KeyedRecord record) {
+			return record.deleted() ? 0 : record.value().length;
+		}
+
+		private void logIfLate(String table) {
+			long millis = TableSharing.this.clock.millis() - this.unacknowledgedSinceMillis;
+			if (this.unacknowledgedPushes > 0 && millis >= LATE_ACK_MILLIS) {
+				LogEvent.PUSH_ACKNOWLEDGED_LATE.log(logger, table, this.address, millis, this.unacknowledgedBytes,
+						this.unacknowledgedPushes);
+			}
+		}
+
 		@Override
 		public void opened(Link openedLink) {
 			// The link queues messages sent before it is open.
@@ -313,7 +351,10 @@
 		}
 
 		private void handleAck(Message.RecordsPushAck ack) {
+			logIfLate(ack.table());
 			this.unacknowledgedPushes = 0;
+			this.unacknowledgedSinceMillis = 0;
+			this.unacknowledgedBytes = 0;
 			SharedTable table = TableSharing.this.tables.get(ack.table());
 			if (table == null) {
 				return;
