Delete a key that was written and deleted again while a peer did not read

Cause: a host that has listed a table sends all records to one that is behind, tombstones included. The tombstone of an earlier deletion counted as a listed key, so that the receiver, which had read a value written since, kept it though the sender's listing no longer has it. An evacuation that was lifted, or a target that has left, would stay for good.

The new test fails without the change.

Change: only keys with a value count as listed.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTable.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/KeyedTable.java
@@ -73,9 +73,10 @@
 	}
 
 	/**
-	 * Applies a listing of all keys. Keys missing from it were deleted, unless the
-	 * listing is older than their record. The first listing of a new epoch replaces all
-	 * records, whatever their offsets, and retains the keys that are missing from it.
+	 * Applies a listing of all keys. Keys without a value in it were deleted, unless the
+	 * listing is older than their record: a tombstone there may be that of an earlier
+	 * deletion. The first listing of a new epoch replaces all records, whatever their
+	 * offsets, and retains the keys that are missing from it.
 	 * @param listing the newest record of each key
 	 * @param listingNextOffset offset after the last record that the listing covers
 	 * @param listingEpoch epoch of the offsets; a listing of an earlier one is ignored
@@ -89,7 +90,7 @@
 			begin(listingEpoch);
 		}
 		Set<String> listedKeys = new HashSet<>();
-		listing.forEach((record) -> listedKeys.add(record.key()));
+		listing.stream().filter((record) -> !record.deleted()).forEach((record) -> listedKeys.add(record.key()));
 		List<KeyedRecord> deletions = new ArrayList<>();
 		for (KeyedRecord current : this.records.values()) {
 			if (!current.deleted() && !listedKeys.contains(current.key()) && current.offset() < listingNextOffset - 1) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/KeyedTableTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/KeyedTableTests.java
@@ -47,6 +47,21 @@
 		assertThat(changes.get(0).deleted()).isTrue();
 	}
 
+	/**
+	 * The tombstone of an earlier deletion hid that the key was written and deleted
+	 * since.
+	 */
+	@Test
+	void keyThatIsDeletedAgainWhileTheSenderDidNotReadIsDeleted() {
+		KeyedTable sender = KeyedTable.empty();
+		sender.apply(List.of(record("a", 0), tombstone("a", 1), record("b", 2)), 3);
+		this.table.apply(List.of(record("a", 0), tombstone("a", 1), record("b", 2), record("a", 3)), 4);
+		sender.applyListing(List.of(record("b", 2)), 5, 0);
+		KeyedTable.Update update = sender.updateSince(this.table.epoch(), this.table.nextOffset());
+		assertThat(this.table.apply(update, sender.nextOffset())).extracting(KeyedRecord::key).containsExactly("a");
+		assertThat(this.table.find("a")).isEmpty();
+	}
+
 	@Test
 	void staleListingDoesNotDeleteNewerRecords() {
 		this.table.apply(List.of(record("a", 1), record("b", 9)), 10);
