Keep the pushes of a host that reads for others within what its link carries

What callers saw: in a series of configurations, requests at the host that reads the operators' table for its data centre got nothing until their deadlines, neither an answer nor a refusal, and its connections to targets timed out.

Cause: each version was pushed to each follower though earlier pushes had not arrived, up to four times, and again at each acknowledgement. On a link of 7 Mbit/s versions in quick succession queued for seconds, before all else that the host sends. A follower took what arrived for as current as it was when it was sent, and so did not read by itself. Class: traffic among the system's own processes that nothing bounds by what has arrived.

Change: a follower is sent one push of a table at a time; the next one has the newest record of each key. Two followers at most are sent large records at once; one that stands still holds a place for half a second. A push tells how long ago the last acknowledgement came, so that its receiver knows how long it may have been under way; without one, its records are used but not followed. Earlier builds tell nothing: their pushes are used, and the receiver reads by itself.

Evidence: nine hosts on a simulated link of 875 bytes a millisecond, versions of 60 kB every 50 and every 300 ms: before, hosts lacked a version 3 s after it (at 3.3 and 3.9 s), and other messages waited 200 ms or more behind the first one; both hold now. Table sharing, rewind and peer tests pass, the model checks with 10,000 runs each.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -301,7 +301,7 @@
 	RETRY_LOAN_DROPPED(901, Level.INFO, "retry permit of peer={} dropped service={}"),
 
 	/** A peer has acknowledged records long after they were sent, or not at all. */
-	PUSH_ACKNOWLEDGED_LATE(907, Level.WARN, "table={} push to peer={} under way for millis={} bytes={} pushes={}"),
+	PUSH_ACKNOWLEDGED_LATE(907, Level.WARN, "table={} push to peer={} under way for millis={} bytes={}"),
 
 	/** A caller resumes a stream of which it has the first events. */
 	CALLER_RESUMES(902, Level.INFO, "request={} resumes a stream route={} lastEvent={}"),
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/FrequentMessages.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/FrequentMessages.java
@@ -29,7 +29,10 @@
 
 	private static final int ADMISSION_RESPONSE_COMPONENTS = 3;
 
-	private static final int PUSH_COMPONENTS = 7;
+	private static final int PUSH_COMPONENTS = 8;
+
+	/** Components of a push in builds that do not tell the time since the last one. */
+	private static final int PUSH_COMPONENTS_WITHOUT_TIME = 7;
 
 	/** Components of a push in builds that know no epochs of the store. */
 	private static final int PUSH_COMPONENTS_WITHOUT_EPOCH = 6;
@@ -92,6 +95,7 @@
 				pack(keyedRecord, packer);
 			}
 			packer.packLong(push.epoch());
+			packer.packLong(push.sinceAckMillis());
 		}
 		else if (message instanceof Message.RecordsPushAck ack) {
 			packer.packArrayHeader(PUSH_ACK_COMPONENTS);
@@ -175,7 +179,8 @@
 			int components = expectArray(unpacker, PUSH_COMPONENTS_WITHOUT_EPOCH);
 			return new Message.RecordsPush(unpackString(unpacker), unpackString(unpacker), unpacker.unpackLong(),
 					unpacker.unpackLong(), unpacker.unpackLong(), unpackRecords(unpacker, contentBytes),
-					(components < PUSH_COMPONENTS) ? 0 : unpacker.unpackLong());
+					(components < PUSH_COMPONENTS_WITHOUT_TIME) ? 0 : unpacker.unpackLong(),
+					(components < PUSH_COMPONENTS) ? -1 : unpacker.unpackLong());
 		}
 		int components = expectArray(unpacker, PUSH_ACK_COMPONENTS_WITHOUT_EPOCH);
 		return new Message.RecordsPushAck(unpackString(unpacker), unpacker.unpackLong(),
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/KeyedRecord.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/KeyedRecord.java
@@ -19,4 +19,12 @@
 		return this.value == null;
 	}
 
+	/**
+	 * Returns the size of the content.
+	 * @return size in bytes; 0 for a tombstone
+	 */
+	public long bytes() {
+		return deleted() ? 0 : this.value.length;
+	}
+
 }
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Message.java
@@ -286,9 +286,11 @@
 	 * milliseconds; {@link Integer#MAX_VALUE} if its last call failed
 	 * @param records records of the table, in the order of their offsets
 	 * @param epoch epoch of the store that the offsets belong to; 0 if it is not known
+	 * @param sinceAckMillis how long ago the sender got the receiver's last
+	 * acknowledgement on this link, in milliseconds; -1 if it got none
 	 */
 	record RecordsPush(String sender, String table, long fromOffset, long nextOffset, long ageMillis,
-			List<KeyedRecord> records, long epoch) implements Message {
+			List<KeyedRecord> records, long epoch, long sinceAckMillis) implements Message {
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -4,8 +4,8 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.WeakHashMap;
 import java.util.function.Supplier;
 
 import org.slf4j.Logger;
@@ -30,7 +30,9 @@
  * and reads by itself if it gets no push for {@link SharedTable#followMillis()}, if the
  * reader's last read is older than {@link SharedTable#maxReadAgeMillis}, or at once if
  * the reader's call has failed; several readers at once do no harm, as epochs and offsets
- * only advance. Confined to the control thread.
+ * only advance; each follower is sent one push of a table at a time, with the newest
+ * record of each key, and {@link #MAX_BULK_PUSHES} followers are sent large ones, so that
+ * a thin link also carries what callers wait for. Confined to the control thread.
  */
 public final class TableSharing {
 
@@ -43,8 +45,23 @@
 	 */
 	static final double STAGGER_FRACTION = 0.15;
 
-	/** Pushes without an acknowledgement after which a link is replaced. */
-	static final int MAX_UNACKNOWLEDGED_PUSHES = 4;
+	/**
+	 * Intervals between two pushes for which an acknowledgement may take; then a link is
+	 * replaced.
+	 */
+	static final int MAX_ACK_INTERVALS = 4;
+
+	/**
+	 * Size of records from which on a push counts as large, in bytes; below, it takes
+	 * little longer on a thin link than without records.
+	 */
+	static final long BULK_BYTES = 4 * 1024;
+
+	/**
+	 * Max number of large pushes under way at a time: callers' responses wait behind
+	 * them.
+	 */
+	static final int MAX_BULK_PUSHES = 2;
 
 	/**
 	 * Time until an acknowledgement from which on it counts as late, in milliseconds; far
@@ -74,6 +91,13 @@
 	/** Tables by name. */
 	private final Map<String, SharedTable> tables = new LinkedHashMap<>();
 
+	private final BulkPushes bulkPushes;
+
+	/**
+	 * When this host has last acknowledged a push, by link and table, in milliseconds.
+	 */
+	private final Map<Link, Map<String, Long>> acknowledgedMillis = new WeakHashMap<>();
+
 	/** Links to hosts that rank after this one, by address. */
 	private final Map<InetSocketAddress, FollowerLink> followers = new HashMap<>();
 
@@ -87,6 +111,7 @@
 		this.clock = clock;
 		this.self = self;
 		this.members = members;
+		this.bulkPushes = new BulkPushes(clock, MAX_BULK_PUSHES);
 	}
 
 	/**
@@ -143,6 +168,7 @@
 	}
 
 	private void pushDueTables() {
+		this.bulkPushes.releaseSilent();
 		long nowMillis = this.clock.millis();
 		for (SharedTable table : this.tables.values()) {
 			if (nowMillis >= table.nextPushMillis()) {
@@ -183,17 +209,39 @@
 			KeyedTable.Update update = new KeyedTable.Update(push.fromOffset(), push.records(), push.epoch());
 			KeyedTable records = table.feed.records();
 			boolean accepted = records.accepts(update);
-			table.feed.applyPeerRecords(update, push.nextOffset(), push.ageMillis());
-			if (push.ageMillis() > table.maxReadAgeMillis()) {
-				table.feed.unfollow(push.sender(), staggerMillis(table));
+			long ageMillis = ageOnArrivalMillis(link, push);
+			table.feed.applyPeerRecords(update, push.nextOffset(), ageMillis);
+			if (ageMillis > table.maxReadAgeMillis()) {
+				if (ageMillis < Integer.MAX_VALUE || push.ageMillis() > table.maxReadAgeMillis()) {
+					table.feed.unfollow(push.sender(), staggerMillis(table));
+				}
 			}
 			else if (accepted && group().mayFollow(push.sender()) && push.nextOffset() >= records.nextOffset()) {
-				table.feed.follow(push.sender(), followMillis(table, push.ageMillis()));
+				table.feed.follow(push.sender(), followMillis(table, ageMillis));
 			}
+			this.acknowledgedMillis.computeIfAbsent(link, (ignored) -> new HashMap<>())
+				.put(push.table(), this.clock.millis());
 			link.send(new Message.RecordsPushAck(push.table(), acknowledgedOffset(push, records), records.epoch()));
 		});
 	}
 
+	/**
+	 * Returns how old records are at least taken to be when they arrive: a push may have
+	 * been under way for long. What has passed here since this host's last
+	 * acknowledgement, and not there, it was under way at most.
+	 * @param link link on which it has arrived
+	 * @param push the push
+	 * @return age in milliseconds; {@link Integer#MAX_VALUE} if it is not known
+	 */
+	private long ageOnArrivalMillis(Link link, Message.RecordsPush push) {
+		Long acknowledged = this.acknowledgedMillis.getOrDefault(link, Map.of()).get(push.table());
+		if (acknowledged == null || push.sinceAckMillis() < 0) {
+			return Integer.MAX_VALUE;
+		}
+		long underWayMillis = Math.max(0, this.clock.millis() - acknowledged - push.sinceAckMillis());
+		return Math.min(Integer.MAX_VALUE, push.ageMillis() + underWayMillis);
+	}
+
 	private static long acknowledgedOffset(Message.RecordsPush push, KeyedTable records) {
 		if (push.epoch() < records.epoch()) {
 			// Nothing of an earlier epoch is needed any more.
@@ -251,18 +299,12 @@
 			return this.feed.intervalMillis() + this.followMillis / PUSHES_PER_FOLLOW;
 		}
 
-	}
-
-	/**
-	 * How far a host has a table. Immutable.
-	 *
-	 * @param epoch epoch of its records
-	 * @param nextOffset offset that it needs next
-	 */
-	private record Position(long epoch, long nextOffset) {
-
-		boolean isBefore(Position other) {
-			return this.epoch < other.epoch || (this.epoch == other.epoch && this.nextOffset < other.nextOffset);
+		/**
+		 * Returns how long a follower may take to acknowledge a push.
+		 * @return time in milliseconds
+		 */
+		long maxAckMillis() {
+			return MAX_ACK_INTERVALS * this.followMillis / PUSHES_PER_FOLLOW;
 		}
 
 	}
@@ -277,61 +319,58 @@
 		/** {@code null} until it may be opened again. */
 		private Link link;
 
-		/** What the follower has, by table. */
-		private final Map<String, Position> positions = new HashMap<>();
-
-		private int unacknowledgedPushes;
-
-		/**
-		 * When the oldest push without an acknowledgement was sent; 0 if there is none.
-		 */
-		private long unacknowledgedSinceMillis;
-
-		/** Bytes of records without an acknowledgement. */
-		private long unacknowledgedBytes;
+		/** Pushes to the follower, by table. */
+		private final Map<String, FollowerTable> tables = new HashMap<>();
 
 		FollowerLink(InetSocketAddress address) {
 			this.address = address;
 		}
 
+		/**
+		 * Pushes the newest records that the follower lacks, or lets them wait: for the
+		 * acknowledgement of the last push of the table, or until fewer followers are
+		 * sent large records.
+		 * @param table the table
+		 */
 		void push(SharedTable table) {
-			if (this.link == null) {
-				long closed = TableSharing.this.closedMillis.getOrDefault(this.address, 0L);
-				if (closed > 0 && TableSharing.this.clock.millis() - closed < RECONNECT_MILLIS) {
-					return;
-				}
-				this.link = TableSharing.this.transport.open(this.address, this);
-			}
-			if (this.unacknowledgedPushes >= MAX_UNACKNOWLEDGED_PUSHES) {
-				logIfLate(table.feed.table());
-				this.link.close();
+			if (this.link == null && !tryOpen()) {
 				return;
 			}
-			this.unacknowledgedPushes++;
-			if (this.unacknowledgedSinceMillis == 0) {
-				this.unacknowledgedSinceMillis = TableSharing.this.clock.millis();
+			FollowerTable state = this.tables.computeIfAbsent(table.feed.table(), FollowerTable::new);
+			long nowMillis = TableSharing.this.clock.millis();
+			if (state.awaitsAck()) {
+				state.recordSkip();
+				if (state.awaitsAckFor(nowMillis) >= table.maxAckMillis()) {
+					logIfLate(state);
+					this.link.close();
+				}
+				return;
 			}
 			KeyedTable records = table.feed.records();
-			Position end = new Position(records.epoch(), records.nextOffset());
-			Position position = this.positions.getOrDefault(table.feed.table(), end);
-			KeyedTable.Update update = position.isBefore(end)
-					? records.updateSince(position.epoch(), position.nextOffset())
-					: new KeyedTable.Update(records.nextOffset(), List.of(), records.epoch());
-			this.unacknowledgedBytes += update.records().stream().mapToLong(FollowerLink::bytes).sum();
-			this.link
-				.send(new Message.RecordsPush(TableSharing.this.self.name(), table.feed.table(), update.fromOffset(),
-						records.nextOffset(), table.feed.readAgeMillis(), update.records(), update.epoch()));
+			KeyedTable.Update update = state.updateFrom(records);
+			long bytes = update.records().stream().mapToLong(KeyedRecord::bytes).sum();
+			if (bytes > BULK_BYTES && !TableSharing.this.bulkPushes.tryEnter(state, () -> push(table))) {
+				return;
+			}
+			long sinceAckMillis = state.recordPush(nowMillis, bytes);
+			this.link.send(new Message.RecordsPush(TableSharing.this.self.name(), table.feed.table(),
+					update.fromOffset(), records.nextOffset(), table.feed.readAgeMillis(), update.records(),
+					update.epoch(), sinceAckMillis));
 		}
 
-		private static long bytes(KeyedRecord record) {
-			return record.deleted() ? 0 : record.value().length;
+		private boolean tryOpen() {
+			long closed = TableSharing.this.closedMillis.getOrDefault(this.address, 0L);
+			if (closed > 0 && TableSharing.this.clock.millis() - closed < RECONNECT_MILLIS) {
+				return false;
+			}
+			this.link = TableSharing.this.transport.open(this.address, this);
+			return true;
 		}
 
-		private void logIfLate(String table) {
-			long millis = TableSharing.this.clock.millis() - this.unacknowledgedSinceMillis;
-			if (this.unacknowledgedPushes > 0 && millis >= LATE_ACK_MILLIS) {
-				LogEvent.PUSH_ACKNOWLEDGED_LATE.log(logger, table, this.address, millis, this.unacknowledgedBytes,
-						this.unacknowledgedPushes);
+		private void logIfLate(FollowerTable state) {
+			long millis = state.awaitsAckFor(TableSharing.this.clock.millis());
+			if (millis >= LATE_ACK_MILLIS) {
+				LogEvent.PUSH_ACKNOWLEDGED_LATE.log(logger, state.table(), this.address, millis, state.bytes());
 			}
 		}
 
@@ -351,23 +390,19 @@
 		}
 
 		private void handleAck(Message.RecordsPushAck ack) {
-			logIfLate(ack.table());
-			this.unacknowledgedPushes = 0;
-			this.unacknowledgedSinceMillis = 0;
-			this.unacknowledgedBytes = 0;
 			SharedTable table = TableSharing.this.tables.get(ack.table());
-			if (table == null) {
+			FollowerTable state = this.tables.get(ack.table());
+			if (table == null || state == null) {
 				return;
 			}
+			logIfLate(state);
 			KeyedTable records = table.feed.records();
-			// Builds that know no epochs acknowledge offsets without one.
-			Position position = new Position((ack.epoch() > 0) ? ack.epoch() : records.epoch(), ack.nextOffset());
-			this.positions.put(ack.table(), position);
-			if (position.epoch() > records.epoch()) {
+			boolean skipped = state.recordAck(ack, records.epoch(), TableSharing.this.clock.millis());
+			TableSharing.this.bulkPushes.leave(state);
+			if (state.epoch() > records.epoch()) {
 				this.link.send(new Message.RecordsRequest(ack.table(), records.nextOffset(), records.epoch()));
 			}
-			else if (position.isBefore(new Position(records.epoch(), records.nextOffset()))
-					&& !table.feed.following()) {
+			else if ((skipped || state.isBehind(records)) && !table.feed.following()) {
 				push(table);
 			}
 		}
@@ -383,8 +418,7 @@
 
 		@Override
 		public void writable(Link writableLink) {
-			// At most MAX_UNACKNOWLEDGED_PUSHES are under way, so backpressure is
-			// ignored.
+			// One push of each table is under way, so backpressure is ignored.
 		}
 
 		@Override
@@ -392,6 +426,7 @@
 			TableSharing.this.control.execute(() -> {
 				TableSharing.this.closedMillis.put(this.address, TableSharing.this.clock.millis());
 				TableSharing.this.followers.remove(this.address, this);
+				this.tables.values().forEach(TableSharing.this.bulkPushes::leave);
 			});
 		}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
@@ -61,7 +61,7 @@
 				new Message.AdmissionRequest(9, "r", 3_000, 3_800, 1_500, 8_000, 0),
 				new Message.AdmissionResponse(9, false,
 						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, false, -1, 0)),
-				new Message.RecordsPushAck("op", 9, 3), new Message.RecordsPush("e", "op", 7, 9, 120, List.of(), 3),
+				new Message.RecordsPushAck("op", 9, 3), new Message.RecordsPush("e", "op", 7, 9, 120, List.of(), 3, 40),
 				new Message.RetryLoanRequest("s"), new Message.RetryLoan("s", true),
 				new Message.RatePermitRequest("t", true, 3.3, 40), new Message.RatePermit("t", false, true, 300));
 	}
@@ -98,7 +98,7 @@
 		assertThat(this.codec.decode(frame(19, mapped(new EarlierResponse("op", 9, 250, List.of(), 7)))).message())
 			.isEqualTo(new Message.RecordsResponse("op", 9, 250, List.of(), 7, 0L));
 		assertThat(this.codec.decode(frame(26, mapped(new EarlierPush("e", "op", 7, 9, 120, List.of())))).message())
-			.isEqualTo(new Message.RecordsPush("e", "op", 7, 9, 120, List.of(), 0));
+			.isEqualTo(new Message.RecordsPush("e", "op", 7, 9, 120, List.of(), 0, -1));
 		assertThat(this.codec.decode(frame(27, mapped(new EarlierPushAck("op", 9)))).message())
 			.isEqualTo(new Message.RecordsPushAck("op", 9, 0));
 	}
@@ -156,7 +156,8 @@
 		frequent.add(new Message.AdmissionResponse(1, true, null));
 		frequent.add(new Message.EngineLoadAck(null));
 		frequent.add(new Message.RecordsPush("e", "op", 7, 9, 120,
-				List.of(new KeyedRecord("k", 1, new byte[300]), new KeyedRecord("k".repeat(300), 2, null)), 1L << 40));
+				List.of(new KeyedRecord("k", 1, new byte[300]), new KeyedRecord("k".repeat(300), 2, null)), 1L << 40,
+				-1));
 		return frequent;
 	}
 
@@ -171,11 +172,12 @@
 	@Test
 	void truncatedValuesAreRejectedBeforeTheyAreAllocated() throws IOException {
 		byte[] content = this.codec.encode(
-				new Message.RecordsPush("e", "op", 7, 9, 1, List.of(new KeyedRecord("k", 1, new byte[70_000])), 3), 1);
+				new Message.RecordsPush("e", "op", 7, 9, 1, List.of(new KeyedRecord("k", 1, new byte[70_000])), 3, 40),
+				1);
 		byte[] truncated = Arrays.copyOf(content, content.length - 1);
-		// The length of the value is the five bytes before it; it becomes 2 GB. A byte
-		// with the epoch follows the value.
-		truncated[content.length - 1 - 70_000 - 4] = 0x7f;
+		// The length of the value is the five bytes before it; it becomes 2 GB. Two bytes
+		// with the epoch and the time follow the value.
+		truncated[content.length - 2 - 70_000 - 4] = 0x7f;
 		assertThatThrownBy(() -> this.codec.decode(truncated)).isInstanceOf(IOException.class)
 			.hasMessageContaining("truncated");
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
@@ -17,6 +17,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.common.PlatformException;
 import io.dotterelcrank.common.Scheduler;
+import io.dotterelcrank.connection.KeyedRecord;
 import io.dotterelcrank.connection.Link;
 import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.connection.Transport;
@@ -32,6 +33,9 @@
 
 	private static final long STORE_TIMEOUT_MILLIS = 900;
 
+	/** Size of a message besides its records, in bytes. */
+	private static final long MESSAGE_BYTES = 60;
+
 	private final Clock.Manual clock = Clock.manual(100_000);
 
 	private final Scheduler.Manual scheduler = Scheduler.manual(this.clock);
@@ -94,7 +98,14 @@
 	}
 
 	long append(String key, int value) {
-		long offset = this.store.append(key, ByteBuffer.allocate(Integer.BYTES).putInt(value).array());
+		return append(key, value, Integer.BYTES);
+	}
+
+	/**
+	 * Appends a record that takes many bytes.
+	 */
+	long append(String key, int value, int bytes) {
+		long offset = this.store.append(key, ByteBuffer.allocate(bytes).putInt(value).array());
 		answerHeldReads();
 		return offset;
 	}
@@ -175,6 +186,15 @@
 
 		private long storeCalls;
 
+		/** Bytes a millisecond that the host's link carries; 0 if it has no limit. */
+		private long uplinkBytesPerMillis;
+
+		/** When the host's link has carried all that was sent. */
+		private long uplinkFreeMillis;
+
+		/** Additional time that messages of this host take, in milliseconds. */
+		private long delayMillis;
+
 		private final Scheduler control = new HostScheduler();
 
 		private TableSharing sharing;
@@ -235,6 +255,47 @@
 			}
 		}
 
+		/**
+		 * Limits what the host's link carries of the messages that the host sends.
+		 */
+		void setUplink(long bytesPerMillis) {
+			this.uplinkBytesPerMillis = bytesPerMillis;
+		}
+
+		void setDelayMillis(long millis) {
+			this.delayMillis = millis;
+		}
+
+		/**
+		 * Returns how long a message that the host sends now waits for its link.
+		 */
+		long uplinkQueueMillis() {
+			return Math.max(0, this.uplinkFreeMillis - SimulatedHosts.this.clock.millis());
+		}
+
+		private long transferMillis(Message message) {
+			if (this.uplinkBytesPerMillis == 0) {
+				return LATENCY_MILLIS + this.delayMillis;
+			}
+			this.uplinkFreeMillis = SimulatedHosts.this.clock.millis() + uplinkQueueMillis()
+					+ bytes(message) / this.uplinkBytesPerMillis;
+			return uplinkQueueMillis() + LATENCY_MILLIS + this.delayMillis;
+		}
+
+		private static long bytes(Message message) {
+			List<KeyedRecord> records = List.of();
+			if (message instanceof Message.RecordsPush push) {
+				records = push.records();
+			}
+			else if (message instanceof Message.RecordsResponse response) {
+				records = response.records();
+			}
+			return MESSAGE_BYTES + records.stream()
+				.filter((record) -> !record.deleted())
+				.mapToLong((record) -> record.value().length)
+				.sum();
+		}
+
 		boolean reads() {
 			return !this.feed.following();
 		}
@@ -417,6 +478,8 @@
 
 		private final Link.Listener listener;
 
+		private final ReplyLink replyLink = new ReplyLink();
+
 		private boolean silent;
 
 		private boolean closed;
@@ -427,22 +490,22 @@
 			this.listener = listener;
 		}
 
-		private void deliver(Host receiver, Runnable delivery) {
+		private void deliver(Host sender, Host receiver, Message message, Runnable delivery) {
 			String pair = this.opener.member.name() + '-' + this.peer.member.name();
 			this.silent |= SimulatedHosts.this.cutPairs.contains(pair);
 			if (!this.silent && !this.closed) {
-				SimulatedHosts.this.scheduler.schedule(LATENCY_MILLIS, () -> receiver.run(delivery));
+				SimulatedHosts.this.scheduler.schedule(sender.transferMillis(message), () -> receiver.run(delivery));
 			}
 		}
 
 		@Override
 		public void send(Message message) {
-			deliver(this.peer, () -> {
+			deliver(this.opener, this.peer, message, () -> {
 				if (message instanceof Message.RecordsPush push) {
-					this.peer.sharing.handlePush(new ReplyLink(), push);
+					this.peer.sharing.handlePush(this.replyLink, push);
 				}
 				else if (message instanceof Message.RecordsRequest request) {
-					this.peer.peerSync.handleRequest(new ReplyLink(), request);
+					this.peer.peerSync.handleRequest(this.replyLink, request);
 				}
 			});
 		}
@@ -472,7 +535,7 @@
 
 			@Override
 			public void send(Message message) {
-				deliver(SimulatedLink.this.opener,
+				deliver(SimulatedLink.this.peer, SimulatedLink.this.opener, message,
 						() -> SimulatedLink.this.listener.received(SimulatedLink.this, 0, message));
 			}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingTests.java
@@ -1,10 +1,13 @@
 package io.dotterelcrank.process.replica;
 
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -15,6 +18,17 @@
 
 	private static final long BOUND_MILLIS = 2_000;
 
+	/** Bound of a deployment with tens of hosts. */
+	private static final long SLOW_BOUND_MILLIS = 3_000;
+
+	/** A link of 7 Mbit/s. */
+	private static final long THIN_LINK_BYTES_PER_MILLIS = 875;
+
+	private static final int LARGE_VERSION_BYTES = 60_000;
+
+	/** Time by which an answer that a host has read may be late. */
+	private static final long MAX_ANSWER_DELAY_MILLIS = 200;
+
 	private final SimulatedHosts hosts = SimulatedHosts.polling(8, 2, BOUND_MILLIS);
 
 	private int[] readers() {
@@ -241,6 +255,77 @@
 		}
 	}
 
+	private static SimulatedHosts nineHostsOfOneDataCentre() {
+		SimulatedHosts nine = SimulatedHosts.longPolling(9, 1, SLOW_BOUND_MILLIS);
+		nine.start();
+		nine.advance(5_000);
+		return nine;
+	}
+
+	private static SimulatedHosts.Host reader(SimulatedHosts hosts) {
+		return IntStream.range(0, hosts.size())
+			.mapToObj(hosts::host)
+			.filter(SimulatedHosts.Host::reads)
+			.findFirst()
+			.orElseThrow();
+	}
+
+	/** Pushes of large versions filled the reader's link for seconds. */
+	@ParameterizedTest
+	@ValueSource(longs = { 50, 300 })
+	void versionsInQuickSuccessionAreInForceInTimeThoughTheReadersLinkIsThin(long gapMillis) {
+		SimulatedHosts nine = nineHostsOfOneDataCentre();
+		reader(nine).setUplink(THIN_LINK_BYTES_PER_MILLIS);
+		Map<Integer, Long> publishedMillis = new TreeMap<>();
+		long nowMillis = 0;
+		for (int version = 1; nowMillis < 8_000; version++) {
+			publishedMillis.put(version, nowMillis);
+			nine.append(SimulatedView.VERSION_KEY, version, LARGE_VERSION_BYTES);
+			nine.advance(gapMillis);
+			nowMillis += gapMillis;
+			long acknowledgedMillis = nowMillis - SLOW_BOUND_MILLIS;
+			int due = publishedMillis.entrySet()
+				.stream()
+				.filter((entry) -> entry.getValue() <= acknowledgedMillis)
+				.mapToInt(Map.Entry::getKey)
+				.max()
+				.orElse(0);
+			assertThat(IntStream.range(0, nine.size())).as("at %d ms", nowMillis)
+				.allMatch((host) -> nine.host(host).view().version() >= due);
+		}
+	}
+
+	/** Responses to callers waited behind the pushes until their deadlines. */
+	@ParameterizedTest
+	@ValueSource(longs = { 50, 300 })
+	void otherTrafficOfAReaderWithAThinLinkIsNotHeldUp(long gapMillis) {
+		SimulatedHosts nine = nineHostsOfOneDataCentre();
+		SimulatedHosts.Host reader = reader(nine);
+		reader.setUplink(THIN_LINK_BYTES_PER_MILLIS);
+		for (int version = 1; version < 8_000 / gapMillis; version++) {
+			nine.append(SimulatedView.VERSION_KEY, version, LARGE_VERSION_BYTES);
+			for (long millis = 0; millis < gapMillis; millis += 10) {
+				nine.advance(10);
+				assertThat(reader.uplinkQueueMillis()).as("version %d", version).isLessThan(MAX_ANSWER_DELAY_MILLIS);
+			}
+		}
+	}
+
+	/** What arrives late was taken for as current as it was when it was sent. */
+	@Test
+	void versionIsInForceInTimeThoughTheReadersPushesAreUnderWayLongerAndLonger() {
+		SimulatedHosts nine = nineHostsOfOneDataCentre();
+		SimulatedHosts.Host reader = reader(nine);
+		for (int version = 1; version <= 40; version++) {
+			reader.setDelayMillis(version * 100);
+			nine.append(SimulatedView.VERSION_KEY, version);
+			nine.advance(300);
+			int due = version - (int) (SLOW_BOUND_MILLIS / 300);
+			assertThat(IntStream.range(0, nine.size())).as("version %d", version)
+				.allMatch((host) -> nine.host(host).view().version() >= due);
+		}
+	}
+
 	/** How a store numbers its records. */
 	enum Numbering {
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/OddMessageTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/OddMessageTests.java
@@ -122,14 +122,14 @@
 			List<KeyedRecord> records = Stream.of("first", "malformed", "defect", "overflow", "linkage", "last")
 				.map((key) -> new KeyedRecord(key, key.length(), "127.0.0.2:9 dc".getBytes(StandardCharsets.UTF_8)))
 				.toList();
-			this.link.send(new Message.RecordsPush("p", table, 0, 100, 0, records, 0));
+			this.link.send(new Message.RecordsPush("p", table, 0, 100, 0, records, 0, 0));
 		}
 		assertThat(awaitState("id=first", "id=last")).contains("id=first").contains("id=last");
 	}
 
 	@Test
 	void oddMessagesOfPeersDoNotEndTheirHandling() throws Exception {
-		this.link.send(new Message.RecordsPush("", "unheard", -1, -1, -1, List.of(), -1));
+		this.link.send(new Message.RecordsPush("", "unheard", -1, -1, -1, List.of(), -1, -1));
 		this.link.send(new Message.RecordsPush("p", "targets", Long.MAX_VALUE, Long.MAX_VALUE, Long.MIN_VALUE,
 				List.of(new KeyedRecord("", -1, new byte[0]), new KeyedRecord("k".repeat(255), 1, new byte[262_144])),
 				0));
