Let the hosts with the fastest links read the store for the others

Cause: one entry host of each data centre reads a table and pushes its records to all others.

Change: an entry host publishes the capacity of its link with its registration (DOTTERELCRANK_LINK_MBPS, from the platform's Limits.LinkMbps), and ReaderGroup ranks faster links first, equal ones by hash as before. A missing or empty setting is an unknown link, a malformed one an invalid setting (5005), as with the other numbers. A malformed capacity in a registration counts as unknown; the host stays a member.

An unknown link cannot be ranked among known ones without a disagreement with builds that know only hashes: two hosts might each rank before the other. So links count only if the whole group publishes them, and one host of an older build makes its group rank by hash as it does itself. A sender that is not listed is ranked by hash as before. Older builds read the capacity as part of the data centre's name; until they are replaced they may form groups of their own, and then read tables themselves.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/ReaderGroup.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/ReaderGroup.java
@@ -5,16 +5,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import io.dotterelcrank.common.RendezvousHash;
 import io.dotterelcrank.process.membership.Member;
 
 /**
  * The hosts that share the reading of tables, ranked as seen by one of them. A group has
- * the hosts of one data centre, or of several if each has only a few. Hosts whose lists
- * of members differ for a while may form different groups; some tables are then read
- * twice. Addresses the load pattern of many hosts that poll the same tables, whose calls
- * to the store would grow with the number of hosts. Immutable.
+ * the hosts of one data centre, or of several if each has only a few. Those with faster
+ * links rank first, as the reader sends each change to all others; hosts with equal links
+ * are ranked by their names. Invariant: hosts with the same list of members agree on
+ * groups and ranks. Links count only if those of the whole group are known, since builds
+ * that publish none rank by names. Hosts whose lists of members differ for a while may
+ * form different groups; some tables are then read twice. Addresses the load pattern of
+ * many hosts that poll the same tables, whose calls to the store would grow with the
+ * number of hosts. Immutable.
  */
 final class ReaderGroup {
 
@@ -29,9 +34,14 @@
 	/** Empty if this host is not yet listed. */
 	private final List<Member> hosts;
 
+	/** Link capacities by name of the host; empty if one is not known. */
+	private final Map<String, Double> links;
+
 	private ReaderGroup(String self, List<Member> hosts) {
 		this.self = self;
 		this.hosts = hosts;
+		this.links = hosts.stream().allMatch(Member::linkKnown)
+				? hosts.stream().collect(Collectors.toMap(Member::name, Member::linkMbps)) : Map.of();
 	}
 
 	/**
@@ -66,7 +76,12 @@
 					.orElse(List.of()));
 	}
 
-	private static boolean precedes(String name, String other) {
+	private boolean precedes(String name, String other) {
+		Double link = this.links.get(name);
+		Double otherLink = this.links.get(other);
+		if (link != null && otherLink != null && !link.equals(otherLink)) {
+			return link > otherLink;
+		}
 		int order = Long.compare(RendezvousHash.hash(name), RendezvousHash.hash(other));
 		return (order != 0) ? order < 0 : name.compareTo(other) < 0;
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/membership/MemberTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/membership/MemberTests.java
@@ -21,6 +21,30 @@
 		assertThat(Member.parse("e", "127.0.0.2:1").dataCentre()).isEmpty();
 	}
 
+	@ParameterizedTest
+	@ValueSource(doubles = { 7, 7.333333333333333, 140, 1e9, Double.MIN_VALUE, Double.MAX_VALUE })
+	void linkCapacityIsPublished(double linkMbps) {
+		Member member = new Member("e", new InetSocketAddress("127.0.0.2", 80), "dc", linkMbps);
+		assertThat(Member.parse("e", member.format())).isEqualTo(member);
+		Member withoutDataCentre = new Member("e", new InetSocketAddress("127.0.0.2", 80), "", linkMbps);
+		assertThat(Member.parse("e", withoutDataCentre.format())).isEqualTo(withoutDataCentre);
+	}
+
+	@Test
+	void recordOfHostWithoutLinkCapacityIsThatOfOlderBuilds() {
+		Member member = new Member("e", new InetSocketAddress("127.0.0.2", 80), "dc");
+		assertThat(member.format()).isEqualTo("127.0.0.2:80 dc");
+		assertThat(Member.parse("e", "127.0.0.2:80 dc").linkKnown()).isFalse();
+	}
+
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "", "fast", "-7", "0", "NaN", "Infinity", "1e999", "7 Mbit/s", "7.0000000000000000000000000" })
+	void hostWithMalformedLinkCapacityRemainsAMember(String text) {
+		assertThat(Member.parse("e", "127.0.0.2:80 dc link-mbps=" + text))
+			.isEqualTo(new Member("e", new InetSocketAddress("127.0.0.2", 80), "dc"));
+	}
+
 	/**
 	 * A name was looked up on the control thread, and one that was not found made the
 	 * list of peers fail at each use.
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -154,7 +154,8 @@
 			.withRollouts(this.rollouts.client());
 		this.service = RelayService.of(this.runtime.clock(), new EventLoopScheduler(this.runtime.trafficLoop()),
 				clients, settings.relay(), RandomSource.XO_RO_SHI_RO_128_PP.create(), this.runtime.metrics());
-		this.self = new Member(settings.common().name(), settings.peerAddress(), settings.common().dataCentre());
+		this.self = new Member(settings.common().name(), settings.peerAddress(), settings.common().dataCentre(),
+				settings.linkMbps());
 		this.sharing = TableSharing.of(this.runtime.transport(), this.runtime.controlScheduler(), this.runtime.clock(),
 				this.self, this.runtime::members);
 		this.registry = TargetRegistry.of(this.runtime.clock(), settings.drainMillis());
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntrySettings.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntrySettings.java
@@ -15,7 +15,9 @@
  * @param relay data centre, retry budget and time limits
  * @param drainMillis drain time: maximum time from a target's announcement that it leaves
  * until it gets no new requests, in milliseconds
+ * @param linkMbps capacity of the host's network link in Mbit/s; 0 if not known
  */
 public record RelayEntrySettings(RelayCommonSettings common, InetSocketAddress callerAddress,
-		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, RelaySettings relay, long drainMillis) {
+		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, RelaySettings relay, long drainMillis,
+		double linkMbps) {
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySettingsReader.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 
 import io.dotterelcrank.daemon.settings.SettingsReader;
+import io.dotterelcrank.process.membership.Member;
 import io.dotterelcrank.process.relay.RelaySettings;
 import io.dotterelcrank.process.rollout.RolloutSettings;
 import io.dotterelcrank.request.RequestException;
@@ -25,6 +26,9 @@
 	/** Max retries per request, and max additional retries per window. */
 	private static final double MAX_RETRIES = 1_000_000_000;
 
+	/** A petabit per second. */
+	private static final double MAX_LINK_MBPS = 1_000_000_000;
+
 	private RelaySettingsReader() {
 	}
 
@@ -46,7 +50,8 @@
 						secondsAsMillis(reader, "grace-seconds", "8"), common.name(), rollouts(reader),
 						reader.choice("yield-to-shorter-goals", null, "no", "yes|no").equals("yes"),
 						reader.choice("first-start", null, "no", "yes|no").equals("yes")),
-				millis(reader, "drain-millis", "2000"));
+				millis(reader, "drain-millis", "2000"),
+				reader.decimal("link-mbps", null, "", Member.UNKNOWN_LINK, MAX_LINK_MBPS));
 		reader.throwIfInvalid();
 		return settings;
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/MemberRegistrationTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/MemberRegistrationTests.java
@@ -81,6 +81,19 @@
 		assertThat(this.store.writtenMillis).hasSize(2);
 	}
 
+	/** The same host registered with a build that publishes no link capacity. */
+	@Test
+	void isWrittenAgainWhenTheStoreCameBackWithoutTheLinkCapacity() {
+		Member withLink = new Member(SELF.name(), SELF.address(), SELF.dataCentre(), 140);
+		MemberRegistration host = MemberRegistration.of(this.store, this.control,
+				RandomSource.XO_RO_SHI_RO_128_PP.create(7), this.records, withLink);
+		host.write();
+		this.records.applyListing(List.of(record(SELF.format(), 0)), 5, 2);
+		host.handleListing();
+		this.control.advance(MemberRegistration.FIRST_CHECK_MILLIS + MemberRegistration.SPREAD_MILLIS);
+		assertThat(this.store.writtenMillis).hasSize(2);
+	}
+
 	@Test
 	void isNotWrittenAgainIfTheStoreCameBackWithIt() {
 		startAndRead();
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelaySettingsReaderTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelaySettingsReaderTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import io.dotterelcrank.process.membership.Member;
 import io.dotterelcrank.process.rollout.RolloutSettings;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
@@ -81,6 +82,25 @@
 			.withMessageContaining("--metrics-port must be an integer from 0 to 65535");
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "7, 7", "7.0, 7", "140.5, 140.5", "1e3, 1000", "0, 0", "'', 0" })
+	void linkCapacityIsReadAndUnknownIfItIsEmpty(String text, double expected) throws RequestException {
+		assertThat(read("LINK_MBPS", text).linkMbps()).isEqualTo(expected);
+	}
+
+	@Test
+	void linkCapacityIsUnknownUnlessItIsSet() throws RequestException {
+		assertThat(RelaySettingsReader.entry(environment()).linkMbps()).isEqualTo(Member.UNKNOWN_LINK);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "fast", "7 Mbit/s", "-7", "NaN", "Infinity", "1e10" })
+	void malformedLinkCapacityIsAnError(String text) {
+		assertThatExceptionOfType(RequestException.class).isThrownBy(() -> read("LINK_MBPS", text))
+			.withMessageContaining("--link-mbps must be a decimal number from 0")
+			.satisfies((ex) -> assertThat(ex.failure().code()).isEqualTo(ResultCode.INVALID_SETTING));
+	}
+
 	@Test
 	void allErrorsAreReportedTogether() {
 		Map<String, String> environment = environment();
