Send each record at most once on a link to a peer that asks for records

What operators see: a host that the store refuses asks two peers for records every 400 ms.

Cause: PeerTableSync answers by the offset in the request and does not know what it has already sent. Requests are not withheld meanwhile, as they also tell the age of the records and find out links that are silent; a test pins that a peer is asked again before it has answered.

Change: the answering host keeps, for each link and table, how far it has sent, and leaves that out of later responses. A link delivers in order, so the asking host has applied those records, or ignored them for newer ones, before the next response arrives. A new epoch is sent in full as before, and a new link starts again. This works with asking hosts of older builds.

Evidence: on the code before (with an empty handleClosed) PeerTableSyncTests.repeatedRequestsGetEachRecordOnce failed, three responses from offset 0 instead of 0, 4, 4, and hostThatAppliesTheResponsesInOrderGetsAllRecordsOnce failed with records sent more than once; the asking host had all records there. Both pass now, as do PeerTableSyncTests, TableSharingTests, TableFeedTests, StoreRewindProperties, RelayEntryDaemonTests, RelaySidecarDaemonTests and RelayedRequestTests.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
@@ -22,8 +22,9 @@
 /**
  * Reads records of keyed tables from peers while the store is unreachable for this host;
  * it may refuse some hosts and serve others. Each round asks two peers only, so the
- * messages per host during an outage do not grow with the number of hosts. All state is
- * confined to the control thread.
+ * messages per host during an outage do not grow with the number of hosts. Invariant: a
+ * link carries no record twice, however often a peer asks before it has the response, so
+ * that a slow link catches up. All state is confined to the control thread.
  */
 public final class PeerTableSync {
 
@@ -62,6 +63,9 @@
 	/** Links to the peers asked so far, by address. */
 	private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
 
+	/** What was last sent to the peers that ask this host, by link and table. */
+	private final Map<Link, Map<String, Position>> sent = new HashMap<>();
+
 	private PeerTableSync(Transport transport, Scheduler control, Clock clock,
 			Supplier<Collection<InetSocketAddress>> peers, UniformRandomProvider random) {
 		this.transport = transport;
@@ -129,8 +133,9 @@
 	}
 
 	/**
-	 * Responds to a peer with the records of a table. Requests for unknown tables are
-	 * ignored.
+	 * Responds to a peer with the records of a table. Those that were sent on the link
+	 * before are left out, as the peer applies them first. Requests for unknown tables
+	 * are ignored.
 	 * @param link link to the peer
 	 * @param request the request
 	 */
@@ -138,13 +143,25 @@
 		this.control.execute(() -> {
 			TableFeed feed = this.feeds.get(request.table());
 			if (feed != null) {
-				KeyedTable.Update update = feed.records().updateSince(request.epoch(), request.fromOffset());
-				link.send(new Message.RecordsResponse(request.table(), feed.records().nextOffset(), feed.ageMillis(),
+				KeyedTable records = feed.records();
+				Position end = new Position(records.epoch(), records.nextOffset());
+				Position sentEnd = this.sent.computeIfAbsent(link, (any) -> new HashMap<>()).put(request.table(), end);
+				Position start = Position.latest(new Position(request.epoch(), request.fromOffset()), sentEnd);
+				KeyedTable.Update update = records.updateSince(start.epoch(), start.nextOffset());
+				link.send(new Message.RecordsResponse(request.table(), records.nextOffset(), feed.ageMillis(),
 						update.records(), update.fromOffset(), update.epoch()));
 			}
 		});
 	}
 
+	/**
+	 * Forgets what was sent on a link.
+	 * @param link link to a peer that asked for records, or any other link
+	 */
+	public void handleClosed(Link link) {
+		this.control.execute(() -> this.sent.remove(link));
+	}
+
 	private void handleResponse(Message.RecordsResponse response, long ageMillis) {
 		TableFeed feed = this.feeds.get(response.table());
 		if (feed != null) {
@@ -225,6 +242,28 @@
 
 	}
 
+	/**
+	 * How far a host has a table. Immutable.
+	 *
+	 * @param epoch epoch of its records
+	 * @param nextOffset offset that it needs next
+	 */
+	private record Position(long epoch, long nextOffset) {
+
+		/**
+		 * Returns the later of two positions.
+		 * @param first a position
+		 * @param second another one, or {@code null}
+		 * @return the one that covers more
+		 */
+		static Position latest(Position first, Position second) {
+			boolean firstLater = second == null || first.epoch > second.epoch
+					|| (first.epoch == second.epoch && first.nextOffset >= second.nextOffset);
+			return firstLater ? first : second;
+		}
+
+	}
+
 	/**
 	 * A request for records. Immutable.
 	 *
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -486,6 +486,7 @@
 		@Override
 		public void closed(Link link) {
 			RelayEntryDaemon.this.sidecarLinks.values().remove(link);
+			RelayEntryDaemon.this.peerSync.handleClosed(link);
 			this.lastLoads.remove(link);
 			this.lastForwardedMillis.remove(link);
 		}
