Ask the peers that may be responding before any others for records

Cause: each round of 400 ms asks two random peers. While the responses of the first two are still under way, the next rounds ask others for the same records; on a link of 7 Mbit/s two sets of some hundred kilobytes take longer than a round, and each further set delays the first.

Change: peers on an open link that have been asked and not answered for fewer than three rounds are asked again before others; they send a record only once on a link. A peer whose link does not open, or that is silent for three rounds, leaves its place to others as before, so that dead peers do not hold a host back for longer than that.

Evidence: PeerTableSyncTests.asksNoOtherPeersWhileTwoAreResponding failed on the code before, with 3 links instead of 2 (its class has three peers), and passes now; PeerTableSyncTests, TableSharingTests and TableSharingProperties pass.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
@@ -22,9 +22,10 @@
 /**
  * Reads records of keyed tables from peers while the store is unreachable for this host;
  * it may refuse some hosts and serve others. Each round asks two peers only, so the
- * messages per host during an outage do not grow with the number of hosts. Invariant: a
- * link carries no record twice, however often a peer asks before it has the response, so
- * that a slow link catches up. All state is confined to the control thread.
+ * messages per host during an outage do not grow with the number of hosts; those that may
+ * be responding are asked again first, so that a host behind a slow link does not get the
+ * same records from all peers. Invariant: a link carries no record twice, however often a
+ * peer asks before it has the response. All state is confined to the control thread.
  */
 public final class PeerTableSync {
 
@@ -113,7 +114,7 @@
 		if (stale.isEmpty()) {
 			return;
 		}
-		for (InetSocketAddress peer : randomPeers(this.peers.get())) {
+		for (InetSocketAddress peer : choosePeers(this.peers.get())) {
 			PeerLink peerLink = this.links.computeIfAbsent(peer, PeerLink::new);
 			stale.forEach(peerLink::request);
 			peerLink.unansweredRounds++;
@@ -123,15 +124,23 @@
 		}
 	}
 
-	private List<InetSocketAddress> randomPeers(Collection<InetSocketAddress> all) {
+	private List<InetSocketAddress> choosePeers(Collection<InetSocketAddress> all) {
 		List<InetSocketAddress> remaining = new ArrayList<>(all);
-		List<InetSocketAddress> chosen = new ArrayList<>();
+		List<InetSocketAddress> chosen = new ArrayList<>(
+				remaining.stream().filter(this::mayBeResponding).limit(PEERS_PER_ROUND).toList());
+		remaining.removeAll(chosen);
 		while (!remaining.isEmpty() && chosen.size() < PEERS_PER_ROUND) {
 			chosen.add(remaining.remove(this.random.nextInt(remaining.size())));
 		}
 		return chosen;
 	}
 
+	private boolean mayBeResponding(InetSocketAddress peer) {
+		PeerLink peerLink = this.links.get(peer);
+		return peerLink != null && peerLink.open && peerLink.unansweredRounds > 0
+				&& peerLink.unansweredRounds < MAX_UNANSWERED_ROUNDS;
+	}
+
 	/**
 	 * Responds to a peer with the records of a table. Those that were sent on the link
 	 * before are left out, as the peer applies them first. Requests for unknown tables
@@ -179,6 +188,8 @@
 
 		private final Link link;
 
+		private boolean open;
+
 		/** Rounds in which this peer was asked since its last response. */
 		private int unansweredRounds;
 
@@ -217,7 +228,7 @@
 
 		@Override
 		public void opened(Link openedLink) {
-			// Requests sent before are buffered by the link.
+			PeerTableSync.this.control.execute(() -> this.open = true);
 		}
 
 		@Override
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
@@ -187,6 +187,30 @@
 		assertThat(response.nextOffset()).isEqualTo(4);
 	}
 
+	/**
+	 * A host behind a slow link asked all peers for the same records while those of the
+	 * first two were under way.
+	 */
+	@Test
+	void asksNoOtherPeersWhileTwoAreResponding() {
+		this.store.unavailable = true;
+		start();
+		this.control.advance(PeerTableSync.ROUND_MILLIS);
+		this.transport.links.forEach((link) -> link.listener.opened(link));
+		this.control.advance((PeerTableSync.MAX_UNANSWERED_ROUNDS - 1) * PeerTableSync.ROUND_MILLIS);
+		assertThat(this.transport.links).hasSize(PeerTableSync.PEERS_PER_ROUND);
+		this.control.advance(10 * PeerTableSync.ROUND_MILLIS);
+		assertThat(this.transport.links).hasSizeGreaterThan(PeerTableSync.PEERS_PER_ROUND);
+	}
+
+	@Test
+	void asksOtherPeersWhileLinksDoNotOpen() {
+		this.store.unavailable = true;
+		start();
+		this.control.advance(PeerTableSync.MAX_UNANSWERED_ROUNDS * PeerTableSync.ROUND_MILLIS);
+		assertThat(this.transport.links).hasSize(PEERS.size());
+	}
+
 	private List<Message.RecordsResponse> request(RecordingLink link, long epoch, long fromOffset) {
 		this.sync.handleRequest(link, new Message.RecordsRequest("op", fromOffset, epoch));
 		this.control.runDue();
