Let a slow response to a request for records arrive

Cause: a link is closed after three rounds without a response, as it may have failed silently, 1.6 s with one peer. A response on its way is thrown away with the link, and the next link starts from the first record.

Change: the number of rounds doubles, up to 24, with each link that was open and closed for lack of a response, and is three again after any response. Links that do not open do not count, so that a peer behind a partition or a link that fell silent is replaced as soon as before.

Evidence: PeerTableSyncTests.slowResponseArrivesOnALaterLink (a response takes ten rounds) failed on the code before, no record within 50 rounds, and passes now with PeerTableSyncTests, TableSharingTests, TableSharingProperties and StoreRewindProperties.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
@@ -47,6 +47,9 @@
 	 */
 	static final int MAX_UNANSWERED_ROUNDS = 3;
 
+	/** Upper limit of that number, which doubles with each open link that was closed. */
+	static final int MAX_EXTENDED_ROUNDS = 24;
+
 	/** Feeds by name of the table. */
 	private final Map<String, TableFeed> feeds = new LinkedHashMap<>();
 
@@ -64,6 +67,12 @@
 	/** Links to the peers asked so far, by address. */
 	private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
 
+	/**
+	 * Number of rounds in which a peer may be asked without a response, by address, if
+	 * open links to it were closed for lack of one since its last response.
+	 */
+	private final Map<InetSocketAddress, Integer> extendedRounds = new HashMap<>();
+
 	/** What was last sent to the peers that ask this host, by link and table. */
 	private final Map<Link, Map<String, Position>> sent = new HashMap<>();
 
@@ -118,9 +127,7 @@
 			PeerLink peerLink = this.links.computeIfAbsent(peer, PeerLink::new);
 			stale.forEach(peerLink::request);
 			peerLink.unansweredRounds++;
-			if (peerLink.unansweredRounds > MAX_UNANSWERED_ROUNDS) {
-				peerLink.link.close();
-			}
+			peerLink.closeIfSilent();
 		}
 	}
 
@@ -207,6 +214,20 @@
 				.send(new Message.RecordsRequest(feed.table(), feed.records().nextOffset(), feed.records().epoch()));
 		}
 
+		/**
+		 * Closes the link if it may have failed without being closed. Exponential backoff
+		 * lets a response arrive that takes long on a slow link.
+		 */
+		void closeIfSilent() {
+			int maxRounds = PeerTableSync.this.extendedRounds.getOrDefault(this.address, MAX_UNANSWERED_ROUNDS);
+			if (this.unansweredRounds > maxRounds) {
+				if (this.open) {
+					PeerTableSync.this.extendedRounds.put(this.address, Math.min(2 * maxRounds, MAX_EXTENDED_ROUNDS));
+				}
+				this.link.close();
+			}
+		}
+
 		/**
 		 * Returns how old the records of a response are at least taken to be. The time
 		 * since the request counts as well: the response may have been under way for
@@ -236,6 +257,7 @@
 			if (message instanceof Message.RecordsResponse response) {
 				PeerTableSync.this.control.execute(() -> {
 					this.unansweredRounds = 0;
+					PeerTableSync.this.extendedRounds.remove(this.address);
 					handleResponse(response, ageMillis(response));
 				});
 			}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
@@ -211,6 +211,63 @@
 		assertThat(this.transport.links).hasSize(PEERS.size());
 	}
 
+	/**
+	 * The link to a peer was replaced before the response had arrived, again and again,
+	 * and the new link got all records from the start.
+	 */
+	@Test
+	void slowResponseArrivesOnALaterLink() {
+		startWithOnePeer();
+		long responseMillis = 10 * PeerTableSync.ROUND_MILLIS;
+		for (int round = 0; round < 50 && this.changes.isEmpty(); round++) {
+			this.control.advance(PeerTableSync.ROUND_MILLIS);
+			RecordingLink link = lastLink();
+			if (link.openedMillis == 0) {
+				link.openedMillis = this.clock.millis();
+				link.listener.opened(link);
+			}
+			else if (!link.closed && this.clock.millis() - link.openedMillis >= responseMillis) {
+				receive(link, "op", 0);
+			}
+		}
+		assertThat(this.changes).hasSize(1);
+	}
+
+	@Test
+	void linkThatIsSilentAfterAResponseIsReplacedAsSoonAsTheFirst() {
+		startWithOnePeer();
+		this.control.advance(PeerTableSync.ROUND_MILLIS);
+		for (int i = 0; i < 3; i++) {
+			lastLink().listener.opened(lastLink());
+			waitUntilReplaced(lastLink());
+		}
+		lastLink().listener.opened(lastLink());
+		receive(lastLink(), "op", 0);
+		assertThat(waitUntilReplaced(lastLink())).isLessThanOrEqualTo(PeerTableSync.MAX_UNANSWERED_ROUNDS + 2);
+	}
+
+	private void startWithOnePeer() {
+		this.store.unavailable = true;
+		PeerTableSync single = PeerTableSync.of(this.transport, this.control, this.clock, () -> PEERS.subList(0, 1),
+				RandomSource.XO_RO_SHI_RO_128_PP.create(3));
+		single.add(this.feed);
+		this.feed.start();
+		single.start();
+	}
+
+	/** Returns the number of rounds until another link was opened. */
+	private int waitUntilReplaced(RecordingLink link) {
+		int rounds = 0;
+		for (; lastLink() == link && rounds < 100; rounds++) {
+			this.control.advance(PeerTableSync.ROUND_MILLIS);
+		}
+		return rounds;
+	}
+
+	private RecordingLink lastLink() {
+		return this.transport.links.get(this.transport.links.size() - 1);
+	}
+
 	private List<Message.RecordsResponse> request(RecordingLink link, long epoch, long fromOffset) {
 		this.sync.handleRequest(link, new Message.RecordsRequest("op", fromOffset, epoch));
 		this.control.runDue();
@@ -429,6 +486,9 @@
 
 		private boolean closed;
 
+		/** 0 if the link is not open. */
+		private long openedMillis;
+
 		RecordingLink(Link.Listener listener) {
 			this.listener = listener;
 		}
