--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
@@ -22,8 +22,10 @@
 /**
  * Reads records of keyed tables from peers while the store is unreachable for this host;
  * it may refuse some hosts and serve others. Each round asks two peers only, so the
- * messages per host during an outage do not grow with the number of hosts. All state is
- * confined to the control thread.
+ * messages per host during an outage do not grow with the number of hosts; those that may
+ * be responding are asked again first, so that a host behind a slow link does not get the
+ * same records from all peers. Invariant: a link carries no record twice, however often a
+ * peer asks before it has the response. All state is confined to the control thread.
  */
 public final class PeerTableSync {
 
@@ -45,6 +47,9 @@
 	 */
 	static final int MAX_UNANSWERED_ROUNDS = 3;
 
+	/** Upper limit of that number, which doubles with each open link that was closed. */
+	static final int MAX_EXTENDED_ROUNDS = 24;
+
 	/** Feeds by name of the table. */
 	private final Map<String, TableFeed> feeds = new LinkedHashMap<>();
 
@@ -62,6 +67,15 @@
 	/** Links to the peers asked so far, by address. */
 	private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
 
+	/**
+	 * Number of rounds in which a peer may be asked without a response, by address, if
+	 * open links to it were closed for lack of one since its last response.
+	 */
+	private final Map<InetSocketAddress, Integer> extendedRounds = new HashMap<>();
+
+	/** What was last sent to the peers that ask this host, by link and table. */
+	private final Map<Link, Map<String, Position>> sent = new HashMap<>();
+
 	private PeerTableSync(Transport transport, Scheduler control, Clock clock,
 			Supplier<Collection<InetSocketAddress>> peers, UniformRandomProvider random) {
 		this.transport = transport;
@@ -109,28 +123,35 @@
 		if (stale.isEmpty()) {
 			return;
 		}
-		for (InetSocketAddress peer : randomPeers(this.peers.get())) {
+		for (InetSocketAddress peer : choosePeers(this.peers.get())) {
 			PeerLink peerLink = this.links.computeIfAbsent(peer, PeerLink::new);
 			stale.forEach(peerLink::request);
 			peerLink.unansweredRounds++;
-			if (peerLink.unansweredRounds > MAX_UNANSWERED_ROUNDS) {
-				peerLink.link.close();
-			}
+			peerLink.closeIfSilent();
 		}
 	}
 
-	private List<InetSocketAddress> randomPeers(Collection<InetSocketAddress> all) {
+	private List<InetSocketAddress> choosePeers(Collection<InetSocketAddress> all) {
 		List<InetSocketAddress> remaining = new ArrayList<>(all);
-		List<InetSocketAddress> chosen = new ArrayList<>();
+		List<InetSocketAddress> chosen = new ArrayList<>(
+				remaining.stream().filter(this::mayBeResponding).limit(PEERS_PER_ROUND).toList());
+		remaining.removeAll(chosen);
 		while (!remaining.isEmpty() && chosen.size() < PEERS_PER_ROUND) {
 			chosen.add(remaining.remove(this.random.nextInt(remaining.size())));
 		}
 		return chosen;
 	}
 
+	private boolean mayBeResponding(InetSocketAddress peer) {
+		PeerLink peerLink = this.links.get(peer);
+		return peerLink != null && peerLink.open && peerLink.unansweredRounds > 0
+				&& peerLink.unansweredRounds < MAX_UNANSWERED_ROUNDS;
+	}
+
 	/**
-	 * Responds to a peer with the records of a table. Requests for unknown tables are
-	 * ignored.
+	 * Responds to a peer with the records of a table. Those that were sent on the link
+	 * before are left out, as the peer applies them first. Requests for unknown tables
+	 * are ignored.
 	 * @param link link to the peer
 	 * @param request the request
 	 */
@@ -138,13 +159,25 @@
 		this.control.execute(() -> {
 			TableFeed feed = this.feeds.get(request.table());
 			if (feed != null) {
-				KeyedTable.Update update = feed.records().updateSince(request.epoch(), request.fromOffset());
-				link.send(new Message.RecordsResponse(request.table(), feed.records().nextOffset(), feed.ageMillis(),
+				KeyedTable records = feed.records();
+				Position end = new Position(records.epoch(), records.nextOffset());
+				Position sentEnd = this.sent.computeIfAbsent(link, (any) -> new HashMap<>()).put(request.table(), end);
+				Position start = Position.latest(new Position(request.epoch(), request.fromOffset()), sentEnd);
+				KeyedTable.Update update = records.updateSince(start.epoch(), start.nextOffset());
+				link.send(new Message.RecordsResponse(request.table(), records.nextOffset(), feed.ageMillis(),
 						update.records(), update.fromOffset(), update.epoch()));
 			}
 		});
 	}
 
+	/**
+	 * Forgets what was sent on a link.
+	 * @param link link to a peer that asked for records, or any other link
+	 */
+	public void handleClosed(Link link) {
+		this.control.execute(() -> this.sent.remove(link));
+	}
+
 	private void handleResponse(Message.RecordsResponse response, long ageMillis) {
 		TableFeed feed = this.feeds.get(response.table());
 		if (feed != null) {
@@ -162,6 +195,8 @@
 
 		private final Link link;
 
+		private boolean open;
+
 		/** Rounds in which this peer was asked since its last response. */
 		private int unansweredRounds;
 
@@ -179,6 +214,20 @@
 				.send(new Message.RecordsRequest(feed.table(), feed.records().nextOffset(), feed.records().epoch()));
 		}
 
+		/**
+		 * Closes the link if it may have failed without being closed. Exponential backoff
+		 * lets a response arrive that takes long on a slow link.
+		 */
+		void closeIfSilent() {
+			int maxRounds = PeerTableSync.this.extendedRounds.getOrDefault(this.address, MAX_UNANSWERED_ROUNDS);
+			if (this.unansweredRounds > maxRounds) {
+				if (this.open) {
+					PeerTableSync.this.extendedRounds.put(this.address, Math.min(2 * maxRounds, MAX_EXTENDED_ROUNDS));
+				}
+				this.link.close();
+			}
+		}
+
 		/**
 		 * Returns how old the records of a response are at least taken to be. The time
 		 * since the request counts as well: the response may have been under way for
@@ -200,7 +249,7 @@
 
 		@Override
 		public void opened(Link openedLink) {
-			// Requests sent before are buffered by the link.
+			PeerTableSync.this.control.execute(() -> this.open = true);
 		}
 
 		@Override
@@ -208,6 +257,7 @@
 			if (message instanceof Message.RecordsResponse response) {
 				PeerTableSync.this.control.execute(() -> {
 					this.unansweredRounds = 0;
+					PeerTableSync.this.extendedRounds.remove(this.address);
 					handleResponse(response, ageMillis(response));
 				});
 			}
@@ -225,6 +275,28 @@
 
 	}
 
+	/**
+	 * How far a host has a table. Immutable.
+	 *
+	 * @param epoch epoch of its records
+	 * @param nextOffset offset that it needs next
+	 */
+	private record Position(long epoch, long nextOffset) {
+
+		/**
+		 * Returns the later of two positions.
+		 * @param first a position
+		 * @param second another one, or {@code null}
+		 * @return the one that covers more
+		 */
+		static Position latest(Position first, Position second) {
+			boolean firstLater = second == null || first.epoch > second.epoch
+					|| (first.epoch == second.epoch && first.nextOffset >= second.nextOffset);
+			return firstLater ? first : second;
+		}
+
+	}
+
 	/**
 	 * A request for records. Immutable.
 	 *
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -154,7 +154,8 @@
 			.withRollouts(this.rollouts.client());
 		this.service = RelayService.of(this.runtime.clock(), new EventLoopScheduler(this.runtime.trafficLoop()),
 				clients, settings.relay(), RandomSource.XO_RO_SHI_RO_128_PP.create(), this.runtime.metrics());
-		this.self = new Member(settings.common().name(), settings.peerAddress(), settings.common().dataCentre());
+		this.self = new Member(settings.common().name(), settings.peerAddress(), settings.common().dataCentre(),
+				settings.linkMbps());
 		this.sharing = TableSharing.of(this.runtime.transport(), this.runtime.controlScheduler(), this.runtime.clock(),
 				this.self, this.runtime::members);
 		this.registry = TargetRegistry.of(this.runtime.clock(), settings.drainMillis());
@@ -485,6 +486,7 @@
 		@Override
 		public void closed(Link link) {
 			RelayEntryDaemon.this.sidecarLinks.values().remove(link);
+			RelayEntryDaemon.this.peerSync.handleClosed(link);
 			this.lastLoads.remove(link);
 			this.lastForwardedMillis.remove(link);
 		}
