--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/OddMessageTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/OddMessageTests.java
@@ -132,7 +132,7 @@
 		this.link.send(new Message.RecordsPush("", "unheard", -1, -1, -1, List.of(), -1, -1));
 		this.link.send(new Message.RecordsPush("p", "targets", Long.MAX_VALUE, Long.MAX_VALUE, Long.MIN_VALUE,
 				List.of(new KeyedRecord("", -1, new byte[0]), new KeyedRecord("k".repeat(255), 1, new byte[262_144])),
-				0));
+				0, Long.MIN_VALUE));
 		this.link.send(new Message.RecordsRequest("", Long.MIN_VALUE, -1L));
 		this.link.send(new Message.RecordsRequest(null, Long.MAX_VALUE, Long.MAX_VALUE));
 		this.link.send(new Message.RecordsPushAck("targets", Long.MAX_VALUE, Long.MAX_VALUE));
