Acknowledge pushes of a table that a host does not have

Once a push that is not acknowledged in time replaces the link, a table that only the sender has, as that of roll-out decisions before the first order arrives, replaced the link for all tables again and again, a second without pushes each time.

Cause: only tables that the receiver has were acknowledged.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -201,6 +201,8 @@
 		this.control.execute(() -> {
 			SharedTable table = this.tables.get(push.table());
 			if (table == null) {
+				// Without an acknowledgement, the sender would replace the link.
+				link.send(new Message.RecordsPushAck(push.table(), push.nextOffset(), push.epoch()));
 				return;
 			}
 			KeyedTable.Update update = new KeyedTable.Update(push.fromOffset(), push.records(), push.epoch());
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
@@ -203,6 +203,9 @@
 
 		private PeerTableSync peerSync;
 
+		/** Links of this host to others that were closed. */
+		private int closedLinks;
+
 		/** What the changes of the table have told this host. */
 		private final SimulatedView view = SimulatedView.empty();
 
@@ -296,6 +299,20 @@
 				.sum();
 		}
 
+		/**
+		 * Adds a table that the store has too, with the same records, at this host only.
+		 */
+		void addTable(String name) {
+			TableFeed added = TableFeed.polling(name, this, SimulatedHosts.this.clock, this.control, 100, (changes) -> {
+			});
+			this.sharing.add(added, 100);
+			added.start();
+		}
+
+		int closedLinks() {
+			return this.closedLinks;
+		}
+
 		boolean reads() {
 			return !this.feed.following();
 		}
@@ -519,6 +536,7 @@
 		public void close() {
 			if (!this.closed) {
 				this.closed = true;
+				this.opener.closedLinks++;
 				this.listener.closed(this);
 			}
 		}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingTests.java
@@ -324,6 +324,17 @@
 		}
 	}
 
+	/** Its pushes were not acknowledged, and the link was replaced for all tables. */
+	@Test
+	void tableThatOnlyTheReaderKnowsDoesNotCloseItsLinks() {
+		SimulatedHosts nine = nineHostsOfOneDataCentre();
+		SimulatedHosts.Host reader = reader(nine);
+		int closed = reader.closedLinks();
+		reader.addTable("rollouts");
+		nine.advance(5_000);
+		assertThat(reader.closedLinks()).isEqualTo(closed);
+	}
+
 	/** How a store numbers its records. */
 	enum Numbering {
 
