Refuse streams at once that would outlast a planned stop

A stream that may run once is lost to its caller when it is cut. Cause: for 0.3 of the grace time, 2.4 of 8 s, a stopping host sent every stream to an engine, however long it was; what was left, 5.3 to 7.7 s, is less than many streams take. Change: a stream is judged by when it is expected to end: prompt, twice its hint up to the maximum, the speed of its service with half as much again, and the prefill queue that placement accepts. How far hints are off is not in the logs; twice the hint is an assumption. A stream that states no size is judged by its timeout: nothing else bounds it. Calls are judged as before. The same test is made again before each send, so that long streams that wait for memory or for load reports are refused within a poll of the signal instead of after 2.4 s. Evidence: streamThatCannotEndBeforeTheProcessIsRefusedAtOnce, streamIsRefusedIfOthersOfItsServiceAreSlow, lengthOfAStreamIsJudgedByTwiceItsHintUpToTheMaximum (900 tokens, hint 300), streamOfUnknownLengthIsServedIfItsTimeoutPassesBeforeTheProcessEnds (7,681 ms), longStreamThatWaitsForMemoryIsRefusedAtTheNextPoll and longStreamThatAwaitsLoadReportsIsRefusedOnceTheyArrive failed before: the streams were sent. Existing tests: DrainStateTests held that a stream of 60 s is taken 2.4 s after the signal, which is the fault; it now holds that one is taken that ends with the process and refused that ends a millisecond later. generationThatStillWaitsIsGivenBackAsNotRun let a stream wait that is now refused on arrival; it uses a short one, and the long one has a test of its own that demands the refusal 2.4 s earlier. Why it works: nothing is sent that is expected to outlast the process, and the caller is told that its request has not run while another host can still serve it. It is a forecast: streams beyond the margins may still be cut. Streams taken before the signal that last longer than the grace time are cut as before; no host that stops can save them.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/DrainState.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/DrainState.java
@@ -3,15 +3,16 @@
 import io.dotterelcrank.common.Clock;
 
 /**
- * Which new requests are refused during a graceful shutdown: streams after a while, and
- * later all, so that none is active when the process ends. Addresses the load pattern of
- * a balancer that still sends requests for seconds. Confined to the traffic thread.
+ * Which new requests are refused during a graceful shutdown, so that none is active when
+ * the process ends: streams that are too long at once, all streams after a while, and
+ * later all requests. Addresses the load pattern of a balancer that still sends requests
+ * for seconds. Confined to the traffic thread.
  */
 final class DrainState {
 
 	/**
-	 * Fraction of the grace period in which everything is sent to targets, since a
-	 * balancer still sends new requests.
+	 * Fraction of the grace period in which short streams and all other requests are sent
+	 * to targets, since a balancer still sends new requests.
 	 */
 	static final double EARLY_FRACTION = 0.3;
 
@@ -59,16 +60,17 @@
 
 	/**
 	 * Returns whether a request is not to be sent to a target any more, as the process
-	 * may end before its response does.
-	 * @param stream whether the response is a stream, which may take much longer than
-	 * what is left
-	 * @param endsByMillis when the request ends at the latest, by the clock of the
-	 * process
-	 * @return {@code false} early in a graceful shutdown and before
+	 * may end before its response does. Calls take much less than their timeout as a
+	 * rule, so that early in a shutdown it does not count.
+	 * @param stream whether the response is a stream
+	 * @param endsByMillis when the request is expected to end at the latest, by the clock
+	 * of the process
+	 * @return {@code false} before a graceful shutdown
 	 */
 	boolean refusesSend(boolean stream, long endsByMillis) {
 		boolean early = millis() <= this.graceMillis * EARLY_FRACTION;
-		return started() && !early && (stream || endsByMillis > this.endsAtMillis);
+		boolean outlasts = endsByMillis > this.endsAtMillis;
+		return started() && (stream ? !early || outlasts : !early && outlasts);
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -211,7 +211,24 @@
 	 * @return {@code true} if the request must not be sent to a target any more
 	 */
 	boolean outlastsShutdown() {
-		return this.relayService.drainState().refusesSend(this.request.streaming(), this.request.timeoutAtMillis());
+		return this.relayService.drainState().refusesSend(this.request.streaming(), endsByMillis());
+	}
+
+	/**
+	 * Returns when the response is expected to end at the latest.
+	 * @return time by the clock of the process; the timeout unless the request is a
+	 * stream whose size is known
+	 */
+	private long endsByMillis() {
+		long timeoutAtMillis = this.request.timeoutAtMillis();
+		if (!this.request.streaming() || this.request.request().traits().isEmpty()) {
+			return timeoutAtMillis;
+		}
+		StreamForecast forecast = new StreamForecast(this.request.statistics(), this.request.tokensPerEvent());
+		long nowMillis = this.relayService.clock().millis();
+		long streamMillis = Math.min(timeoutAtMillis - nowMillis,
+				forecast.maxMillis(this.request.request().traits().get(), this.request.lastEventId() > 0));
+		return Math.min(timeoutAtMillis, nowMillis + demand().maxQueueMillis() + streamMillis);
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/DrainStateTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/DrainStateTests.java
@@ -31,7 +31,8 @@
 	void streamsAndLongRequestsAreRefusedBeforeOthers() {
 		this.drainState.start(5_000, 7_000);
 		this.clock.advance(2_399);
-		assertThat(refusesSend(true, 60_000)).isFalse();
+		assertThat(refusesSend(true, 4_601)).isFalse();
+		assertThat(refusesSend(true, 4_602)).isTrue();
 		assertThat(refusesSend(false, 60_000)).isFalse();
 		this.clock.advance(1);
 		assertThat(refusesSend(true, 1)).isTrue();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/PlannedStopTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/PlannedStopTests.java
@@ -2,10 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
+import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.ResultCode;
 
@@ -23,6 +27,9 @@
 
 	private static final long EARLY_MILLIS = 2_400;
 
+	/** A generation that takes about two seconds at most. */
+	private static final GenerationTraits SHORT = new GenerationTraits(100, 100, OptionalLong.empty(), List.of());
+
 	private final RelayFixture fixture = new RelayFixture();
 
 	private final RecordingCallerChannel caller = new RecordingCallerChannel();
@@ -66,17 +73,70 @@
 	/** Streams that waited for memory were started seconds before they were cut. */
 	@Test
 	void generationThatStillWaitsIsGivenBackAsNotRun() {
+		fillEngines();
+		this.fixture.acceptGeneration(SHORT, this.caller);
+		assertThat(this.caller.endCount()).isZero();
+		this.fixture.advance(EARLY_MILLIS + RelayService.POLL_MILLIS);
+		assertRefused();
+	}
+
+	private void fillEngines() {
 		for (String engine : List.of("e1", "e2", "e3")) {
 			this.fixture.reportLoad(engine, 8, RelayFixture.MEMORY_TOKENS);
 		}
-		this.fixture.accept("/summary/1", this.caller);
-		assertThat(this.caller.endCount()).isZero();
-		this.fixture.advance(EARLY_MILLIS + RelayService.POLL_MILLIS);
+	}
+
+	private void assertRefused() {
 		assertThat(this.caller.failure().code()).isEqualTo(ResultCode.ENTRY_LEAVING);
 		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
+		assertThat(this.caller.failure().retryAfterMillis()).isBetween(200L, 1_000L);
 		assertThat(this.fixture.targetClient().sendCount()).isZero();
 	}
 
+	/** Streams taken after the signal were cut by the end of the process. */
+	@Test
+	void streamThatCannotEndBeforeTheProcessIsRefusedAtOnce() {
+		this.fixture.accept("/summary/1", this.caller);
+		assertRefused();
+	}
+
+	@Test
+	void streamThatEndsBeforeTheProcessIsServed() {
+		this.fixture.advance(EARLY_MILLIS - 1);
+		this.fixture.acceptGeneration(SHORT, this.caller);
+		assertThat(this.fixture.targetClient().sendCount()).isOne();
+	}
+
+	@Test
+	void streamIsRefusedIfOthersOfItsServiceAreSlow() {
+		GenerationStatistics statistics = this.fixture.relayService()
+			.targetPool()
+			.statistics(this.fixture.relayService().plan().service("bench").orElseThrow());
+		for (int i = 0; i < 100; i++) {
+			statistics.recordStream(101, 20_000);
+		}
+		this.fixture.acceptGeneration(SHORT, this.caller);
+		assertRefused();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "900, 200, true", "900, 300, false", "400, 400, true", "400, 900, true" })
+	void lengthOfAStreamIsJudgedByTwiceItsHintUpToTheMaximum(long maxTokens, long hint, boolean served) {
+		this.fixture.acceptGeneration(new GenerationTraits(100, maxTokens, OptionalLong.of(hint), List.of()),
+				this.caller);
+		assertThat(this.fixture.targetClient().sendCount()).isEqualTo(served ? 1 : 0);
+		assertThat(this.caller.endCount()).isEqualTo(served ? 0 : 1);
+	}
+
+	/** How long it takes is known of its timeout only. */
+	@ParameterizedTest
+	@CsvSource({ "7680, true", "7681, false" })
+	void streamOfUnknownLengthIsServedIfItsTimeoutPassesBeforeTheProcessEnds(long deadlineMillis, boolean served) {
+		this.fixture.acceptCall("/notes/1", deadlineMillis, this.caller);
+		assertThat(this.fixture.targetClient().sendCount()).isEqualTo(served ? 1 : 0);
+		assertThat(this.caller.endCount()).isEqualTo(served ? 0 : 1);
+	}
+
 	@Test
 	void callersOfWhatIsActiveAtTheEndAreToldThatItMayHaveRun() {
 		RecordingCallerChannel waiting = new RecordingCallerChannel();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -268,11 +268,14 @@
 	}
 
 	RelayedRequest acceptGeneration(List<String> sharedParts, RecordingCallerChannel caller) {
+		return acceptGeneration(new GenerationTraits(100, 100, OptionalLong.empty(), sharedParts), caller);
+	}
+
+	RelayedRequest acceptGeneration(GenerationTraits traits, RecordingCallerChannel caller) {
 		this.requestCount++;
 		return this.relayService.accept(new CallerRequest("attempt-" + this.requestCount, "POST", "a.example",
 				"/notes/1", List.of(), ("prompt " + this.requestCount).getBytes(StandardCharsets.UTF_8),
-				Optional.of("key"), Optional.of(new GenerationTraits(100, 100, OptionalLong.empty(), sharedParts)),
-				OptionalLong.empty(), 39_000, now()), caller);
+				Optional.of("key"), Optional.of(traits), OptionalLong.empty(), 39_000, now()), caller);
 	}
 
 	long now() {
