Send no stream whose admission comes after the signal to stop

What callers saw: a stream for whose admission a sidecar was asked when SIGTERM came was sent to the engine once the response came or was late, and cut at the end of the process. Cause: only requests in the queue are judged again before they are sent; the send after an admission response, and the one without admission after two silent sidecars, were not. Why it works: every first send of a request passes sendOrPlaceAgain, which now judges it.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -290,11 +290,15 @@
 
 	/**
 	 * Sends the request to the chosen target, or places it again if that target no longer
-	 * accepts it.
+	 * accepts it. Ends it if a shutdown that began after the choice leaves too little
+	 * time.
 	 * @param target chosen target; it has admitted the request unless it needs no
 	 * admission or its sidecar did not respond
 	 */
 	void sendOrPlaceAgain(TrackedTarget target) {
+		if (refusedForShutdown()) {
+			return;
+		}
 		if (!this.request.trySend(target, Optional.empty(), "placed")) {
 			placeOrEnqueue();
 			return;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestsWaitingAtStopTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestsWaitingAtStopTests.java
@@ -4,6 +4,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.ResultCode;
 
@@ -59,4 +61,29 @@
 		assertRefused(fixture);
 	}
 
+	/** Streams whose admission came after the signal were started, and cut. */
+	@Test
+	void longStreamThatAwaitsAdmissionIsNotSentWhenItIsAdmitted() {
+		RelayFixture fixture = new RelayFixture();
+		fixture.admissionClient().link();
+		fixture.accept("/summary/1", this.caller);
+		stop(fixture);
+		Message.AdmissionRequest request = fixture.admissionClient().request(0);
+		EngineLoad load = new EngineLoad("e1", "bench", "giza", fixture.engineAddress("e1"), 1, 1, 0, 0, 0,
+				RelayFixture.MEMORY_TOKENS, false, -1, 0);
+		fixture.relayService()
+			.handleAdmissionResponse(new Message.AdmissionResponse(request.requestNumber(), true, load));
+		assertRefused(fixture);
+	}
+
+	@Test
+	void longStreamIsNotSentWithoutAdmissionIfTheSidecarsAreSilent() {
+		RelayFixture fixture = new RelayFixture();
+		fixture.admissionClient().link();
+		fixture.accept("/summary/1", this.caller);
+		stop(fixture);
+		fixture.advance(2 * AdmissionRequester.TIMEOUT_MILLIS);
+		assertRefused(fixture);
+	}
+
 }
