Move the planned stop of an entry host out of its daemon

The loop in RelayEntryDaemon.stop ran on the thread of the signal and could be tested with real processes and by the machine's clock only. PlannedStop makes the same decisions on the traffic thread, by a clock and a scheduler that are passed in; the thread of the signal waits for it. Fractions and intervals are unchanged.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
-import io.netty.util.concurrent.Future;
 import org.apache.commons.rng.simple.RandomSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,24 +50,6 @@
 	 */
 	static final long SERVICE_UPDATE_MILLIS = 250;
 
-	/**
-	 * Fraction of the grace period after which idle connections are closed; without
-	 * active requests, the daemon stops right after.
-	 */
-	static final double IDLE_CLOSE_FRACTION = 0.4;
-
-	/**
-	 * Fraction of the grace period after which the process ends even if requests are
-	 * active, which get an error first.
-	 */
-	static final double FORCED_STOP_FRACTION = 0.96;
-
-	/**
-	 * Fraction of the grace period during which new requests are accepted; those that
-	 * could outlast the process are refused before.
-	 */
-	static final double ACCEPT_FRACTION = 0.7;
-
 	/**
 	 * Interval at which reports of sidecars without news renew the registration of their
 	 * target, in milliseconds.
@@ -82,9 +63,6 @@
 	 */
 	private static final long TARGETS_RETENTION_MILLIS = 1_800;
 
-	/** Interval between checks whether the daemon can stop, in milliseconds. */
-	private static final long STOP_POLL_MILLIS = 50;
-
 	private static final Logger logger = LoggerFactory.getLogger(RelayEntryDaemon.class);
 
 	private final RelayEntrySettings settings;
@@ -358,53 +336,48 @@
 
 	@Override
 	public void stop() {
-		long startedMillis = this.runtime.clock().millis();
-		long graceMillis = this.settings.relay().graceMillis();
+		PlannedStop plannedStop = PlannedStop.of(new StoppingHost(), this.runtime.clock(),
+				new EventLoopScheduler(this.runtime.trafficLoop()), this.settings.relay().graceMillis());
 		this.runtime.trafficLoop().execute(() -> {
 			LogEvent.PROCESS_STOPPING.log(logger, this.settings.common().name(), this.service.activeRequests());
-			this.service.startDraining((long) (graceMillis * ACCEPT_FRACTION),
-					(long) (graceMillis * FORCED_STOP_FRACTION));
-			this.callerServer.closeAfterResponses();
+			plannedStop.start();
 		});
-		boolean complete = false;
-		boolean forced = false;
-		while (!complete && !forced) {
-			pause();
-			long elapsedMillis = this.runtime.clock().millis() - startedMillis;
-			complete = elapsedMillis > graceMillis * IDLE_CLOSE_FRACTION && tryCloseCallerServer();
-			forced = elapsedMillis > graceMillis * FORCED_STOP_FRACTION;
-		}
-		int aborted = this.service.activeRequests();
-		if (!complete) {
-			this.runtime.trafficLoop().submit(this.service::endActiveRequests).awaitUninterruptibly(STOP_POLL_MILLIS);
-			pause();
-		}
+		int aborted = plannedStop.awaitEnd().orElseGet(this.service::activeRequests);
 		LogEvent.PROCESS_STOPPED.log(logger, this.settings.common().name(), aborted);
 	}
 
+	@Override
+	public void kill() {
+		this.runtime.close();
+	}
+
 	/**
-	 * Closes the callers' server if no request is being read or served. Both happen in
-	 * one task of the traffic thread, so that no request arrives in between.
-	 * @return whether it is closed
+	 * This host in a planned stop. Confined to the traffic thread.
 	 */
-	private boolean tryCloseCallerServer() {
-		Future<Boolean> closed = this.runtime.trafficLoop()
-			.submit(() -> this.callerServer.closeIfIdle() && this.service.activeRequests() == 0);
-		return closed.awaitUninterruptibly(STOP_POLL_MILLIS) && closed.isSuccess() && closed.getNow();
-	}
+	private final class StoppingHost implements PlannedStop.Host {
 
-	private static void pause() {
-		try {
-			Thread.sleep(STOP_POLL_MILLIS);
+		@Override
+		public void startDraining(long acceptMillis, long endMillis) {
+			RelayEntryDaemon.this.service.startDraining(acceptMillis, endMillis);
+			RelayEntryDaemon.this.callerServer.closeAfterResponses();
 		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+
+		@Override
+		public boolean tryClose() {
+			return RelayEntryDaemon.this.callerServer.closeIfIdle()
+					&& RelayEntryDaemon.this.service.activeRequests() == 0;
+		}
+
+		@Override
+		public int activeRequests() {
+			return RelayEntryDaemon.this.service.activeRequests();
+		}
+
+		@Override
+		public void endActiveRequests() {
+			RelayEntryDaemon.this.service.endActiveRequests();
 		}
-	}
 
-	@Override
-	public void kill() {
-		this.runtime.close();
 	}
 
 	/**
--- /dev/null
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PlannedStopTests.java
@@ -0,0 +1,110 @@
+package io.dotterelcrank.daemon.relay;
+
+import org.junit.jupiter.api.Test;
+
+import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Scheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
+
+/**
+ * Tests of {@link PlannedStop} with a grace period of 8 s.
+ */
+class PlannedStopTests {
+
+	private static final long GRACE_MILLIS = 8_000;
+
+	private static final long FORCED_STOP_MILLIS = 7_680;
+
+	private final Clock.Manual clock = Clock.manual(100_000);
+
+	private final Scheduler.Manual scheduler = Scheduler.manual(this.clock);
+
+	private final RecordingHost host = new RecordingHost();
+
+	private final PlannedStop stop = PlannedStop.of(this.host, this.clock, this.scheduler, GRACE_MILLIS);
+
+	@Test
+	void idleHostEndsOnceIdleConnectionsAreClosed() {
+		this.host.idle = true;
+		this.stop.start();
+		this.scheduler.advance(3_200);
+		assertThat(this.stop.ended()).isFalse();
+		assertThat(this.host.closeAttempts).isZero();
+		this.scheduler.advance(PlannedStop.POLL_MILLIS);
+		assertThat(this.stop.awaitEnd()).contains(0);
+	}
+
+	@Test
+	void requestsThatAreActiveAtTheEndAreEndedWithAnError() {
+		this.host.activeRequests = 3;
+		this.stop.start();
+		this.scheduler.advance(FORCED_STOP_MILLIS);
+		assertThat(this.host.activeRequests).isEqualTo(3);
+		this.scheduler.advance(PlannedStop.POLL_MILLIS);
+		assertThat(this.host.activeRequests).isZero();
+		assertThat(this.stop.ended()).isFalse();
+		this.host.idle = true;
+		this.scheduler.advance(PlannedStop.POLL_MILLIS);
+		assertThat(this.stop.awaitEnd()).contains(3);
+	}
+
+	@Test
+	void errorInOneCheckDoesNotEndTheStop() {
+		this.host.failing = true;
+		this.stop.start();
+		assertThatIllegalStateException().isThrownBy(() -> this.scheduler.advance(GRACE_MILLIS));
+		this.host.failing = false;
+		this.host.idle = true;
+		this.scheduler.advance(PlannedStop.POLL_MILLIS);
+		assertThat(this.stop.ended()).isTrue();
+	}
+
+	@Test
+	void callerThatDoesNotReadDelaysTheEndNoLongerThanTheGracePeriod() {
+		this.stop.start();
+		this.scheduler.advance(GRACE_MILLIS - 100);
+		assertThat(this.stop.awaitEnd()).contains(0);
+	}
+
+	/**
+	 * A host whose state the test sets.
+	 */
+	private static final class RecordingHost implements PlannedStop.Host {
+
+		private int activeRequests;
+
+		private boolean idle;
+
+		private boolean failing;
+
+		private int closeAttempts;
+
+		@Override
+		public void startDraining(long acceptForMillis, long endAfterMillis) {
+			// Nothing arrives.
+		}
+
+		@Override
+		public boolean tryClose() {
+			this.closeAttempts++;
+			if (this.failing) {
+				throw new IllegalStateException("test");
+			}
+			return this.idle;
+		}
+
+		@Override
+		public int activeRequests() {
+			return this.activeRequests;
+		}
+
+		@Override
+		public void endActiveRequests() {
+			this.activeRequests = 0;
+		}
+
+	}
+
+}
