Let responses to slow callers be sent after the forced stop

What callers saw: possible, not observed: a caller that reads slowly lost the end of a complete response, or the error that says whether its request has run, if the host's grace time was nearly over. Cause: after the forced stop at 0.96 of the grace time the process ended one poll later, 0.05 to 0.1 s, whether or not what had been written to callers' connections was sent. Change: it ends once every response is sent to its last byte, at 0.98 of the grace time at the latest, which leaves 0.16 s of 8 s for the exit. Why it works: closeIfIdle closes no connection with bytes to send (a test of CallerServer holds that), and new requests are refused by then, so that what is left to send only shrinks.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PlannedStop.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PlannedStop.java
@@ -35,6 +35,12 @@
 	 */
 	static final double FORCED_STOP_FRACTION = 0.96;
 
+	/**
+	 * Fraction of the grace period after which the process ends even if responses are not
+	 * yet sent to their last byte.
+	 */
+	static final double UNSENT_EXIT_FRACTION = 0.98;
+
 	/**
 	 * Fraction of the grace period after which the process ends whatever the traffic
 	 * thread does.
@@ -128,7 +134,8 @@
 			this.aborted = this.host.activeRequests();
 			this.host.endActiveRequests();
 		}
-		else if (this.forced || (elapsedOver(IDLE_CLOSE_FRACTION) && this.host.tryClose())) {
+		else if ((elapsedOver(IDLE_CLOSE_FRACTION) && this.host.tryClose())
+				|| (this.forced && elapsedOver(UNSENT_EXIT_FRACTION))) {
 			this.ended.complete(this.aborted);
 		}
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PlannedStopTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PlannedStopTests.java
@@ -50,6 +50,17 @@
 		assertThat(this.stop.awaitEnd()).contains(3);
 	}
 
+	/** The process ended while responses to slow callers were being sent. */
+	@Test
+	void responsesThatAreBeingSentAtTheForcedStopGetTheRestOfTheGracePeriod() {
+		this.stop.start();
+		this.scheduler.advance(FORCED_STOP_MILLIS + 2 * PlannedStop.POLL_MILLIS);
+		assertThat(this.stop.ended()).isFalse();
+		this.host.idle = true;
+		this.scheduler.advance(PlannedStop.POLL_MILLIS);
+		assertThat(this.stop.ended()).isTrue();
+	}
+
 	@Test
 	void errorInOneCheckDoesNotEndTheStop() {
 		this.host.failing = true;
