Count the grace time of a stop from the signal

What callers saw: possible, not observed: with a busy traffic thread, a request that a stopping host accepted as short enough was cut at the forced stop. Cause: the times up to which requests are accepted and may run counted from the task in which the traffic thread starts the stop, the forced stop and the kill by the platform from the signal. The later that task ran, the more time DrainState believed to have. Evidence: timeThatTheTrafficThreadTakesToStartTheStopIsNotAddedToTheGracePeriod (0.7 s late: 5,600 ms for 4,900) and hostWhoseTrafficThreadStartsTheStopAfterItsEndRefusesAllRequests failed before, with the former logic in PlannedStop. Why it works: all times are what is left since the signal when the stop starts.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PlannedStop.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PlannedStop.java
@@ -91,8 +91,7 @@
 	 * Starts the stop.
 	 */
 	void start() {
-		this.host.startDraining((long) (this.graceMillis * ACCEPT_FRACTION),
-				(long) (this.graceMillis * FORCED_STOP_FRACTION));
+		this.host.startDraining(remainingMillis(ACCEPT_FRACTION), remainingMillis(FORCED_STOP_FRACTION));
 		this.trafficThread.scheduleWithFixedDelay(POLL_MILLIS, this::poll);
 	}
 
@@ -112,9 +111,7 @@
 	 */
 	Optional<Integer> awaitEnd() {
 		try {
-			long remainingMillis = this.signalledMillis + (long) (this.graceMillis * LAST_EXIT_FRACTION)
-					- this.clock.millis();
-			return Optional.of(this.ended.get(remainingMillis, TimeUnit.MILLISECONDS));
+			return Optional.of(this.ended.get(remainingMillis(LAST_EXIT_FRACTION), TimeUnit.MILLISECONDS));
 		}
 		catch (TimeoutException | ExecutionException ex) {
 			return Optional.empty();
@@ -140,6 +137,16 @@
 		}
 	}
 
+	/**
+	 * Returns the time until a fraction of the grace period has passed since the signal.
+	 * @param fraction the fraction
+	 * @return time in milliseconds, not negative
+	 */
+	private long remainingMillis(double fraction) {
+		long endMillis = this.signalledMillis + (long) (this.graceMillis * fraction);
+		return Math.max(0, endMillis - this.clock.millis());
+	}
+
 	private boolean elapsedOver(double fraction) {
 		return this.clock.millis() - this.signalledMillis > this.graceMillis * fraction;
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PlannedStopTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PlannedStopTests.java
@@ -79,6 +79,24 @@
 		assertThat(this.stop.awaitEnd()).contains(0);
 	}
 
+	/** Requests were sent that the process could not wait for. */
+	@Test
+	void timeThatTheTrafficThreadTakesToStartTheStopIsNotAddedToTheGracePeriod() {
+		this.clock.advance(700);
+		this.stop.start();
+		assertThat(this.host.acceptMillis).isEqualTo(5_600 - 700);
+		assertThat(this.host.endMillis).isEqualTo(FORCED_STOP_MILLIS - 700);
+	}
+
+	@Test
+	void hostWhoseTrafficThreadStartsTheStopAfterItsEndRefusesAllRequests() {
+		this.clock.advance(GRACE_MILLIS);
+		this.stop.start();
+		assertThat(this.host.acceptMillis).isZero();
+		assertThat(this.host.endMillis).isZero();
+		assertThat(this.stop.awaitEnd()).isEmpty();
+	}
+
 	/**
 	 * A host whose state the test sets.
 	 */
@@ -92,9 +110,14 @@
 
 		private int closeAttempts;
 
+		private long acceptMillis;
+
+		private long endMillis;
+
 		@Override
 		public void startDraining(long acceptForMillis, long endAfterMillis) {
-			// Nothing arrives.
+			this.acceptMillis = acceptForMillis;
+			this.endMillis = endAfterMillis;
 		}
 
 		@Override
