Log a caller's connection that ends while a request on it is open

The logs could not tell a caller that left from a connection that this host closed: idle limit, late head, exception, broken-off response and graceful stop had no line, and requests that arrive behind the last response were discarded silently.

DC904 names the request, the caller, how much was read, the cause and the time since the arrival. It is logged once for each connection, and only if a request was read, at least in part, and has no complete response: callers who leave between requests and idle connections have no line.

The mapper tells the id of a request by its head, so that a request that was read in part has its id in the line.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -304,7 +304,11 @@
 	CALLER_RESUMES(902, Level.INFO, "request={} resumes a stream route={} lastEvent={}"),
 
 	/** A request was rejected before all of it was read. */
-	REQUEST_UNREAD(903, Level.INFO, "request of caller={} rejected unread outcome={} message=\"{}\"");
+	REQUEST_UNREAD(903, Level.INFO, "request of caller={} rejected unread outcome={} message=\"{}\""),
+
+	/** A caller's connection is closed though a request on it has no response. */
+	CALLER_CLOSED(904, Level.INFO,
+			"request={} of caller={} not answered, connection closed read=\"{}\" cause=\"{}\" millis={}");
 
 	/** Maximum length of a value in the log; values may come from other writers. */
 	static final int MAX_VALUE_CHARS = 500;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -1,13 +1,12 @@
 package io.dotterelcrank.daemon.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -18,16 +17,9 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -37,11 +29,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
-import io.dotterelcrank.daemon.http.ErrorBody;
-import io.dotterelcrank.process.relay.CallerChannel;
-import io.dotterelcrank.process.relay.RelayedRequest;
 import io.dotterelcrank.request.Failure;
-import io.dotterelcrank.request.Header;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
 
@@ -70,6 +58,9 @@
 
 	private final Channel channel;
 
+	/** Address of the caller, which the channel forgets once it is closed. */
+	private final SocketAddress address;
+
 	/** Buffered messages of pipelined requests. */
 	private final Queue<HttpObject> pipelined = new ArrayDeque<>();
 
@@ -105,10 +96,14 @@
 	/** Whether the connection reads no further request and discards what arrives. */
 	private boolean discardsInput;
 
+	/** Whether the end of a request without a response is logged already. */
+	private boolean unansweredLogged;
+
 	CallerConnection(CallerServer server, Channel channel) {
 		super(false);
 		this.server = server;
 		this.channel = channel;
+		this.address = channel.remoteAddress();
 		this.idleSinceMillis = server.clock().millis();
 		this.lastWrite = channel.newSucceededFuture();
 	}
@@ -140,6 +135,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.server.remove(this);
+		logUnanswered("the caller closed it");
 		this.discardsInput = true;
 		this.pipelined.forEach(ReferenceCountUtil::release);
 		this.pipelined.clear();
@@ -151,6 +147,9 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
 		if (this.discardsInput) {
+			if (message instanceof HttpRequest request) {
+				logUnanswered(this.server.requestId(request), "head", this.arrivedMillis, "arrived after the last response");
+			}
 			ReferenceCountUtil.release(message);
 			return;
 		}
@@ -220,7 +219,7 @@
 	private void rejectIncomplete(Failure failure) {
 		LogEvent.REQUEST_UNREAD.log(logger, this.channel.remoteAddress(), failure.code().name(), failure.message());
 		this.discardsInput = true;
-		new CallerExchange(this.requestHead, false).sendError(failure);
+		new CallerExchange(this, this.requestHead, false, this.arrivedMillis).sendError(failure);
 		this.requestHead = null;
 	}
 
@@ -228,23 +227,30 @@
 		HttpRequest request = this.requestHead;
 		this.requestHead = null;
 		this.receivingRequest = false;
-		CallerExchange dispatched = new CallerExchange(request, HttpUtil.isKeepAlive(request));
+		CallerExchange dispatched = new CallerExchange(this, request, HttpUtil.isKeepAlive(request),
+				this.arrivedMillis);
 		this.currentExchange = dispatched;
 		try {
-			dispatched.relayedRequest = this.server.service()
+			dispatched.relayedAs(this.server.service()
 				.accept(this.server.messageMapper()
-					.readRequest(request, this.requestBody.toByteArray(), this.arrivedMillis), dispatched);
+					.readRequest(request, this.requestBody.toByteArray(), this.arrivedMillis), dispatched));
 		}
 		catch (RequestException ex) {
 			dispatched.sendError(ex.failure());
 		}
 	}
 
-	private void responseEnded(boolean keepAlive, ChannelFuture write) {
+	/**
+	 * Goes on with the next request, or closes the connection once all is sent.
+	 * @param keepAlive whether the connection is kept
+	 * @param write completed once the response is sent
+	 */
+	void responseEnded(boolean keepAlive, ChannelFuture write) {
 		this.currentExchange = null;
 		this.lastWrite = write;
 		write.addListener((sent) -> this.idleSinceMillis = this.server.clock().millis());
 		if (!keepAlive) {
+			logUnanswered("the response before it was the last one");
 			this.discardsInput = true;
 			write.addListener((sent) -> closeAfterLastResponse());
 			return;
@@ -252,6 +258,17 @@
 		this.channel.eventLoop().execute(this::handlePipelined);
 	}
 
+	/**
+	 * Closes the connection without the rest of the response, once those before it are
+	 * sent.
+	 */
+	void abortResponse() {
+		logUnanswered("its response was broken off");
+		this.currentExchange = null;
+		this.discardsInput = true;
+		this.lastWrite.addListener((sent) -> this.channel.close());
+	}
+
 	/**
 	 * Ends the output at once, and closes the connection once the caller does or has had
 	 * time to read.
@@ -295,7 +312,7 @@
 			rejectIncomplete(Failure.notRun(ResultCode.OVERLOADED, "the body was not complete before the deadline"));
 		}
 		else if (headersLate || idle) {
-			this.channel.close();
+			close(headersLate ? "its head was not complete in time" : "the connection was idle");
 		}
 	}
 
@@ -306,136 +323,65 @@
 	 */
 	boolean closeIfIdle() {
 		if (this.currentExchange == null && !this.receivingRequest && this.lastWrite.isDone()) {
-			this.channel.close();
+			close("the server closes");
 		}
 		return !this.channel.isOpen();
 	}
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
-		if (this.currentExchange != null && this.currentExchange.relayedRequest != null) {
-			this.currentExchange.relayedRequest.callerWritabilityChanged(context.channel().isWritable());
+		if (this.currentExchange != null) {
+			this.currentExchange.callerWritabilityChanged(context.channel().isWritable());
 		}
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		context.close();
+		close(cause.toString());
+	}
+
+	private void close(String cause) {
+		logUnanswered(cause);
+		this.channel.close();
 	}
 
 	/**
-	 * One request and its response.
+	 * Logs why a request ends without a response, if one was read, even in part.
+	 * @param cause why the connection is closed or the request is not answered
 	 */
-	private final class CallerExchange implements CallerChannel {
-
-		/** Whether the method is HEAD, whose response has no body. */
-		private final boolean headOnly;
-
-		private final boolean keepAlive;
-
-		/** {@code null} if the request was rejected before it was relayed. */
-		private RelayedRequest relayedRequest;
-
-		/** Whether the response has ended or the caller has disconnected. */
-		private boolean ended;
-
-		CallerExchange(HttpRequest request, boolean keepAlive) {
-			this.headOnly = request != null && HttpMethod.HEAD.equals(request.method());
-			this.keepAlive = keepAlive;
-		}
-
-		private void callerDisconnected() {
-			this.ended = true;
-			if (this.relayedRequest != null) {
-				this.relayedRequest.callerDisconnected();
-			}
-		}
-
-		private boolean mayKeepConnection() {
-			return this.keepAlive && !CallerConnection.this.server.closing();
-		}
-
-		@Override
-		public void sendResponse(int status, List<Header> headers, byte[] body) {
-			if (this.ended) {
-				return;
-			}
-			this.ended = true;
-			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-					HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(this.headOnly ? new byte[0] : body));
-			addHeaders(headers, response.headers());
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-			boolean keepConnection = setConnectionHeader(response);
-			responseEnded(keepConnection, CallerConnection.this.channel.writeAndFlush(response));
-		}
-
-		private static void addHeaders(List<Header> headers, HttpHeaders target) {
-			headers.forEach((header) -> target.add(header.name(), header.value()));
-		}
-
-		/**
-		 * Announces that the connection will be closed, unless it is kept.
-		 * @param response response to set the header of
-		 * @return whether the connection is kept
-		 */
-		private boolean setConnectionHeader(HttpResponse response) {
-			boolean keepConnection = mayKeepConnection();
-			if (!keepConnection) {
-				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-			}
-			return keepConnection;
+	private void logUnanswered(String cause) {
+		if (this.discardsInput) {
+			return;
 		}
-
-		@Override
-		public void startResponse(int status, List<Header> headers) {
-			if (this.ended) {
-				return;
-			}
-			HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-			addHeaders(headers, response.headers());
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-			setConnectionHeader(response);
-			CallerConnection.this.channel.writeAndFlush(response);
+		if (this.currentExchange != null) {
+			logUnanswered(this.currentExchange.requestId(), "whole", this.currentExchange.arrivedMillis(), cause);
 		}
-
-		@Override
-		public void write(byte[] chunk) {
-			if (!this.ended) {
-				CallerConnection.this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)));
-			}
+		else if (this.requestHead != null) {
+			logUnanswered(this.server.requestId(this.requestHead),
+					"head and " + this.requestBody.size() + " bytes of the body", this.arrivedMillis, cause);
 		}
-
-		@Override
-		public void end() {
-			if (!this.ended) {
-				this.ended = true;
-				responseEnded(mayKeepConnection(),
-						CallerConnection.this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
-			}
+		else if (this.pipelined.peek() instanceof HttpRequest request) {
+			logUnanswered(this.server.requestId(request), "pipelined", this.arrivedMillis, cause);
 		}
-
-		@Override
-		public void sendError(Failure failure) {
-			sendResponse(failure.code().httpStatus(),
-					CallerConnection.this.server.messageMapper().failureHeaders(failure), ErrorBody.bytes(failure));
+		else if (this.receivingRequest) {
+			logUnanswered("", "part of the head", this.arrivedMillis, cause);
 		}
+	}
 
-		@Override
-		public void abort() {
-			if (this.ended) {
-				return;
-			}
-			this.ended = true;
-			CallerConnection.this.currentExchange = null;
-			CallerConnection.this.discardsInput = true;
-			CallerConnection.this.lastWrite.addListener((sent) -> CallerConnection.this.channel.close());
+	private void logUnanswered(String requestId, String read, long requestArrivedMillis, String cause) {
+		if (!this.unansweredLogged) {
+			this.unansweredLogged = true;
+			LogEvent.CALLER_CLOSED.log(logger, requestId, String.valueOf(this.address), read, cause,
+					this.server.clock().millis() - requestArrivedMillis);
 		}
+	}
 
-		@Override
-		public boolean writable() {
-			return CallerConnection.this.channel.isWritable();
-		}
+	Channel channel() {
+		return this.channel;
+	}
 
+	CallerServer server() {
+		return this.server;
 	}
 
 }
--- /dev/null
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
@@ -0,0 +1,175 @@
+package io.dotterelcrank.daemon.relay;
+
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+import io.dotterelcrank.daemon.http.ErrorBody;
+import io.dotterelcrank.process.relay.CallerChannel;
+import io.dotterelcrank.process.relay.RelayedRequest;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Header;
+
+/**
+ * One request on a caller's connection and its response. Confined to the traffic thread.
+ */
+final class CallerExchange implements CallerChannel {
+
+	private final CallerConnection connection;
+
+	private final Channel channel;
+
+	/** Id of the request; empty if it has none or its head was not read. */
+	private final String requestId;
+
+	/** Whether the method is HEAD, whose response has no body. */
+	private final boolean headOnly;
+
+	private final boolean keepAlive;
+
+	/** Time at which the first bytes of the request arrived, in milliseconds. */
+	private final long arrivedMillis;
+
+	/** {@code null} if the request was rejected before it was relayed. */
+	private RelayedRequest relayedRequest;
+
+	/** Whether the response has ended or the caller has disconnected. */
+	private boolean ended;
+
+	/**
+	 * Creates an exchange without a response.
+	 * @param connection the caller's connection
+	 * @param request head of the request; {@code null} if it was not read
+	 * @param keepAlive whether the connection may be kept
+	 * @param arrivedMillis time at which the first bytes arrived, in milliseconds
+	 */
+	CallerExchange(CallerConnection connection, HttpRequest request, boolean keepAlive, long arrivedMillis) {
+		this.connection = connection;
+		this.channel = connection.channel();
+		this.requestId = connection.server().requestId(request);
+		this.headOnly = request != null && HttpMethod.HEAD.equals(request.method());
+		this.keepAlive = keepAlive;
+		this.arrivedMillis = arrivedMillis;
+	}
+
+	String requestId() {
+		return this.requestId;
+	}
+
+	long arrivedMillis() {
+		return this.arrivedMillis;
+	}
+
+	void relayedAs(RelayedRequest request) {
+		this.relayedRequest = request;
+	}
+
+	void callerDisconnected() {
+		this.ended = true;
+		if (this.relayedRequest != null) {
+			this.relayedRequest.callerDisconnected();
+		}
+	}
+
+	void callerWritabilityChanged(boolean writable) {
+		if (this.relayedRequest != null) {
+			this.relayedRequest.callerWritabilityChanged(writable);
+		}
+	}
+
+	private boolean mayKeepConnection() {
+		return this.keepAlive && !this.connection.server().closing();
+	}
+
+	@Override
+	public void sendResponse(int status, List<Header> headers, byte[] body) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(this.headOnly ? new byte[0] : body));
+		addHeaders(headers, response.headers());
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+		boolean keepConnection = setConnectionHeader(response);
+		this.connection.responseEnded(keepConnection, this.channel.writeAndFlush(response));
+	}
+
+	private static void addHeaders(List<Header> headers, HttpHeaders target) {
+		headers.forEach((header) -> target.add(header.name(), header.value()));
+	}
+
+	/**
+	 * Announces that the connection will be closed, unless it is kept.
+	 * @param response response to set the header of
+	 * @return whether the connection is kept
+	 */
+	private boolean setConnectionHeader(HttpResponse response) {
+		boolean keepConnection = mayKeepConnection();
+		if (!keepConnection) {
+			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		}
+		return keepConnection;
+	}
+
+	@Override
+	public void startResponse(int status, List<Header> headers) {
+		if (this.ended) {
+			return;
+		}
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+		addHeaders(headers, response.headers());
+		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		setConnectionHeader(response);
+		this.channel.writeAndFlush(response);
+	}
+
+	@Override
+	public void write(byte[] chunk) {
+		if (!this.ended) {
+			this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)));
+		}
+	}
+
+	@Override
+	public void end() {
+		if (!this.ended) {
+			this.ended = true;
+			this.connection.responseEnded(mayKeepConnection(),
+					this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+		}
+	}
+
+	@Override
+	public void sendError(Failure failure) {
+		sendResponse(failure.code().httpStatus(), this.connection.server().messageMapper().failureHeaders(failure),
+				ErrorBody.bytes(failure));
+	}
+
+	@Override
+	public void abort() {
+		if (!this.ended) {
+			this.ended = true;
+			this.connection.abortResponse();
+		}
+	}
+
+	@Override
+	public boolean writable() {
+		return this.channel.isWritable();
+	}
+
+}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -102,7 +103,7 @@
 		return server;
 	}
 
-	private void closeTimedOut() {
+	void closeTimedOut() {
 		List.copyOf(this.connections).forEach(CallerConnection::closeIfTimedOut);
 	}
 
@@ -149,6 +150,15 @@
 		return this.messageMapper;
 	}
 
+	/**
+	 * Returns the id of a request.
+	 * @param request head of the request; {@code null} if it was not read
+	 * @return the id; empty if it has none or its head was not read
+	 */
+	String requestId(HttpRequest request) {
+		return (request != null) ? this.messageMapper.requestId(request) : "";
+	}
+
 	CallerLimits limits() {
 		return this.limits.get();
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpMessageMapper.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpMessageMapper.java
@@ -30,6 +30,13 @@
 	 */
 	CallerRequest readRequest(HttpRequest head, byte[] body, long arrivedMillis) throws RequestException;
 
+	/**
+	 * Returns the id of a caller's request, for logs.
+	 * @param head head of the request
+	 * @return the id; empty if it has none
+	 */
+	String requestId(HttpRequest head);
+
 	/**
 	 * Returns how long a caller waits for its response.
 	 * @param head head of the request
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -55,6 +55,8 @@
 
 	private final int port;
 
+	private final CallerServer server;
+
 	/** 0 before the first plan. */
 	private long planVersion;
 
@@ -64,11 +66,11 @@
 	/** Services with a target of their own, by path prefix. */
 	private final Map<String, InetSocketAddress> added = new TreeMap<>();
 
-	private RelayServerFixture(long timeoutMillis) throws IOException, InterruptedException {
+	private RelayServerFixture(long timeoutMillis, HttpMessageMapper mapper, Clock clock)
+			throws IOException, InterruptedException {
 		this.timeoutMillis = timeoutMillis;
-		Clock clock = Clock.system();
 		this.service = RelayService.of(clock, new EventLoopScheduler(this.loop),
-				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(this.loop), new TestMessageMapper())),
+				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(this.loop), mapper)),
 				new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
 				new MetricRegistry());
 		this.loop.submit(() -> {
@@ -78,8 +80,8 @@
 		try (ServerSocket free = new ServerSocket(0)) {
 			this.port = free.getLocalPort();
 		}
-		CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), this.service,
-				new TestMessageMapper(), this.service::callerLimits, clock);
+		this.server = CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), this.service, mapper,
+				this.service::callerLimits, clock);
 	}
 
 	static RelayServerFixture start() throws IOException, InterruptedException {
@@ -87,7 +89,16 @@
 	}
 
 	static RelayServerFixture start(long timeoutMillis) throws IOException, InterruptedException {
-		RelayServerFixture fixture = new RelayServerFixture(timeoutMillis);
+		RelayServerFixture fixture = new RelayServerFixture(timeoutMillis, new TestMessageMapper(), Clock.system());
+		fixture.putInForce(LIMITS);
+		return fixture;
+	}
+
+	/**
+	 * Starts a server that uses a mapper and a clock of the test.
+	 */
+	static RelayServerFixture start(HttpMessageMapper mapper, Clock clock) throws IOException, InterruptedException {
+		RelayServerFixture fixture = new RelayServerFixture(TIMEOUT_MILLIS, mapper, clock);
 		fixture.putInForce(LIMITS);
 		return fixture;
 	}
@@ -114,7 +125,7 @@
 	 * Starts a server whose host has received no plan.
 	 */
 	static RelayServerFixture withoutPlan() throws IOException, InterruptedException {
-		return new RelayServerFixture(TIMEOUT_MILLIS);
+		return new RelayServerFixture(TIMEOUT_MILLIS, new TestMessageMapper(), Clock.system());
 	}
 
 	/**
@@ -141,6 +152,14 @@
 				List.of(new Route.WeightedService(serviceName, 1)), 1, true, 180, false);
 	}
 
+	EventLoop loop() {
+		return this.loop;
+	}
+
+	CallerServer server() {
+		return this.server;
+	}
+
 	ScriptedTarget target() {
 		return this.target;
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
@@ -26,7 +26,7 @@
  * Mapper for tests: {@code Id} identifies the request, {@code Seal} marks a response that
  * the target confirms as its own, {@code Not-Run} marks a request that was not executed.
  */
-final class TestMessageMapper implements HttpMessageMapper {
+class TestMessageMapper implements HttpMessageMapper {
 
 	@Override
 	public CallerRequest readRequest(HttpRequest head, byte[] body, long arrivedMillis) {
@@ -37,9 +37,14 @@
 				headers.add(new Header(header.getKey(), header.getValue()));
 			}
 		}
-		return new CallerRequest(head.headers().get("Id", ""), head.method().name(), head.headers().get("Host", ""),
-				head.uri(), headers, body, Optional.empty(), Optional.empty(), OptionalLong.empty(),
-				deadlineMillis(head), arrivedMillis);
+		return new CallerRequest(requestId(head), head.method().name(), head.headers().get("Host", ""), head.uri(),
+				headers, body, Optional.empty(), Optional.empty(), OptionalLong.empty(), deadlineMillis(head),
+				arrivedMillis);
+	}
+
+	@Override
+	public String requestId(HttpRequest head) {
+		return head.headers().get("Id", "");
 	}
 
 	@Override
