Answer a request that meets a defect while it is read

Callers saw their connection closed without a response after a whole request, or, if the request was pipelined, nothing at all until their deadline.

Cause: an exception or error from the mapper, from the relay or from the connection itself reached exceptionCaught, which closed the connection. In the task that goes on with pipelined requests it reached nobody, and the exchange stayed open. A defect in the next request's bytes also closed the connection under the request that was being served, and one in the check for timeouts ended these checks for all connections, as a periodic task of the event loop ends with its first exception.

Now the exchange answers with an internal error, status 500, which promises nothing; it says "not run" only if the relay never had the request. What was read in part is rejected in the same way, and a request that is being served goes on to its response, after which the connection is closed. DC880 has the stack trace.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -1,6 +1,7 @@
 package io.dotterelcrank.daemon.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -29,15 +30,17 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
 
 /**
  * One caller's connection. Invariants: one request at a time; pipelined requests are
  * buffered until the response has ended; a complete response is sent to its last byte
- * whatever becomes of the next one, while the caller reads. Confined to the traffic
- * thread.
+ * whatever becomes of the next one, while the caller reads; a defect that a request meets
+ * is answered. Confined to the traffic thread.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -148,7 +151,8 @@
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
 		if (this.discardsInput) {
 			if (message instanceof HttpRequest request) {
-				logUnanswered(this.server.requestId(request), "head", this.arrivedMillis, "arrived after the last response");
+				logUnanswered(this.server.requestId(request), "head", this.arrivedMillis,
+						"arrived after the last response");
 			}
 			ReferenceCountUtil.release(message);
 			return;
@@ -230,13 +234,23 @@
 		CallerExchange dispatched = new CallerExchange(this, request, HttpUtil.isKeepAlive(request),
 				this.arrivedMillis);
 		this.currentExchange = dispatched;
+		CallerRequest read;
 		try {
-			dispatched.relayedAs(this.server.service()
-				.accept(this.server.messageMapper()
-					.readRequest(request, this.requestBody.toByteArray(), this.arrivedMillis), dispatched));
+			read = this.server.messageMapper().readRequest(request, this.requestBody.toByteArray(), this.arrivedMillis);
 		}
 		catch (RequestException ex) {
 			dispatched.sendError(ex.failure());
+			return;
+		}
+		catch (RuntimeException | Error ex) {
+			dispatched.endAfterDefect(Ran.NO, ex);
+			return;
+		}
+		try {
+			dispatched.relayedAs(this.server.service().accept(read, dispatched));
+		}
+		catch (RuntimeException | Error ex) {
+			dispatched.endAfterDefect(Ran.UNKNOWN, ex);
 		}
 	}
 
@@ -249,7 +263,7 @@
 		this.currentExchange = null;
 		this.lastWrite = write;
 		write.addListener((sent) -> this.idleSinceMillis = this.server.clock().millis());
-		if (!keepAlive) {
+		if (!keepAlive || this.discardsInput) {
 			logUnanswered("the response before it was the last one");
 			this.discardsInput = true;
 			write.addListener((sent) -> closeAfterLastResponse());
@@ -280,8 +294,13 @@
 	}
 
 	private void handlePipelined() {
-		while (this.currentExchange == null && !this.discardsInput && !this.pipelined.isEmpty()) {
-			handle(this.pipelined.poll());
+		try {
+			while (this.currentExchange == null && !this.discardsInput && !this.pipelined.isEmpty()) {
+				handle(this.pipelined.poll());
+			}
+		}
+		catch (RuntimeException | Error ex) {
+			endAfterDefect(ex);
 		}
 		this.channel.config().setAutoRead(true);
 	}
@@ -337,7 +356,31 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		close(cause.toString());
+		if (cause instanceof IOException) {
+			close(cause.toString());
+			return;
+		}
+		endAfterDefect(cause);
+	}
+
+	/**
+	 * Reads nothing more after a defect. The request that is served goes on; one that was
+	 * read in part is rejected.
+	 * @param defect what the connection has met
+	 */
+	void endAfterDefect(Throwable defect) {
+		String requestId = (this.currentExchange != null) ? this.currentExchange.requestId()
+				: this.server.requestId(this.requestHead);
+		if (this.currentExchange != null) {
+			this.discardsInput = true;
+		}
+		else if (!this.discardsInput && (this.requestHead != null || this.receivingRequest)) {
+			rejectIncomplete(Failure.notRun(ResultCode.INTERNAL, "internal error"));
+		}
+		else if (!this.discardsInput) {
+			close(defect.toString());
+		}
+		LogEvent.REQUEST_DEFECT.log(logger, requestId, defect.toString(), defect);
 	}
 
 	private void close(String cause) {
@@ -350,12 +393,12 @@
 	 * @param cause why the connection is closed or the request is not answered
 	 */
 	private void logUnanswered(String cause) {
-		if (this.discardsInput) {
-			return;
-		}
 		if (this.currentExchange != null) {
 			logUnanswered(this.currentExchange.requestId(), "whole", this.currentExchange.arrivedMillis(), cause);
 		}
+		else if (this.discardsInput) {
+			return;
+		}
 		else if (this.requestHead != null) {
 			logUnanswered(this.server.requestId(this.requestHead),
 					"head and " + this.requestBody.size() + " bytes of the body", this.arrivedMillis, cause);
@@ -376,6 +419,10 @@
 		}
 	}
 
+	boolean mayServeNext() {
+		return !this.discardsInput && !this.server.closing();
+	}
+
 	Channel channel() {
 		return this.channel;
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
@@ -16,18 +16,25 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.daemon.http.ErrorBody;
 import io.dotterelcrank.process.relay.CallerChannel;
 import io.dotterelcrank.process.relay.RelayedRequest;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Header;
+import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.ResultCode;
 
 /**
  * One request on a caller's connection and its response. Confined to the traffic thread.
  */
 final class CallerExchange implements CallerChannel {
 
+	private static final Logger logger = LoggerFactory.getLogger(CallerExchange.class);
+
 	private final CallerConnection connection;
 
 	private final Channel channel;
@@ -91,7 +98,7 @@
 	}
 
 	private boolean mayKeepConnection() {
-		return this.keepAlive && !this.connection.server().closing();
+		return this.keepAlive && this.connection.mayServeNext();
 	}
 
 	@Override
@@ -159,6 +166,17 @@
 				ErrorBody.bytes(failure));
 	}
 
+	/**
+	 * Ends the exchange after a defect: with an error, or if the response has begun, by
+	 * breaking it off.
+	 * @param ran whether a target has run the request
+	 * @param defect what the exchange has met
+	 */
+	void endAfterDefect(Ran ran, Throwable defect) {
+		sendError(new Failure(ResultCode.INTERNAL, ran, 0, "internal error"));
+		LogEvent.REQUEST_DEFECT.log(logger, this.requestId, defect.toString(), defect);
+	}
+
 	@Override
 	public void abort() {
 		if (!this.ended) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -104,7 +104,14 @@
 	}
 
 	void closeTimedOut() {
-		List.copyOf(this.connections).forEach(CallerConnection::closeIfTimedOut);
+		for (CallerConnection connection : List.copyOf(this.connections)) {
+			try {
+				connection.closeIfTimedOut();
+			}
+			catch (RuntimeException | Error ex) {
+				connection.endAfterDefect(ex);
+			}
+		}
 	}
 
 	/**
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
@@ -5,19 +5,30 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.AppenderBase;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.process.relay.TargetClient;
+import io.dotterelcrank.process.relay.TargetRequest;
+import io.dotterelcrank.request.CallerRequest;
+import io.dotterelcrank.request.Failure;
+import io.dotterelcrank.request.Header;
+import io.dotterelcrank.request.RequestException;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -27,14 +38,22 @@
  */
 class CallerConnectionTests {
 
+	private static final String EVENT_STREAM_HEAD = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n"
+			+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+	private static final String EVENT = "f\r\nid: 1\ndata: x\n\n\r\n";
+
 	private static final String RESPONSE = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
 
+	/** Time without a byte after which a read of a caller fails, in milliseconds. */
+	private static final int READ_TIMEOUT_MILLIS = 10_000;
+
 	private final AtomicLong advancedMillis = new AtomicLong();
 
 	/** Unlike a manual clock it lets timeouts of the relay pass. */
 	private final Clock clock = () -> Clock.system().millis() + this.advancedMillis.get();
 
-	private final Logger logger = (Logger) LoggerFactory.getLogger(CallerConnection.class);
+	private final Logger logger = (Logger) LoggerFactory.getLogger(CallerConnection.class.getPackageName());
 
 	private final List<String> lines = new CopyOnWriteArrayList<>();
 
@@ -47,6 +66,8 @@
 
 	};
 
+	private final FaultyMessageMapper mapper = new FaultyMessageMapper();
+
 	private RelayServerFixture fixture;
 
 	private Socket socket;
@@ -58,8 +79,9 @@
 		this.appender.start();
 		this.logger.addAppender(this.appender);
 		this.logger.setLevel(Level.INFO);
-		this.fixture = RelayServerFixture.start(new TestMessageMapper(), this.clock);
+		this.fixture = RelayServerFixture.start(this.mapper, this.clock);
 		this.socket = this.fixture.connect();
+		this.socket.setSoTimeout(READ_TIMEOUT_MILLIS);
 		this.caller = CallerReader.of(this.socket);
 	}
 
@@ -79,6 +101,13 @@
 		this.fixture.target().respondWith(RESPONSE);
 		this.caller.send(request);
 		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+		awaitLoop();
+	}
+
+	/** The response may be read before the server has noticed that it is sent. */
+	private void awaitLoop() {
+		this.fixture.loop().submit(() -> {
+		}).syncUninterruptibly();
 	}
 
 	private void sweep() throws InterruptedException {
@@ -139,4 +168,141 @@
 		assertThat(this.lines).isEmpty();
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "1", "2" })
+	void requestThatCannotBeReadIsAnswered(String unreadable) throws Exception {
+		this.mapper.onRequest = (id) -> {
+			if (id.equals(unreadable)) {
+				throw new StackOverflowError();
+			}
+		};
+		this.fixture.target().respondWith(RESPONSE.replace("Id: 1", unreadable.equals("1") ? "Id: 2" : "Id: 1"));
+		this.caller.send(request("GET /lookup/x", "1", "") + request("GET /lookup/y", "2", ""));
+		if (unreadable.equals("2")) {
+			assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+		}
+		assertThat(this.caller.read(false)).startsWith("500 ").contains("\"ran\":\"no\"");
+		assertThat(awaitLine()).startsWith("DC880 request=" + unreadable + " ");
+		if (unreadable.equals("1")) {
+			assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+		}
+	}
+
+	@Test
+	void requestThatCannotBeRelayedIsAnswered() throws Exception {
+		this.mapper.readsNothing = true;
+		this.caller.send(request("POST /order/x", "1", "b"));
+		assertThat(this.caller.read(false)).startsWith("500 ").contains("\"ran\":\"unknown\"");
+	}
+
+	@Test
+	void requestWhoseSendMeetsAnErrorIsAnswered() throws Exception {
+		this.mapper.onSend = () -> {
+			throw new StackOverflowError();
+		};
+		this.caller.send(request("POST /order/x", "1", "b"));
+		assertThat(this.caller.read(false)).matches("50[024] .*");
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 80 })
+	void requestThatIsReadInPartIsAnsweredAfterADefect(int length) throws Exception {
+		String request = request("POST /order/x", "1", "b".repeat(100));
+		this.caller.send(request.substring(0, length));
+		Thread.sleep(50);
+		this.fixture.withdrawLimits();
+		this.caller.send(request.substring(length));
+		assertThat(this.caller.read(false)).startsWith("500 ").contains("\"ran\":\"no\"");
+		assertThat(this.caller.read(false)).isEqualTo("closed");
+	}
+
+	@Test
+	void requestThatIsBeingServedIsAnsweredThoughTheNextOneMeetsADefect() throws Exception {
+		this.caller.send(request("POST /order/x", "1", "b"));
+		while (this.fixture.target().requests().isEmpty()) {
+			Thread.onSpinWait();
+		}
+		this.fixture.withdrawLimits();
+		this.caller.send(request("POST /order/y", "2", "b"));
+		Thread.sleep(50);
+		this.fixture.target().respondWith(RESPONSE);
+		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+		assertThat(this.caller.read(false)).isEqualTo("closed");
+	}
+
+	@Test
+	void defectOfOneConnectionDoesNotEndTheChecksOfTheOthers() throws Exception {
+		this.mapper.onDeadline = () -> {
+			throw new IllegalStateException("no deadline");
+		};
+		String request = request("POST /order/x", "1", "bb");
+		this.caller.send(request.substring(0, request.length() - 1));
+		assertThat(this.caller.read(false)).startsWith("500 ").contains("\"ran\":\"no\"");
+		try (Socket idle = this.fixture.connect()) {
+			Thread.sleep(50);
+			this.advancedMillis.addAndGet(16_000);
+			assertThat(idle.getInputStream().read()).isEqualTo(-1);
+		}
+	}
+
+	/**
+	 * Throws, or returns what cannot be used, where a test says so.
+	 */
+	private static final class FaultyMessageMapper extends TestMessageMapper {
+
+		private volatile Consumer<String> onRequest = (id) -> {
+		};
+
+		private volatile Runnable onSend = () -> {
+		};
+
+		private volatile Runnable onResponse = () -> {
+		};
+
+		private volatile Runnable onFailure = () -> {
+		};
+
+		private volatile Runnable onDeadline = () -> {
+		};
+
+		private volatile boolean readsNothing;
+
+		private volatile Header responseHeader;
+
+		@Override
+		public CallerRequest readRequest(HttpRequest head, byte[] body, long arrivedMillis) {
+			this.onRequest.accept(requestId(head));
+			return this.readsNothing ? null : super.readRequest(head, body, arrivedMillis);
+		}
+
+		@Override
+		public long deadlineMillis(HttpRequest head) {
+			this.onDeadline.run();
+			return super.deadlineMillis(head);
+		}
+
+		@Override
+		public HttpHeaders targetHeaders(TargetRequest request) {
+			this.onSend.run();
+			return super.targetHeaders(request);
+		}
+
+		@Override
+		public TargetClient.ResponseHead readResponseHead(HttpResponse response, TargetRequest request)
+				throws RequestException {
+			this.onResponse.run();
+			TargetClient.ResponseHead head = super.readResponseHead(response, request);
+			return (this.responseHeader != null) ? new TargetClient.ResponseHead(head.status(),
+					List.of(this.responseHeader), head.ran(), head.misdirected(), head.confirmed(), head.eventStream(),
+					head.requestLimit(), head.leaving(), head.pauseMillis()) : head;
+		}
+
+		@Override
+		public List<Header> failureHeaders(Failure failure) {
+			this.onFailure.run();
+			return super.failureHeaders(failure);
+		}
+
+	}
+
 }
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -42,6 +42,8 @@
 	/** Timeout of routes unless a test sets another one, in milliseconds. */
 	private static final long TIMEOUT_MILLIS = 2_000;
 
+	private static final long LONG_TIMEOUT_MILLIS = 60_000;
+
 	/** Time without a byte after which a read of a caller fails, in milliseconds. */
 	private static final int READ_TIMEOUT_MILLIS = 30_000;
 
@@ -57,6 +59,8 @@
 
 	private final CallerServer server;
 
+	private volatile boolean limitsWithdrawn;
+
 	/** 0 before the first plan. */
 	private long planVersion;
 
@@ -81,7 +85,7 @@
 			this.port = free.getLocalPort();
 		}
 		this.server = CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), this.service, mapper,
-				this.service::callerLimits, clock);
+				this::limits, clock);
 	}
 
 	static RelayServerFixture start() throws IOException, InterruptedException {
@@ -95,10 +99,11 @@
 	}
 
 	/**
-	 * Starts a server that uses a mapper and a clock of the test.
+	 * Starts a server that uses a mapper and a clock of the test, and whose routes leave
+	 * the timeout to the caller.
 	 */
 	static RelayServerFixture start(HttpMessageMapper mapper, Clock clock) throws IOException, InterruptedException {
-		RelayServerFixture fixture = new RelayServerFixture(TIMEOUT_MILLIS, mapper, clock);
+		RelayServerFixture fixture = new RelayServerFixture(LONG_TIMEOUT_MILLIS, mapper, clock);
 		fixture.putInForce(LIMITS);
 		return fixture;
 	}
@@ -152,6 +157,20 @@
 				List.of(new Route.WeightedService(serviceName, 1)), 1, true, 180, false);
 	}
 
+	private CallerLimits limits() {
+		if (this.limitsWithdrawn) {
+			throw new IllegalStateException("no limits");
+		}
+		return this.service.callerLimits();
+	}
+
+	/**
+	 * Makes each further look at the limits for callers fail.
+	 */
+	void withdrawLimits() {
+		this.limitsWithdrawn = true;
+	}
+
 	EventLoop loop() {
 		return this.loop;
 	}
