Answer a request whose response cannot be built or written

Callers waited until their deadline, or saw their connection closed, though a target had answered.

Cause: the exchange was marked as ended before its response was built. When building threw, nothing had been written, and abort() and the deadline did nothing any more. startResponse left the response without a head, the pieces behind it failed to encode, and a failed write was ignored: the connection was kept, and the next response on it would have been taken for the missing one.

A write that fails while the channel is open was not reproduced over sockets.

Now a response counts as ended once it is handed to the channel. If building fails, the exchange sends an internal error that needs no mapper, and the request is cancelled at its target; a response that has begun is broken off, and so is one of which a write fails. abort() without a response sends an internal error, too: it follows a defect of the relay.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/CallerChannel.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/CallerChannel.java
@@ -45,7 +45,8 @@
 	void sendError(Failure failure);
 
 	/**
-	 * Aborts a started response so that the caller sees it as incomplete.
+	 * Aborts a started response so that the caller sees it as incomplete. Without one,
+	 * the caller gets an internal error.
 	 */
 	void abort();
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -199,7 +199,7 @@
 			rejectTooLarge();
 		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
-			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+			write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
 	}
 
@@ -254,6 +254,22 @@
 		}
 	}
 
+	/**
+	 * Writes a part of a response. The connection is closed if that fails: what is
+	 * written later would be taken for the missing part.
+	 * @param message what to write
+	 * @return completed once it is sent
+	 */
+	ChannelFuture write(HttpObject message) {
+		ChannelFuture written = this.channel.writeAndFlush(message);
+		written.addListener((sent) -> {
+			if (!sent.isSuccess() && this.channel.isOpen()) {
+				close("cannot write a response: " + sent.cause());
+			}
+		});
+		return written;
+	}
+
 	/**
 	 * Goes on with the next request, or closes the connection once all is sent.
 	 * @param keepAlive whether the connection is kept
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
@@ -53,6 +53,9 @@
 	/** {@code null} if the request was rejected before it was relayed. */
 	private RelayedRequest relayedRequest;
 
+	/** Whether the head of a response whose body follows in pieces was written. */
+	private boolean started;
+
 	/** Whether the response has ended or the caller has disconnected. */
 	private boolean ended;
 
@@ -106,13 +109,22 @@
 		if (this.ended) {
 			return;
 		}
-		this.ended = true;
+		try {
+			sendWhole(status, headers, body);
+		}
+		catch (RuntimeException | Error ex) {
+			endAfterDefect(Ran.UNKNOWN, ex);
+		}
+	}
+
+	private void sendWhole(int status, List<Header> headers, byte[] body) {
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(this.headOnly ? new byte[0] : body));
 		addHeaders(headers, response.headers());
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		boolean keepConnection = setConnectionHeader(response);
-		this.connection.responseEnded(keepConnection, this.channel.writeAndFlush(response));
+		this.ended = true;
+		this.connection.responseEnded(keepConnection, this.connection.write(response));
 	}
 
 	private static void addHeaders(List<Header> headers, HttpHeaders target) {
@@ -137,17 +149,29 @@
 		if (this.ended) {
 			return;
 		}
-		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-		addHeaders(headers, response.headers());
-		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-		setConnectionHeader(response);
-		this.channel.writeAndFlush(response);
+		try {
+			HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+			addHeaders(headers, response.headers());
+			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+			setConnectionHeader(response);
+			this.started = true;
+			this.connection.write(response);
+		}
+		catch (RuntimeException | Error ex) {
+			endAfterDefect(Ran.UNKNOWN, ex);
+		}
 	}
 
 	@Override
 	public void write(byte[] chunk) {
-		if (!this.ended) {
-			this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)));
+		if (this.ended) {
+			return;
+		}
+		try {
+			this.connection.write(new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)));
+		}
+		catch (RuntimeException | Error ex) {
+			endAfterDefect(Ran.UNKNOWN, ex);
 		}
 	}
 
@@ -156,33 +180,61 @@
 		if (!this.ended) {
 			this.ended = true;
 			this.connection.responseEnded(mayKeepConnection(),
-					this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+					this.connection.write(LastHttpContent.EMPTY_LAST_CONTENT));
 		}
 	}
 
 	@Override
 	public void sendError(Failure failure) {
-		sendResponse(failure.code().httpStatus(), this.connection.server().messageMapper().failureHeaders(failure),
-				ErrorBody.bytes(failure));
+		if (this.ended) {
+			return;
+		}
+		try {
+			sendWhole(failure.code().httpStatus(), this.connection.server().messageMapper().failureHeaders(failure),
+					ErrorBody.bytes(failure));
+		}
+		catch (RuntimeException | Error ex) {
+			endAfterDefect(failure.ran(), ex);
+		}
 	}
 
 	/**
 	 * Ends the exchange after a defect: with an error, or if the response has begun, by
-	 * breaking it off.
+	 * breaking it off. The error depends on no mapper, which may be what has failed.
 	 * @param ran whether a target has run the request
 	 * @param defect what the exchange has met
 	 */
 	void endAfterDefect(Ran ran, Throwable defect) {
-		sendError(new Failure(ResultCode.INTERNAL, ran, 0, "internal error"));
+		try {
+			if (!this.ended && !this.started) {
+				Failure failure = new Failure(ResultCode.INTERNAL, ran, 0, "internal error");
+				sendWhole(failure.code().httpStatus(), List.of(), ErrorBody.bytes(failure));
+			}
+		}
+		catch (RuntimeException | Error ex) {
+			defect.addSuppressed(ex);
+		}
+		if (!this.ended) {
+			this.ended = true;
+			this.connection.abortResponse();
+		}
+		if (this.relayedRequest != null) {
+			this.channel.eventLoop().execute(this.relayedRequest::callerDisconnected);
+		}
 		LogEvent.REQUEST_DEFECT.log(logger, this.requestId, defect.toString(), defect);
 	}
 
 	@Override
 	public void abort() {
-		if (!this.ended) {
-			this.ended = true;
-			this.connection.abortResponse();
+		if (this.ended) {
+			return;
+		}
+		if (!this.started) {
+			sendError(Failure.mayHaveRun(ResultCode.INTERNAL, "internal error"));
+			return;
 		}
+		this.ended = true;
+		this.connection.abortResponse();
 	}
 
 	@Override
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
@@ -245,6 +245,27 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "POST /order/x", "GET /lookup/x", "POST /stream/x" })
+	void responseThatCannotBeEncodedIsReplacedByAnError(String line) throws Exception {
+		this.mapper.responseHeader = new Header("not a name", "x");
+		boolean stream = line.contains("stream");
+		this.fixture.target().respondWith(stream ? EVENT_STREAM_HEAD + EVENT + "0\r\n\r\n" : RESPONSE);
+		this.caller.send(request(line, "1", ""));
+		assertThat(this.caller.read(false)).startsWith("500 ").contains("\"ran\":\"unknown\"");
+		this.mapper.responseHeader = null;
+		assertServed(request("GET /lookup/x", "1", ""));
+	}
+
+	@Test
+	void errorThatCannotBeEncodedIsReplacedByAnother() throws Exception {
+		this.mapper.onFailure = () -> {
+			throw new IllegalStateException("no headers");
+		};
+		this.caller.send(request("GET /unknown", "1", ""));
+		assertThat(this.caller.read(false)).startsWith("500 ");
+	}
+
 	/**
 	 * Throws, or returns what cannot be used, where a test says so.
 	 */
