Keep a connection that the head of a response announced as kept

Callers whose stream ended after a graceful stop had begun lost their connection without notice, and a next request on it was read and discarded.

Cause: whether the connection is kept was decided twice, for the head of the response and at its end. If the stop began in between, the head had promised to keep the connection, and the end closed it.

Now the head decides. The next request gets its response with Connection: close, and a connection without one is closed by closeIfIdle as before.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
@@ -56,6 +56,9 @@
 	/** Whether the head of a response whose body follows in pieces was written. */
 	private boolean started;
 
+	/** Whether the head of the response says that the connection is kept. */
+	private boolean keepsConnection;
+
 	/** Whether the response has ended or the caller has disconnected. */
 	private boolean ended;
 
@@ -100,10 +103,6 @@
 		}
 	}
 
-	private boolean mayKeepConnection() {
-		return this.keepAlive && this.connection.mayServeNext();
-	}
-
 	@Override
 	public void sendResponse(int status, List<Header> headers, byte[] body) {
 		if (this.ended) {
@@ -122,9 +121,9 @@
 				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(this.headOnly ? new byte[0] : body));
 		addHeaders(headers, response.headers());
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-		boolean keepConnection = setConnectionHeader(response);
+		setConnectionHeader(response);
 		this.ended = true;
-		this.connection.responseEnded(keepConnection, this.connection.write(response));
+		this.connection.responseEnded(this.keepsConnection, this.connection.write(response));
 	}
 
 	private static void addHeaders(List<Header> headers, HttpHeaders target) {
@@ -134,14 +133,12 @@
 	/**
 	 * Announces that the connection will be closed, unless it is kept.
 	 * @param response response to set the header of
-	 * @return whether the connection is kept
 	 */
-	private boolean setConnectionHeader(HttpResponse response) {
-		boolean keepConnection = mayKeepConnection();
-		if (!keepConnection) {
+	private void setConnectionHeader(HttpResponse response) {
+		this.keepsConnection = this.keepAlive && this.connection.mayServeNext();
+		if (!this.keepsConnection) {
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
-		return keepConnection;
 	}
 
 	@Override
@@ -179,7 +176,7 @@
 	public void end() {
 		if (!this.ended) {
 			this.ended = true;
-			this.connection.responseEnded(mayKeepConnection(),
+			this.connection.responseEnded(this.keepsConnection,
 					this.connection.write(LastHttpContent.EMPTY_LAST_CONTENT));
 		}
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
@@ -266,6 +266,20 @@
 		assertThat(this.caller.read(false)).startsWith("500 ");
 	}
 
+	@Test
+	void connectionThatIsAnnouncedAsKeptIsKeptThoughTheServerCloses() throws Exception {
+		this.mapper.onResponse = () -> {
+			this.mapper.onResponse = () -> {
+			};
+			this.fixture.loop().execute(this.fixture.server()::closeAfterResponses);
+		};
+		this.fixture.target().respondWith(EVENT_STREAM_HEAD + EVENT + ScriptedTarget.PAUSE + "0\r\n\r\n");
+		this.caller.send(request("POST /stream/x", "1", "b"));
+		assertThat(this.caller.read(false)).startsWith("200 s id: 1");
+		assertServed(request("GET /lookup/x", "1", ""));
+		assertThat(this.caller.read(false)).isEqualTo("closed");
+	}
+
 	/**
 	 * Throws, or returns what cannot be used, where a test says so.
 	 */
