Count a next request that was read behind another as being read

Callers that send a next request before they have their response saw the connection closed without an answer to it: at once by a graceful stop, or by the idle timeout or the timeout for heads.

Cause: the flag that says that a request is being read was cleared when a request was dispatched, although the same bytes may hold the beginning of the next one. Then the connection counted as idle. And a whole request that waited for the response before it counted as a late head between the end of that response and the task that goes on with it.

Evidence, on the code before: nextRequestThatIsReadInPartIsNotCutOffByAPlannedStop (closeIfIdle closed the connection), nextRequestThatIsReadInPartIsNotIdle and pipelinedRequestIsNotCutOffBetweenTwoRequests ("closed" for "200 s ok") fail.

Now the state is derived from what holds the bytes: the decoder, the head whose body is being read, and the queue of pipelined messages. An empty line behind a request is no request, as before.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -59,6 +59,8 @@
 
 	private final CallerServer server;
 
+	private final StrictRequestDecoder decoder;
+
 	private final Channel channel;
 
 	/** Address of the caller, which the channel forgets once it is closed. */
@@ -73,7 +75,7 @@
 	private HttpRequest requestHead;
 
 	/**
-	 * Time at which the first bytes arrived after the last request was dispatched, in
+	 * Time at which the first bytes arrived after no request was being read, in
 	 * milliseconds.
 	 */
 	private long arrivedMillis;
@@ -84,9 +86,6 @@
 	 */
 	private long idleSinceMillis;
 
-	/** Whether bytes have arrived since the last request was dispatched. */
-	private boolean receivingRequest;
-
 	/** Completed once all bytes of the responses so far are sent. */
 	private ChannelFuture lastWrite;
 
@@ -102,9 +101,10 @@
 	/** Whether the end of a request without a response is logged already. */
 	private boolean unansweredLogged;
 
-	CallerConnection(CallerServer server, Channel channel) {
+	CallerConnection(CallerServer server, Channel channel, StrictRequestDecoder decoder) {
 		super(false);
 		this.server = server;
+		this.decoder = decoder;
 		this.channel = channel;
 		this.address = channel.remoteAddress();
 		this.idleSinceMillis = server.clock().millis();
@@ -120,8 +120,7 @@
 
 			@Override
 			public void channelRead(ChannelHandlerContext context, Object message) {
-				if (!CallerConnection.this.receivingRequest) {
-					CallerConnection.this.receivingRequest = true;
+				if (!readingRequest()) {
 					CallerConnection.this.arrivedMillis = CallerConnection.this.server.clock().millis();
 				}
 				context.fireChannelRead(message);
@@ -230,7 +229,6 @@
 	private void dispatch() {
 		HttpRequest request = this.requestHead;
 		this.requestHead = null;
-		this.receivingRequest = false;
 		CallerExchange dispatched = new CallerExchange(this, request, HttpUtil.isKeepAlive(request),
 				this.arrivedMillis);
 		this.currentExchange = dispatched;
@@ -331,8 +329,8 @@
 			return;
 		}
 		long nowMillis = this.server.clock().millis();
-		boolean awaitsRequest = this.receivingRequest && !this.discardsInput;
-		boolean headersLate = awaitsRequest && this.requestHead == null
+		boolean awaitsRequest = readingRequest() && !this.discardsInput;
+		boolean headersLate = awaitsRequest && this.requestHead == null && this.pipelined.isEmpty()
 				&& nowMillis - this.arrivedMillis > this.server.limits().headerTimeoutMillis();
 		ChannelOutboundBuffer outbound = this.channel.unsafe().outboundBuffer();
 		long unsentBytes = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
@@ -357,7 +355,7 @@
 	 * @return whether it is closed
 	 */
 	boolean closeIfIdle() {
-		if (this.currentExchange == null && !this.receivingRequest && this.lastWrite.isDone()) {
+		if (this.currentExchange == null && !readingRequest() && this.lastWrite.isDone()) {
 			close("the server closes");
 		}
 		return !this.channel.isOpen();
@@ -390,7 +388,7 @@
 		if (this.currentExchange != null) {
 			this.discardsInput = true;
 		}
-		else if (!this.discardsInput && (this.requestHead != null || this.receivingRequest)) {
+		else if (!this.discardsInput && readingRequest()) {
 			rejectIncomplete(Failure.notRun(ResultCode.INTERNAL, "internal error"));
 		}
 		else if (!this.discardsInput) {
@@ -422,7 +420,7 @@
 		else if (this.pipelined.peek() instanceof HttpRequest request) {
 			logUnanswered(this.server.requestId(request), "pipelined", this.arrivedMillis, cause);
 		}
-		else if (this.receivingRequest) {
+		else if (readingRequest()) {
 			logUnanswered("", "part of the head", this.arrivedMillis, cause);
 		}
 	}
@@ -435,6 +433,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether a request that is not yet dispatched was read, at least in part.
+	 * @return {@code true} also if it waits for the response before it
+	 */
+	private boolean readingRequest() {
+		return this.requestHead != null || !this.pipelined.isEmpty() || this.decoder.holdsPartOfRequest();
+	}
+
 	boolean mayServeNext() {
 		return !this.discardsInput && !this.server.closing();
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -83,10 +83,11 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					CallerConnection connection = new CallerConnection(server, channel);
+					StrictRequestDecoder decoder = new StrictRequestDecoder(() -> limits.get().maxHeaderBytes());
+					CallerConnection connection = new CallerConnection(server, channel, decoder);
 					channel.pipeline()
 						.addLast(connection.arrivalRecorder())
-						.addLast(new StrictRequestDecoder(() -> limits.get().maxHeaderBytes()))
+						.addLast(decoder)
 						.addLast(new ResponseEncoder())
 						.addLast(connection);
 				}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/StrictRequestDecoder.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/StrictRequestDecoder.java
@@ -87,6 +87,14 @@
 		this.pendingBytes = 0;
 	}
 
+	/**
+	 * Returns whether bytes of a message were read that is not passed on yet.
+	 * @return {@code false} also after an empty line, which may precede a request
+	 */
+	boolean holdsPartOfRequest() {
+		return this.pendingBytes > LINE_END_BYTES || actualReadableBytes() > 0;
+	}
+
 	private int maxLineBytes() {
 		return Math.max(MIN_LINE_LIMIT_BYTES, this.maxHeaderBytes.getAsInt());
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
@@ -280,6 +280,48 @@
 		assertThat(this.caller.read(false)).isEqualTo("closed");
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 10, 60 })
+	void nextRequestThatIsReadInPartIsNotCutOffByAPlannedStop(int length) throws Exception {
+		String next = request("POST /order/y", "1", "body");
+		assertServed(request("GET /lookup/x", "1", "") + next.substring(0, length));
+		assertThat(this.fixture.loop().submit(this.fixture.server()::closeIfIdle).get()).isFalse();
+		Thread.sleep(50);
+		assertThat(this.fixture.loop().submit(this.fixture.server()::closeIfIdle).get()).isFalse();
+		assertServed(next.substring(length));
+	}
+
+	@Test
+	void nextRequestThatIsReadInPartIsNotIdle() throws Exception {
+		String next = request("POST /order/y", "1", "body").replace("Host: a", "Host: a\r\nWait: 60000");
+		assertServed(request("GET /lookup/x", "1", "") + next.substring(0, next.length() - 2));
+		this.advancedMillis.addAndGet(16_000);
+		sweep();
+		sweep();
+		assertServed(next.substring(next.length() - 2));
+	}
+
+	@Test
+	void pipelinedRequestIsNotCutOffBetweenTwoRequests() throws Exception {
+		this.mapper.onResponse = () -> {
+			this.advancedMillis.addAndGet(4_000);
+			this.fixture.loop().execute(this.fixture.server()::closeTimedOut);
+			this.fixture.loop().execute(this.fixture.server()::closeIfIdle);
+			this.mapper.onResponse = () -> {
+			};
+		};
+		this.caller.send(request("GET /lookup/x", "1", ""));
+		while (this.fixture.target().requests().isEmpty()) {
+			Thread.onSpinWait();
+		}
+		this.caller.send(request("POST /order/y", "1", "body").replace("Host: a", "Host: a\r\nWait: 60000"));
+		Thread.sleep(50);
+		this.fixture.target().respondWith(RESPONSE);
+		this.fixture.target().respondWith(RESPONSE);
+		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+	}
+
 	/**
 	 * Throws, or returns what cannot be used, where a test says so.
 	 */
