Keep idle connections for the timeout under which they became idle

Beside a version that lowers the idle timeout, all connections that had been idle for longer than the new one were closed at once. Callers may reuse a connection for four fifths of the timeout that they know, and requests that were on their way met the close.

Cause: only the timeout in force at the time of the check counted.

Evidence: connectionMayBeReusedAfterALowerIdleTimeoutForAsLongAsBefore got "closed" for "200 s ok" on the code before. raisedIdleTimeoutIsInForceAtOnce passed before and pins the other direction.

Now the larger one counts, of the timeout in force and the one in force when the connection became idle. A raise holds at once; a lower one holds from the end of the next response on. loweredIdleTimeoutIsInForceOnAnOpenConnection of CallerLimitsTests is unchanged and passes, but waits for the 15 s of its old limit.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -86,6 +86,12 @@
 	 */
 	private long idleSinceMillis;
 
+	/**
+	 * Idle timeout in force at that time, in milliseconds. A lower one does not shorten
+	 * the time that the caller has been promised with the last response.
+	 */
+	private long promisedIdleMillis;
+
 	/** Completed once all bytes of the responses so far are sent. */
 	private ChannelFuture lastWrite;
 
@@ -107,7 +113,7 @@
 		this.decoder = decoder;
 		this.channel = channel;
 		this.address = channel.remoteAddress();
-		this.idleSinceMillis = server.clock().millis();
+		becomeIdle();
 		this.lastWrite = channel.newSucceededFuture();
 	}
 
@@ -276,7 +282,7 @@
 	void responseEnded(boolean keepAlive, ChannelFuture write) {
 		this.currentExchange = null;
 		this.lastWrite = write;
-		write.addListener((sent) -> this.idleSinceMillis = this.server.clock().millis());
+		write.addListener((sent) -> becomeIdle());
 		if (!keepAlive || this.discardsInput) {
 			logUnanswered("the response before it was the last one");
 			this.discardsInput = true;
@@ -297,6 +303,11 @@
 		this.lastWrite.addListener((sent) -> this.channel.close());
 	}
 
+	private void becomeIdle() {
+		this.idleSinceMillis = this.server.clock().millis();
+		this.promisedIdleMillis = this.server.limits().idleTimeoutMillis();
+	}
+
 	/**
 	 * Ends the output at once, and closes the connection once the caller does or has had
 	 * time to read.
@@ -338,7 +349,8 @@
 			this.lastUnsentBytes = unsentBytes;
 			this.idleSinceMillis = nowMillis;
 		}
-		boolean idle = !awaitsRequest && nowMillis - this.idleSinceMillis > this.server.limits().idleTimeoutMillis();
+		long idleTimeoutMillis = Math.max(this.promisedIdleMillis, this.server.limits().idleTimeoutMillis());
+		boolean idle = !awaitsRequest && nowMillis - this.idleSinceMillis > idleTimeoutMillis;
 		boolean bodyLate = this.requestHead != null
 				&& nowMillis - this.arrivedMillis > this.server.messageMapper().deadlineMillis(this.requestHead);
 		if (bodyLate) {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
@@ -29,6 +29,7 @@
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Header;
 import io.dotterelcrank.request.RequestException;
+import io.dotterelcrank.version.plan.CallerLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -322,6 +323,29 @@
 		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
 	}
 
+	@Test
+	void connectionMayBeReusedAfterALowerIdleTimeoutForAsLongAsBefore() throws Exception {
+		assertServed(request("GET /lookup/x", "1", ""));
+		this.fixture.putInForce(new CallerLimits(2_000, 10_000, 3_000, 5_000));
+		this.advancedMillis.addAndGet(12_000);
+		sweep();
+		sweep();
+		assertServed(request("GET /lookup/x", "1", ""));
+		this.advancedMillis.addAndGet(6_000);
+		assertThat(this.socket.getInputStream().read()).isEqualTo(-1);
+	}
+
+	@Test
+	void raisedIdleTimeoutIsInForceAtOnce() throws Exception {
+		this.fixture.putInForce(new CallerLimits(2_000, 10_000, 3_000, 5_000));
+		assertServed(request("GET /lookup/x", "1", ""));
+		this.fixture.putInForce(new CallerLimits(2_000, 10_000, 3_000, 15_000));
+		this.advancedMillis.addAndGet(12_000);
+		sweep();
+		sweep();
+		assertServed(request("GET /lookup/x", "1", ""));
+	}
+
 	/**
 	 * Throws, or returns what cannot be used, where a test says so.
 	 */
