Answer requests that were read before a graceful stop closes their connection

Callers that pipeline saw no answer to requests that the host had read behind another one when a graceful stop began.

Cause: the response before them said that the connection closes, and what had been read already was discarded.

Evidence: pipelinedRequestsAreAnsweredThoughTheServerCloses got "closed" for the second "200 s ok" on the code before.

Now the connection is announced as closed by the first response behind which nothing has been read. The relay still refuses late requests, so that a caller cannot hold up the stop.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -453,8 +453,12 @@
 		return this.requestHead != null || !this.pipelined.isEmpty() || this.decoder.holdsPartOfRequest();
 	}
 
+	/**
+	 * Returns whether a further request may be served after the present one.
+	 * @return {@code true} while the server closes only if one was read already
+	 */
 	boolean mayServeNext() {
-		return !this.discardsInput && !this.server.closing();
+		return !this.discardsInput && (!this.server.closing() || readingRequest());
 	}
 
 	Channel channel() {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
@@ -346,6 +346,17 @@
 		assertServed(request("GET /lookup/x", "1", ""));
 	}
 
+	@Test
+	void pipelinedRequestsAreAnsweredThoughTheServerCloses() throws Exception {
+		this.fixture.loop().submit(this.fixture.server()::closeAfterResponses).sync();
+		this.fixture.target().respondWith(RESPONSE);
+		this.fixture.target().respondWith(RESPONSE);
+		this.caller.send(request("GET /lookup/x", "1", "") + request("GET /lookup/y", "1", ""));
+		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+		assertThat(this.caller.read(false)).isEqualTo("closed");
+	}
+
 	/**
 	 * Throws, or returns what cannot be used, where a test says so.
 	 */
