Read an idle connection once more before it is closed

Callers saw a reset instead of a response when their request had arrived at the host, but not been read, at the time of the idle check or of the close by a graceful stop.

Cause: both checks run as tasks of the event loop. Behind a long task, such as the change to a new plan, they run before the sockets are read again, so that a request of any age may wait there. The close then resets the connection.

Evidence: requestThatHasArrivedButIsUnreadIsNotCutOff sends a request from within a task and checks in the same one; on the code before it got "closed" for "200 s ok", for the idle timeout and for the stop. How often a task is that long in a deployment was not measured.

Now an idle connection is closed by a timer that was set during the check. The event loop reads its sockets before it runs timers that were set in the last round, and the close is dropped if bytes have arrived. closeIfIdle no longer cuts short the time that a caller has to read its last response.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -66,6 +66,9 @@
 	/** Address of the caller, which the channel forgets once it is closed. */
 	private final SocketAddress address;
 
+	/** Number of times that bytes arrived. */
+	private long reads;
+
 	/** Buffered messages of pipelined requests. */
 	private final Queue<HttpObject> pipelined = new ArrayDeque<>();
 
@@ -126,6 +129,7 @@
 
 			@Override
 			public void channelRead(ChannelHandlerContext context, Object message) {
+				CallerConnection.this.reads++;
 				if (!readingRequest()) {
 					CallerConnection.this.arrivedMillis = CallerConnection.this.server.clock().millis();
 				}
@@ -356,19 +360,37 @@
 		if (bodyLate) {
 			rejectIncomplete(Failure.notRun(ResultCode.OVERLOADED, "the body was not complete before the deadline"));
 		}
-		else if (headersLate || idle) {
-			close(headersLate ? "its head was not complete in time" : "the connection was idle");
+		else if (headersLate) {
+			close("its head was not complete in time");
+		}
+		else if (idle) {
+			closeUnlessReadFrom("the connection was idle");
 		}
 	}
 
 	/**
-	 * Closes the connection unless a request is being read or served, or a response is
-	 * not yet sent to its last byte.
-	 * @return whether it is closed
+	 * Closes an idle connection after the next read of its socket: a request may have
+	 * arrived while the event loop was busy.
+	 * @param cause why the connection is closed
+	 */
+	private void closeUnlessReadFrom(String cause) {
+		long readsBefore = this.reads;
+		this.channel.eventLoop().schedule(() -> {
+			if (this.reads == readsBefore || this.discardsInput) {
+				close(cause);
+			}
+		}, 1, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Closes the connection soon unless a request is being read or served, a response is
+	 * not yet sent to its last byte, or it is about to be closed after its last response.
+	 * @return whether it is closed already
 	 */
 	boolean closeIfIdle() {
-		if (this.currentExchange == null && !readingRequest() && this.lastWrite.isDone()) {
-			close("the server closes");
+		boolean idle = this.currentExchange == null && !readingRequest() && !this.discardsInput;
+		if (idle && this.lastWrite.isDone()) {
+			closeUnlessReadFrom("the server closes");
 		}
 		return !this.channel.isOpen();
 	}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -123,8 +123,8 @@
 	}
 
 	/**
-	 * Closes the connections on which no request is being read or served and, if no other
-	 * is left, stops accepting new ones.
+	 * Closes the connections on which no request is being read or served, once their
+	 * sockets were read once more, and stops accepting new ones if none is left.
 	 * @return whether the server is closed, so that no caller waits for a response
 	 */
 	public boolean closeIfIdle() {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
@@ -357,6 +357,25 @@
 		assertThat(this.caller.read(false)).isEqualTo("closed");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "idle", "stop" })
+	void requestThatHasArrivedButIsUnreadIsNotCutOff(String close) throws Exception {
+		assertServed(request("GET /lookup/x", "1", ""));
+		this.fixture.target().respondWith(RESPONSE);
+		this.fixture.loop().submit(() -> {
+			this.caller.send(request("POST /order/y", "1", "b"));
+			this.advancedMillis.addAndGet(close.equals("idle") ? 16_000 : 0);
+			if (close.equals("idle")) {
+				this.fixture.server().closeTimedOut();
+			}
+			else {
+				this.fixture.server().closeIfIdle();
+			}
+			return null;
+		}).sync();
+		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+	}
+
 	/**
 	 * Throws, or returns what cannot be used, where a test says so.
 	 */
