--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -1,13 +1,13 @@
 package io.dotterelcrank.daemon.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -18,16 +18,9 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -37,19 +30,17 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
-import io.dotterelcrank.daemon.http.ErrorBody;
-import io.dotterelcrank.process.relay.CallerChannel;
-import io.dotterelcrank.process.relay.RelayedRequest;
+import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
-import io.dotterelcrank.request.Header;
+import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
 
 /**
  * One caller's connection. Invariants: one request at a time; pipelined requests are
  * buffered until the response has ended; a complete response is sent to its last byte
- * whatever becomes of the next one, while the caller reads. Confined to the traffic
- * thread.
+ * whatever becomes of the next one, while the caller reads; a defect that a request meets
+ * is answered. Confined to the traffic thread.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -68,8 +59,16 @@
 
 	private final CallerServer server;
 
+	private final StrictRequestDecoder decoder;
+
 	private final Channel channel;
 
+	/** Address of the caller, which the channel forgets once it is closed. */
+	private final SocketAddress address;
+
+	/** Number of times that bytes arrived. */
+	private long reads;
+
 	/** Buffered messages of pipelined requests. */
 	private final Queue<HttpObject> pipelined = new ArrayDeque<>();
 
@@ -79,7 +78,7 @@
 	private HttpRequest requestHead;
 
 	/**
-	 * Time at which the first bytes arrived after the last request was dispatched, in
+	 * Time at which the first bytes arrived after no request was being read, in
 	 * milliseconds.
 	 */
 	private long arrivedMillis;
@@ -90,8 +89,11 @@
 	 */
 	private long idleSinceMillis;
 
-	/** Whether bytes have arrived since the last request was dispatched. */
-	private boolean receivingRequest;
+	/**
+	 * Idle timeout in force at that time, in milliseconds. A lower one does not shorten
+	 * the time that the caller has been promised with the last response.
+	 */
+	private long promisedIdleMillis;
 
 	/** Completed once all bytes of the responses so far are sent. */
 	private ChannelFuture lastWrite;
@@ -105,11 +107,16 @@
 	/** Whether the connection reads no further request and discards what arrives. */
 	private boolean discardsInput;
 
-	CallerConnection(CallerServer server, Channel channel) {
+	/** Whether the end of a request without a response is logged already. */
+	private boolean unansweredLogged;
+
+	CallerConnection(CallerServer server, Channel channel, StrictRequestDecoder decoder) {
 		super(false);
 		this.server = server;
+		this.decoder = decoder;
 		this.channel = channel;
-		this.idleSinceMillis = server.clock().millis();
+		this.address = channel.remoteAddress();
+		becomeIdle();
 		this.lastWrite = channel.newSucceededFuture();
 	}
 
@@ -122,8 +129,8 @@
 
 			@Override
 			public void channelRead(ChannelHandlerContext context, Object message) {
-				if (!CallerConnection.this.receivingRequest) {
-					CallerConnection.this.receivingRequest = true;
+				CallerConnection.this.reads++;
+				if (!readingRequest()) {
 					CallerConnection.this.arrivedMillis = CallerConnection.this.server.clock().millis();
 				}
 				context.fireChannelRead(message);
@@ -140,6 +147,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.server.remove(this);
+		logUnanswered("the caller closed it");
 		this.discardsInput = true;
 		this.pipelined.forEach(ReferenceCountUtil::release);
 		this.pipelined.clear();
@@ -151,6 +159,10 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
 		if (this.discardsInput) {
+			if (message instanceof HttpRequest request) {
+				logUnanswered(this.server.requestId(request), "head", this.arrivedMillis,
+						"arrived after the last response");
+			}
 			ReferenceCountUtil.release(message);
 			return;
 		}
@@ -196,7 +208,7 @@
 			rejectTooLarge();
 		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
-			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+			write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
 	}
 
@@ -220,31 +232,63 @@
 	private void rejectIncomplete(Failure failure) {
 		LogEvent.REQUEST_UNREAD.log(logger, this.channel.remoteAddress(), failure.code().name(), failure.message());
 		this.discardsInput = true;
-		new CallerExchange(this.requestHead, false).sendError(failure);
+		new CallerExchange(this, this.requestHead, false, this.arrivedMillis).sendError(failure);
 		this.requestHead = null;
 	}
 
 	private void dispatch() {
 		HttpRequest request = this.requestHead;
 		this.requestHead = null;
-		this.receivingRequest = false;
-		CallerExchange dispatched = new CallerExchange(request, HttpUtil.isKeepAlive(request));
+		CallerExchange dispatched = new CallerExchange(this, request, HttpUtil.isKeepAlive(request),
+				this.arrivedMillis);
 		this.currentExchange = dispatched;
+		CallerRequest read;
 		try {
-			dispatched.relayedRequest = this.server.service()
-				.accept(this.server.messageMapper()
-					.readRequest(request, this.requestBody.toByteArray(), this.arrivedMillis), dispatched);
+			read = this.server.messageMapper().readRequest(request, this.requestBody.toByteArray(), this.arrivedMillis);
 		}
 		catch (RequestException ex) {
 			dispatched.sendError(ex.failure());
+			return;
+		}
+		catch (RuntimeException | Error ex) {
+			dispatched.endAfterDefect(Ran.NO, ex);
+			return;
 		}
+		try {
+			dispatched.relayedAs(this.server.service().accept(read, dispatched));
+		}
+		catch (RuntimeException | Error ex) {
+			dispatched.endAfterDefect(Ran.UNKNOWN, ex);
+		}
+	}
+
+	/**
+	 * Writes a part of a response. The connection is closed if that fails: what is
+	 * written later would be taken for the missing part.
+	 * @param message what to write
+	 * @return completed once it is sent
+	 */
+	ChannelFuture write(HttpObject message) {
+		ChannelFuture written = this.channel.writeAndFlush(message);
+		written.addListener((sent) -> {
+			if (!sent.isSuccess() && this.channel.isOpen()) {
+				close("cannot write a response: " + sent.cause());
+			}
+		});
+		return written;
 	}
 
-	private void responseEnded(boolean keepAlive, ChannelFuture write) {
+	/**
+	 * Goes on with the next request, or closes the connection once all is sent.
+	 * @param keepAlive whether the connection is kept
+	 * @param write completed once the response is sent
+	 */
+	void responseEnded(boolean keepAlive, ChannelFuture write) {
 		this.currentExchange = null;
 		this.lastWrite = write;
-		write.addListener((sent) -> this.idleSinceMillis = this.server.clock().millis());
-		if (!keepAlive) {
+		write.addListener((sent) -> becomeIdle());
+		if (!keepAlive || this.discardsInput) {
+			logUnanswered("the response before it was the last one");
 			this.discardsInput = true;
 			write.addListener((sent) -> closeAfterLastResponse());
 			return;
@@ -252,6 +296,22 @@
 		this.channel.eventLoop().execute(this::handlePipelined);
 	}
 
+	/**
+	 * Closes the connection without the rest of the response, once those before it are
+	 * sent.
+	 */
+	void abortResponse() {
+		logUnanswered("its response was broken off");
+		this.currentExchange = null;
+		this.discardsInput = true;
+		this.lastWrite.addListener((sent) -> this.channel.close());
+	}
+
+	private void becomeIdle() {
+		this.idleSinceMillis = this.server.clock().millis();
+		this.promisedIdleMillis = this.server.limits().idleTimeoutMillis();
+	}
+
 	/**
 	 * Ends the output at once, and closes the connection once the caller does or has had
 	 * time to read.
@@ -263,8 +323,13 @@
 	}
 
 	private void handlePipelined() {
-		while (this.currentExchange == null && !this.discardsInput && !this.pipelined.isEmpty()) {
-			handle(this.pipelined.poll());
+		try {
+			while (this.currentExchange == null && !this.discardsInput && !this.pipelined.isEmpty()) {
+				handle(this.pipelined.poll());
+			}
+		}
+		catch (RuntimeException | Error ex) {
+			endAfterDefect(ex);
 		}
 		this.channel.config().setAutoRead(true);
 	}
@@ -279,8 +344,8 @@
 			return;
 		}
 		long nowMillis = this.server.clock().millis();
-		boolean awaitsRequest = this.receivingRequest && !this.discardsInput;
-		boolean headersLate = awaitsRequest && this.requestHead == null
+		boolean awaitsRequest = readingRequest() && !this.discardsInput;
+		boolean headersLate = awaitsRequest && this.requestHead == null && this.pipelined.isEmpty()
 				&& nowMillis - this.arrivedMillis > this.server.limits().headerTimeoutMillis();
 		ChannelOutboundBuffer outbound = this.channel.unsafe().outboundBuffer();
 		long unsentBytes = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
@@ -288,154 +353,142 @@
 			this.lastUnsentBytes = unsentBytes;
 			this.idleSinceMillis = nowMillis;
 		}
-		boolean idle = !awaitsRequest && nowMillis - this.idleSinceMillis > this.server.limits().idleTimeoutMillis();
+		long idleTimeoutMillis = Math.max(this.promisedIdleMillis, this.server.limits().idleTimeoutMillis());
+		boolean idle = !awaitsRequest && nowMillis - this.idleSinceMillis > idleTimeoutMillis;
 		boolean bodyLate = this.requestHead != null
 				&& nowMillis - this.arrivedMillis > this.server.messageMapper().deadlineMillis(this.requestHead);
 		if (bodyLate) {
 			rejectIncomplete(Failure.notRun(ResultCode.OVERLOADED, "the body was not complete before the deadline"));
 		}
-		else if (headersLate || idle) {
-			this.channel.close();
+		else if (headersLate) {
+			close("its head was not complete in time");
 		}
+		else if (idle) {
+			closeUnlessReadFrom("the connection was idle");
+		}
+	}
+
+	/**
+	 * Closes an idle connection after the next read of its socket: a request may have
+	 * arrived while the event loop was busy.
+	 * @param cause why the connection is closed
+	 */
+	private void closeUnlessReadFrom(String cause) {
+		long readsBefore = this.reads;
+		this.channel.eventLoop().schedule(() -> {
+			if (this.reads == readsBefore || this.discardsInput) {
+				close(cause);
+			}
+		}, 1, TimeUnit.MILLISECONDS);
 	}
 
 	/**
-	 * Closes the connection unless a request is being read or served, or a response is
-	 * not yet sent to its last byte.
-	 * @return whether it is closed
+	 * Closes the connection soon unless a request is being read or served, a response is
+	 * not yet sent to its last byte, or it is about to be closed after its last response.
+	 * @return whether it is closed already
 	 */
 	boolean closeIfIdle() {
-		if (this.currentExchange == null && !this.receivingRequest && this.lastWrite.isDone()) {
-			this.channel.close();
+		boolean idle = this.currentExchange == null && !readingRequest() && !this.discardsInput;
+		if (idle && this.lastWrite.isDone()) {
+			closeUnlessReadFrom("the server closes");
 		}
 		return !this.channel.isOpen();
 	}
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
-		if (this.currentExchange != null && this.currentExchange.relayedRequest != null) {
-			this.currentExchange.relayedRequest.callerWritabilityChanged(context.channel().isWritable());
+		if (this.currentExchange != null) {
+			this.currentExchange.callerWritabilityChanged(context.channel().isWritable());
 		}
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		context.close();
+		if (cause instanceof IOException) {
+			close(cause.toString());
+			return;
+		}
+		endAfterDefect(cause);
 	}
 
 	/**
-	 * One request and its response.
+	 * Reads nothing more after a defect. The request that is served goes on; one that was
+	 * read in part is rejected.
+	 * @param defect what the connection has met
 	 */
-	private final class CallerExchange implements CallerChannel {
-
-		/** Whether the method is HEAD, whose response has no body. */
-		private final boolean headOnly;
-
-		private final boolean keepAlive;
-
-		/** {@code null} if the request was rejected before it was relayed. */
-		private RelayedRequest relayedRequest;
-
-		/** Whether the response has ended or the caller has disconnected. */
-		private boolean ended;
-
-		CallerExchange(HttpRequest request, boolean keepAlive) {
-			this.headOnly = request != null && HttpMethod.HEAD.equals(request.method());
-			this.keepAlive = keepAlive;
+	void endAfterDefect(Throwable defect) {
+		String requestId = (this.currentExchange != null) ? this.currentExchange.requestId()
+				: this.server.requestId(this.requestHead);
+		if (this.currentExchange != null) {
+			this.discardsInput = true;
 		}
-
-		private void callerDisconnected() {
-			this.ended = true;
-			if (this.relayedRequest != null) {
-				this.relayedRequest.callerDisconnected();
-			}
+		else if (!this.discardsInput && readingRequest()) {
+			rejectIncomplete(Failure.notRun(ResultCode.INTERNAL, "internal error"));
 		}
-
-		private boolean mayKeepConnection() {
-			return this.keepAlive && !CallerConnection.this.server.closing();
+		else if (!this.discardsInput) {
+			close(defect.toString());
 		}
+		LogEvent.REQUEST_DEFECT.log(logger, requestId, defect.toString(), defect);
+	}
 
-		@Override
-		public void sendResponse(int status, List<Header> headers, byte[] body) {
-			if (this.ended) {
-				return;
-			}
-			this.ended = true;
-			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-					HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(this.headOnly ? new byte[0] : body));
-			addHeaders(headers, response.headers());
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-			boolean keepConnection = setConnectionHeader(response);
-			responseEnded(keepConnection, CallerConnection.this.channel.writeAndFlush(response));
-		}
-
-		private static void addHeaders(List<Header> headers, HttpHeaders target) {
-			headers.forEach((header) -> target.add(header.name(), header.value()));
-		}
-
-		/**
-		 * Announces that the connection will be closed, unless it is kept.
-		 * @param response response to set the header of
-		 * @return whether the connection is kept
-		 */
-		private boolean setConnectionHeader(HttpResponse response) {
-			boolean keepConnection = mayKeepConnection();
-			if (!keepConnection) {
-				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-			}
-			return keepConnection;
-		}
+	private void close(String cause) {
+		logUnanswered(cause);
+		this.channel.close();
+	}
 
-		@Override
-		public void startResponse(int status, List<Header> headers) {
-			if (this.ended) {
-				return;
-			}
-			HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-			addHeaders(headers, response.headers());
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-			setConnectionHeader(response);
-			CallerConnection.this.channel.writeAndFlush(response);
+	/**
+	 * Logs why a request ends without a response, if one was read, even in part.
+	 * @param cause why the connection is closed or the request is not answered
+	 */
+	private void logUnanswered(String cause) {
+		if (this.currentExchange != null) {
+			logUnanswered(this.currentExchange.requestId(), "whole", this.currentExchange.arrivedMillis(), cause);
 		}
-
-		@Override
-		public void write(byte[] chunk) {
-			if (!this.ended) {
-				CallerConnection.this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)));
-			}
+		else if (this.discardsInput) {
+			return;
 		}
-
-		@Override
-		public void end() {
-			if (!this.ended) {
-				this.ended = true;
-				responseEnded(mayKeepConnection(),
-						CallerConnection.this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
-			}
+		else if (this.requestHead != null) {
+			logUnanswered(this.server.requestId(this.requestHead),
+					"head and " + this.requestBody.size() + " bytes of the body", this.arrivedMillis, cause);
 		}
-
-		@Override
-		public void sendError(Failure failure) {
-			sendResponse(failure.code().httpStatus(),
-					CallerConnection.this.server.messageMapper().failureHeaders(failure), ErrorBody.bytes(failure));
+		else if (this.pipelined.peek() instanceof HttpRequest request) {
+			logUnanswered(this.server.requestId(request), "pipelined", this.arrivedMillis, cause);
 		}
-
-		@Override
-		public void abort() {
-			if (this.ended) {
-				return;
-			}
-			this.ended = true;
-			CallerConnection.this.currentExchange = null;
-			CallerConnection.this.discardsInput = true;
-			CallerConnection.this.lastWrite.addListener((sent) -> CallerConnection.this.channel.close());
+		else if (readingRequest()) {
+			logUnanswered("", "part of the head", this.arrivedMillis, cause);
 		}
+	}
 
-		@Override
-		public boolean writable() {
-			return CallerConnection.this.channel.isWritable();
+	private void logUnanswered(String requestId, String read, long requestArrivedMillis, String cause) {
+		if (!this.unansweredLogged) {
+			this.unansweredLogged = true;
+			LogEvent.CALLER_CLOSED.log(logger, requestId, String.valueOf(this.address), read, cause,
+					this.server.clock().millis() - requestArrivedMillis);
 		}
+	}
+
+	/**
+	 * Returns whether a request that is not yet dispatched was read, at least in part.
+	 * @return {@code true} also if it waits for the response before it
+	 */
+	private boolean readingRequest() {
+		return this.requestHead != null || !this.pipelined.isEmpty() || this.decoder.holdsPartOfRequest();
+	}
+
+	/**
+	 * Returns whether a further request may be served after the present one.
+	 * @return {@code true} while the server closes only if one was read already
+	 */
+	boolean mayServeNext() {
+		return !this.discardsInput && (!this.server.closing() || readingRequest());
+	}
+
+	Channel channel() {
+		return this.channel;
+	}
 
+	CallerServer server() {
+		return this.server;
 	}
 
 }
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -82,10 +83,11 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					CallerConnection connection = new CallerConnection(server, channel);
+					StrictRequestDecoder decoder = new StrictRequestDecoder(() -> limits.get().maxHeaderBytes());
+					CallerConnection connection = new CallerConnection(server, channel, decoder);
 					channel.pipeline()
 						.addLast(connection.arrivalRecorder())
-						.addLast(new StrictRequestDecoder(() -> limits.get().maxHeaderBytes()))
+						.addLast(decoder)
 						.addLast(new ResponseEncoder())
 						.addLast(connection);
 				}
@@ -102,8 +104,15 @@
 		return server;
 	}
 
-	private void closeTimedOut() {
-		List.copyOf(this.connections).forEach(CallerConnection::closeIfTimedOut);
+	void closeTimedOut() {
+		for (CallerConnection connection : List.copyOf(this.connections)) {
+			try {
+				connection.closeIfTimedOut();
+			}
+			catch (RuntimeException | Error ex) {
+				connection.endAfterDefect(ex);
+			}
+		}
 	}
 
 	/**
@@ -114,8 +123,8 @@
 	}
 
 	/**
-	 * Closes the connections on which no request is being read or served and, if no other
-	 * is left, stops accepting new ones.
+	 * Closes the connections on which no request is being read or served, once their
+	 * sockets were read once more, and stops accepting new ones if none is left.
 	 * @return whether the server is closed, so that no caller waits for a response
 	 */
 	public boolean closeIfIdle() {
@@ -149,6 +158,15 @@
 		return this.messageMapper;
 	}
 
+	/**
+	 * Returns the id of a request.
+	 * @param request head of the request; {@code null} if it was not read
+	 * @return the id; empty if it has none or its head was not read
+	 */
+	String requestId(HttpRequest request) {
+		return (request != null) ? this.messageMapper.requestId(request) : "";
+	}
+
 	CallerLimits limits() {
 		return this.limits.get();
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -42,6 +42,8 @@
 	/** Timeout of routes unless a test sets another one, in milliseconds. */
 	private static final long TIMEOUT_MILLIS = 2_000;
 
+	private static final long LONG_TIMEOUT_MILLIS = 60_000;
+
 	/** Time without a byte after which a read of a caller fails, in milliseconds. */
 	private static final int READ_TIMEOUT_MILLIS = 30_000;
 
@@ -55,6 +57,10 @@
 
 	private final int port;
 
+	private final CallerServer server;
+
+	private volatile boolean limitsWithdrawn;
+
 	/** 0 before the first plan. */
 	private long planVersion;
 
@@ -64,11 +70,11 @@
 	/** Services with a target of their own, by path prefix. */
 	private final Map<String, InetSocketAddress> added = new TreeMap<>();
 
-	private RelayServerFixture(long timeoutMillis) throws IOException, InterruptedException {
+	private RelayServerFixture(long timeoutMillis, HttpMessageMapper mapper, Clock clock)
+			throws IOException, InterruptedException {
 		this.timeoutMillis = timeoutMillis;
-		Clock clock = Clock.system();
 		this.service = RelayService.of(clock, new EventLoopScheduler(this.loop),
-				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(this.loop), new TestMessageMapper())),
+				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(this.loop), mapper)),
 				new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
 				new MetricRegistry());
 		this.loop.submit(() -> {
@@ -78,8 +84,8 @@
 		try (ServerSocket free = new ServerSocket(0)) {
 			this.port = free.getLocalPort();
 		}
-		CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), this.service,
-				new TestMessageMapper(), this.service::callerLimits, clock);
+		this.server = CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), this.service, mapper,
+				this::limits, clock);
 	}
 
 	static RelayServerFixture start() throws IOException, InterruptedException {
@@ -87,7 +93,17 @@
 	}
 
 	static RelayServerFixture start(long timeoutMillis) throws IOException, InterruptedException {
-		RelayServerFixture fixture = new RelayServerFixture(timeoutMillis);
+		RelayServerFixture fixture = new RelayServerFixture(timeoutMillis, new TestMessageMapper(), Clock.system());
+		fixture.putInForce(LIMITS);
+		return fixture;
+	}
+
+	/**
+	 * Starts a server that uses a mapper and a clock of the test, and whose routes leave
+	 * the timeout to the caller.
+	 */
+	static RelayServerFixture start(HttpMessageMapper mapper, Clock clock) throws IOException, InterruptedException {
+		RelayServerFixture fixture = new RelayServerFixture(LONG_TIMEOUT_MILLIS, mapper, clock);
 		fixture.putInForce(LIMITS);
 		return fixture;
 	}
@@ -114,7 +130,7 @@
 	 * Starts a server whose host has received no plan.
 	 */
 	static RelayServerFixture withoutPlan() throws IOException, InterruptedException {
-		return new RelayServerFixture(TIMEOUT_MILLIS);
+		return new RelayServerFixture(TIMEOUT_MILLIS, new TestMessageMapper(), Clock.system());
 	}
 
 	/**
@@ -141,6 +157,28 @@
 				List.of(new Route.WeightedService(serviceName, 1)), 1, true, 180, false);
 	}
 
+	private CallerLimits limits() {
+		if (this.limitsWithdrawn) {
+			throw new IllegalStateException("no limits");
+		}
+		return this.service.callerLimits();
+	}
+
+	/**
+	 * Makes each further look at the limits for callers fail.
+	 */
+	void withdrawLimits() {
+		this.limitsWithdrawn = true;
+	}
+
+	EventLoop loop() {
+		return this.loop;
+	}
+
+	CallerServer server() {
+		return this.server;
+	}
+
 	ScriptedTarget target() {
 		return this.target;
 	}
