Answer requests that meet an error, and free what they hold

What callers saw: a request whose step threw an Error, as a lack of stack or memory does, got no answer. Thrown while it was accepted, it closed the connection; thrown after the request counted as ended (REQUEST_ENDED, metrics), it left the caller without anything for good, as the deadline timer was cancelled by then. Thrown by a poll, it kept all other requests from being polled and placed, every 50 ms. An attempt that failed before its request was written, also by an exception, counted at its target until the deadline.

Cause: ActiveRequests.run, RelayAttempt.run and RequestAttempts.send caught RuntimeException only; the end of a request told the caller last, behind steps that may fail; a log line that failed in the guard was passed on.

Change: the guard catches everything, each step of the end is run whatever the others do, the caller is told in any case, and logging a defect never fails. A request that fails before its target client was called is answered as not run. A response that is given up for lack of memory ends its own request only.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
@@ -10,6 +10,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.Defects;
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.overload.WaitingOrder;
@@ -17,10 +18,11 @@
 
 /**
  * The requests of this host whose response is not complete, and those among them that
- * wait for a free target. Addresses defects that a single request meets: they end that
- * request at most, and the others are polled and placed as before. Invariant: a request
- * that was sent, or for which a sidecar was asked, does not wait. Confined to the traffic
- * thread.
+ * wait for a free target. Addresses defects that a single request meets, errors without
+ * memory or stack included: they end that request at most, and the others are polled and
+ * placed as before. Invariants: every step of a request is run by {@link #run} or
+ * {@link #runOrEnd}; a request that was sent, or for which a sidecar was asked, does not
+ * wait. Confined to the traffic thread.
  */
 final class ActiveRequests {
 
@@ -79,11 +81,11 @@
 	 */
 	void schedulePoll() {
 		if (!this.pollScheduled) {
-			this.pollScheduled = true;
 			this.trafficThread.execute(() -> {
 				this.pollScheduled = false;
 				poll();
 			});
+			this.pollScheduled = true;
 		}
 	}
 
@@ -97,9 +99,9 @@
 		try {
 			step.run();
 		}
-		catch (RuntimeException ex) {
+		catch (Throwable ex) {
 			if (!request.done() && !request.attempts().isEmpty()) {
-				LogEvent.REQUEST_DEFECT.log(logger, request.id(), ex.toString(), ex);
+				Defects.log(LogEvent.REQUEST_DEFECT, logger, ex, request.id());
 				this.unpolled.add(request);
 				return;
 			}
@@ -108,18 +110,27 @@
 	}
 
 	/**
-	 * Ends a request that cannot go on.
+	 * Runs a step after which nothing else would end the request. If it meets a defect,
+	 * the request is ended, whatever its targets do.
 	 * @param request the request
-	 * @param defect what it has met
+	 * @param step what to run
 	 */
-	void endAfterDefect(RelayedRequest request, RuntimeException defect) {
-		LogEvent.REQUEST_DEFECT.log(logger, request.id(), defect.toString(), defect);
-		remove(request);
+	void runOrEnd(RelayedRequest request, Runnable step) {
+		try {
+			step.run();
+		}
+		catch (Throwable ex) {
+			endAfterDefect(request, ex);
+		}
+	}
+
+	private void endAfterDefect(RelayedRequest request, Throwable defect) {
+		Defects.log(LogEvent.REQUEST_DEFECT, logger, defect, request.id());
 		try {
 			request.abandon();
 		}
-		catch (RuntimeException ex) {
-			LogEvent.REQUEST_DEFECT.log(logger, request.id(), ex.toString(), ex);
+		catch (Throwable ex) {
+			Defects.log(LogEvent.REQUEST_DEFECT, logger, ex, request.id());
 		}
 	}
 
@@ -129,7 +140,7 @@
 	 */
 	void endAll(String reason) {
 		for (RelayedRequest request : List.copyOf(this.active)) {
-			run(request, () -> request.endInFailure(ResultCode.ENTRY_LEAVING, reason));
+			runOrEnd(request, () -> request.endInFailure(ResultCode.ENTRY_LEAVING, reason));
 		}
 	}
 
@@ -145,11 +156,11 @@
 	 */
 	void schedulePlacement() {
 		if (!this.waiting.isEmpty() && !this.placementScheduled) {
-			this.placementScheduled = true;
 			this.trafficThread.execute(() -> {
 				this.placementScheduled = false;
 				placeWaiting();
 			});
+			this.placementScheduled = true;
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -11,6 +11,7 @@
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.ResultCode;
 import io.dotterelcrank.version.plan.ServiceSpec;
 
 /**
@@ -289,7 +290,8 @@
 			}
 		}
 		if (!this.stop.mayBringCopy() && !sourceActive()) {
-			this.request.generationLost("the engine has stopped and the generation could not be resumed");
+			this.request.endInFailure(ResultCode.TARGET_LOST,
+					"the engine has stopped and the generation could not be resumed");
 		}
 	}
 
@@ -313,7 +315,7 @@
 		this.stop = null;
 		this.nextTryMillis = this.request.now() + RETRY_INTERVAL_MILLIS;
 		if (!sourceActive()) {
-			this.request.generationLost("the engine does not say whether it has stopped");
+			this.request.endInFailure(ResultCode.TARGET_LOST, "the engine does not say whether it has stopped");
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -169,8 +169,12 @@
 	 * Cancels the exchange with the target without reporting a result.
 	 */
 	void cancel() {
-		detach();
-		this.exchange.cancel();
+		try {
+			detach();
+		}
+		finally {
+			this.exchange.cancel();
+		}
 	}
 
 	/**
@@ -181,10 +185,14 @@
 	void abandon() {
 		boolean slow = this.request.now() - this.sentMillis >= this.request.route().latencyGoalMillis()
 				* RetryPolicy.HEDGE_AFTER_GOAL_FRACTION;
-		if (slow && !this.outcomeRecorded && !this.resumed) {
-			recordOutcome(false);
+		try {
+			if (slow && !this.outcomeRecorded && !this.resumed) {
+				recordOutcome(false);
+			}
+		}
+		finally {
+			cancel();
 		}
-		cancel();
 	}
 
 	private void recordOutcome(boolean failed) {
@@ -214,20 +222,23 @@
 	}
 
 	/**
-	 * Runs a step of the response. After a defect the rest of the response is of no use.
+	 * Runs a step of the response, unless the attempt has ended. After a defect the rest
+	 * of the response is of no use.
 	 * @param step what to run
 	 */
 	private void run(Runnable step) {
-		try {
-			step.run();
+		if (!this.active) {
+			return;
 		}
-		catch (RuntimeException ex) {
-			this.request.recordPossibleRun();
-			if (this.active) {
-				cancel();
+		this.relayService.requests().runOrEnd(this.request, () -> {
+			try {
+				step.run();
 			}
-			this.relayService.requests().endAfterDefect(this.request, ex);
-		}
+			catch (Throwable ex) {
+				this.request.recordPossibleRun();
+				throw ex;
+			}
+		});
 	}
 
 	@Override
@@ -322,10 +333,13 @@
 
 	@Override
 	public void giveUp() {
+		run(this::handleLackOfMemory);
+	}
+
+	private void handleLackOfMemory() {
 		LogEvent.RESPONSE_TOO_LARGE.log(logger, this.request.id(), this.target.id(), responseMemory().heldBytes(this),
 				responseMemory().heldBytes());
-		this.exchange.cancel();
-		detach();
+		cancel();
 		this.request.attemptFailed(this, Ran.YES, "too little memory for the response");
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -6,6 +6,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.Defects;
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.process.overload.WaitingOrder;
@@ -251,9 +252,9 @@
 	}
 
 	private void deadlineExceeded() {
-		if (!this.done) {
-			endInFailure(ResultCode.DEADLINE_EXCEEDED, "no complete response before the deadline");
-		}
+		this.relayService.requests()
+			.runOrEnd(this,
+					() -> endInFailure(ResultCode.DEADLINE_EXCEEDED, "no complete response before the deadline"));
 	}
 
 	/**
@@ -264,8 +265,7 @@
 	 */
 	void endInFailure(ResultCode code, String message) {
 		if (responseStarted()) {
-			end("cut", message);
-			this.caller.abort();
+			end("cut", message, this.caller::abort);
 			return;
 		}
 		endWithError(RetryPolicy.finalFailure(code, this.mayHaveRun || this.attempts.anyWriteStarted(), message));
@@ -275,14 +275,8 @@
 	 * Ends the request after a defect, in whatever state it is.
 	 */
 	void abandon() {
-		try {
-			if (!this.done) {
-				endInFailure(ResultCode.INTERNAL, "internal error");
-			}
-		}
-		finally {
-			this.caller.abort();
-		}
+		Defects.runAll(() -> endInFailure(ResultCode.INTERNAL, "internal error"), () -> this.done = true, this::release,
+				this.caller::abort);
 	}
 
 	/**
@@ -295,16 +289,29 @@
 	void endWithError(Failure failure) {
 		Failure reported = (failure.ran() == Ran.NO) ? failure.withRetryAfter(this.placement.retryAfterMillis())
 				: failure;
-		end(failure.code().name(), failure.message());
-		this.caller.sendError(reported);
+		end(failure.code().name(), failure.message(), () -> this.caller.sendError(reported));
 	}
 
-	private void end(String outcome, String message) {
-		this.done = true;
-		this.deadlineTimer.cancel();
-		this.placement.cancel();
-		this.attempts.cancelAll();
-		this.relayService.requests().remove(this);
+	/**
+	 * Ends the request, once. Its caller is told even if anything before that fails.
+	 * @param outcome kind of the end, for logs and metrics
+	 * @param message description of the end, for logs
+	 * @param response tells the caller
+	 */
+	private void end(String outcome, String message, Runnable response) {
+		if (!this.done) {
+			this.done = true;
+			Defects.runAll(this::release, () -> recordEnd(outcome, message), response);
+		}
+	}
+
+	/** Frees what the request holds; also what is left after a defect. */
+	private void release() {
+		Defects.runAll(this.deadlineTimer::cancel, this.placement::cancel, this.attempts::cancelAll,
+				() -> this.relayService.requests().remove(this));
+	}
+
+	private void recordEnd(String outcome, String message) {
 		long millis = now() - this.request.arrivedAtMillis();
 		String kind = (this.route != null) ? this.route.kind().name() : "UNROUTED";
 		LogEvent.REQUEST_ENDED.log(logger, this.request.id(), kind, outcome, millis, this.progress.firstEventMillis(),
@@ -316,9 +323,8 @@
 	 * Cancels all attempts after the caller has closed its connection.
 	 */
 	public void callerDisconnected() {
-		if (!this.done) {
-			end("caller-gone", "the caller closed its connection");
-		}
+		this.relayService.requests().runOrEnd(this, () -> end("caller-gone", "the caller closed its connection", () -> {
+		}));
 	}
 
 	/**
@@ -326,8 +332,10 @@
 	 * @param writable whether the caller's connection accepts more bytes
 	 */
 	public void callerWritabilityChanged(boolean writable) {
-		this.progress.recordReadPaused(!writable, now());
-		this.attempts.setReadEnabled(writable);
+		this.relayService.requests().run(this, () -> {
+			this.progress.recordReadPaused(!writable, now());
+			this.attempts.setReadEnabled(writable);
+		});
 	}
 
 	/**
@@ -359,16 +367,6 @@
 				&& this.relayService.obtainsRetryPermit(this.service.name());
 	}
 
-	/**
-	 * Ends a request whose generation cannot be resumed.
-	 * @param reason cause of the loss, for logs and the error message
-	 */
-	void generationLost(String reason) {
-		if (!this.done) {
-			endInFailure(ResultCode.TARGET_LOST, reason);
-		}
-	}
-
 	/**
 	 * Makes an attempt whose stream has started the only one and cancels all others.
 	 * @param attempt attempt that streams
@@ -416,8 +414,7 @@
 
 	void streamCompleted() {
 		this.progress.recordCompletion(statistics(), demand().promptTokens(), tokensPerEvent());
-		end("served", "stream complete");
-		this.caller.end();
+		end("served", "stream complete", this.caller::end);
 	}
 
 	/**
@@ -430,8 +427,8 @@
 		if (head.serverError() && this.route.kind() == RequestKind.IDEMPOTENT && tryRetryAfterServerError()) {
 			return;
 		}
-		end(head.success() ? "served" : "failed-by-target", "status " + head.status());
-		this.caller.sendResponse(head.status(), head.headers(), body);
+		end(head.success() ? "served" : "failed-by-target", "status " + head.status(),
+				() -> this.caller.sendResponse(head.status(), head.headers(), body));
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
@@ -7,10 +7,12 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.Defects;
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.version.plan.Workspace;
 
@@ -61,6 +63,24 @@
 		RelayAttempt attempt = new RelayAttempt(this.request, target, backupHolder, resumeFrom.isPresent(),
 				this.relayService);
 		this.active.add(attempt);
+		try {
+			recordSend(target, backupHolder, cause);
+		}
+		catch (Throwable ex) {
+			attempt.cancel();
+			throw ex;
+		}
+		try {
+			attempt.setExchange(this.relayService.targetClient().send(targetRequest(attempt, resumeFrom), attempt));
+		}
+		catch (Throwable ex) {
+			attempt.startFailed();
+			throw ex;
+		}
+		return attempt;
+	}
+
+	private void recordSend(TrackedTarget target, Optional<TrackedTarget> backupHolder, String cause) {
 		LogEvent.REQUEST_SENT.log(logger, this.request.id(), target.id(), this.request.service().name(), this.sendCount,
 				cause, backupHolder.map(TrackedTarget::id).orElse("-"), this.relayService.plan().version(),
 				target.load(), target.versionText());
@@ -70,14 +90,6 @@
 			this.relayService.metrics().recordLimitedSend();
 		}
 		target.rateGate().recordSend();
-		try {
-			attempt.setExchange(this.relayService.targetClient().send(targetRequest(attempt, resumeFrom), attempt));
-		}
-		catch (RuntimeException ex) {
-			attempt.startFailed();
-			throw ex;
-		}
-		return attempt;
 	}
 
 	/**
@@ -125,11 +137,15 @@
 	}
 
 	void cancelAll() {
-		List.copyOf(this.active).forEach(RelayAttempt::abandon);
+		abandonAll(this.active.stream());
 	}
 
 	void cancelAllExcept(RelayAttempt attempt) {
-		List.copyOf(this.active).stream().filter((other) -> other != attempt).forEach(RelayAttempt::abandon);
+		abandonAll(this.active.stream().filter((other) -> other != attempt));
+	}
+
+	private static void abandonAll(Stream<RelayAttempt> attempts) {
+		Defects.runAll(attempts.<Runnable>map((attempt) -> attempt::abandon).toArray(Runnable[]::new));
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.dotterelcrank.process.limit.RequestLimit;
 import io.dotterelcrank.process.membership.TargetRegistration;
@@ -107,6 +108,14 @@
 		/** Whether the target's responses say that it is draining. */
 		private boolean leaving;
 
+		/** Run by each call of {@link #cancel}, after it. */
+		private Runnable cancelDefect = () -> {
+		};
+
+		/** Run by each call of {@link #setReadEnabled}. */
+		private Runnable readPauseDefect = () -> {
+		};
+
 		RecordedExchange(TargetRequest request, Listener listener) {
 			this.request = request;
 			this.listener = listener;
@@ -139,6 +148,24 @@
 			return this;
 		}
 
+		/**
+		 * Makes each call of {@link #cancel} fail.
+		 */
+		void failCancel(Supplier<Error> errors) {
+			this.cancelDefect = () -> {
+				throw errors.get();
+			};
+		}
+
+		/**
+		 * Makes each call of {@link #setReadEnabled} fail.
+		 */
+		void failReadPause(Supplier<Error> errors) {
+			this.readPauseDefect = () -> {
+				throw errors.get();
+			};
+		}
+
 		void markUnwritten() {
 			this.writeStarted = false;
 		}
@@ -210,11 +237,13 @@
 		@Override
 		public void cancel() {
 			this.cancelled = true;
+			this.cancelDefect.run();
 		}
 
 		@Override
 		public void setReadEnabled(boolean enabled) {
 			// The test sends each piece of a response itself.
+			this.readPauseDefect.run();
 		}
 
 		@Override
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.simple.RandomSource;
@@ -61,6 +62,10 @@
 	/** Evidence sent to other hosts, in order. */
 	private final List<Message.CrashEvidence> crashEvidence = new ArrayList<>();
 
+	/** Run by each send of evidence. */
+	private Runnable crashEvidenceDefect = () -> {
+	};
+
 	/** Evidence of roll-outs sent to other hosts, in order. */
 	private final List<Message.RolloutEvidence> rolloutEvidence = new ArrayList<>();
 
@@ -86,7 +91,10 @@
 					.withAdmission(this.admissionClient)
 					.withEngineLoads(this.loadReader)
 					.withRetryLoans(this.retryLoanRequests::add)
-					.withCrashEvidence((evidence, hosts) -> this.crashEvidence.add(evidence))
+					.withCrashEvidence((evidence, hosts) -> {
+						this.crashEvidenceDefect.run();
+						this.crashEvidence.add(evidence);
+					})
 					.withRollouts(new RecordingRolloutClient()),
 				new RelaySettings("giza", 0.2, 54, 10_000, CONFIG_MILLIS, 8_000, "h", rollouts, yieldsToShorterGoals,
 						true),
@@ -196,6 +204,15 @@
 		this.relayService.updateTargets(this.targetList);
 	}
 
+	/**
+	 * Makes each send of evidence of crashes fail.
+	 */
+	void failCrashEvidence(Supplier<Error> errors) {
+		this.crashEvidenceDefect = () -> {
+			throw errors.get();
+		};
+	}
+
 	List<Message.RolloutEvidence> rolloutEvidence() {
 		return this.rolloutEvidence;
 	}
