Guard what answers of sidecars and engines do to a request

What callers saw: a generation whose step after an admission, after the timeout of one, or after the result of a KV copy met a defect got nothing until its deadline, which is 39 s for the routes of the fixture; the engine of such a copy counted as copying for good, so that no other generation could be copied off it. An admission request that failed to be sent stayed registered.

Cause: these callbacks touch a request outside of ActiveRequests.run.

Change: they pass the guard; the slot of a copy is freed first; an admission request without a sidecar's link or with a defect is unregistered.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/AdmissionRequester.java
@@ -76,18 +76,26 @@
 		this.requestNumber = this.relayService.registerAdmissionRequest(this);
 		long maxPendingPrefillTokens = PlacementStrategy.ForEngines.maxPendingPrefillTokens(
 				engine.prefillTokensPerSecond(this.request.statistics().prefillTokensPerSecond()), demand);
-		boolean sent = this.relayService.admissionClient()
-			.trySend(load.address(),
-					new Message.AdmissionRequest(this.requestNumber, this.request.id(), demand.promptTokens(),
-							demand.expectedTotalTokens(), knownPendingPrefillTokens, maxPendingPrefillTokens,
-							demand.reserveTokens()));
+		boolean sent = false;
+		try {
+			sent = this.relayService.admissionClient()
+				.trySend(load.address(),
+						new Message.AdmissionRequest(this.requestNumber, this.request.id(), demand.promptTokens(),
+								demand.expectedTotalTokens(), knownPendingPrefillTokens, maxPendingPrefillTokens,
+								demand.reserveTokens()));
+		}
+		finally {
+			if (!sent) {
+				this.relayService.unregisterAdmissionRequest(this.requestNumber);
+			}
+		}
 		if (!sent) {
-			this.relayService.unregisterAdmissionRequest(this.requestNumber);
 			return false;
 		}
-		this.target = engine;
+		this.timeout = this.relayService.trafficThread()
+			.schedule(TIMEOUT_MILLIS, () -> this.relayService.requests().run(this.request, this::timedOut));
 		this.outstandingRequest = engine.recordSend(demand.promptTokens(), demand.expectedTotalTokens());
-		this.timeout = this.relayService.trafficThread().schedule(TIMEOUT_MILLIS, this::timedOut);
+		this.target = engine;
 		return true;
 	}
 
@@ -105,6 +113,10 @@
 	 * @param load current load of the engine
 	 */
 	void handleResponse(boolean admitted, EngineLoad load) {
+		this.relayService.requests().run(this.request, () -> placeByResponse(admitted, load));
+	}
+
+	private void placeByResponse(boolean admitted, EngineLoad load) {
 		TrackedTarget engine = this.target;
 		cancel();
 		if (admitted) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -403,17 +403,22 @@
 		long startedMillis = this.request.now();
 		TargetClient.CopyRequest copyRequest = new TargetClient.CopyRequest(this.request.id(),
 				from.target().membership().registration(), holder, false);
-		this.relayService.targetClient().copyKv(copyRequest, (result) -> {
-			LogEvent.KV_COPY_ENDED.log(logger, this.request.id(), from.target().id(), holder.id(), result.outcome(),
-					this.request.now() - startedMillis);
-			this.relayService.metrics().recordResume("copy-" + result.outcome());
-			from.target().releaseKvCopy();
-			this.relayService.requests().schedulePoll();
-			if (!this.request.done() && this.source == from) {
-				this.kvCopyRunning = false;
-				kvCopyEnded(holder, result);
-			}
-		});
+		this.relayService.targetClient()
+			.copyKv(copyRequest, (result) -> this.relayService.requests()
+				.run(this.request, () -> handleCopyResult(from, holder, result, startedMillis)));
+	}
+
+	private void handleCopyResult(RelayAttempt from, TargetRegistration holder, TargetClient.CopyResult result,
+			long startedMillis) {
+		from.target().releaseKvCopy();
+		LogEvent.KV_COPY_ENDED.log(logger, this.request.id(), from.target().id(), holder.id(), result.outcome(),
+				this.request.now() - startedMillis);
+		this.relayService.metrics().recordResume("copy-" + result.outcome());
+		this.relayService.requests().schedulePoll();
+		if (!this.request.done() && this.source == from) {
+			this.kvCopyRunning = false;
+			kvCopyEnded(holder, result);
+		}
 	}
 
 	/**
@@ -480,7 +485,7 @@
 		}
 		Optional<TargetRequest.KvCopy> backup = usableBackup();
 		if (backup.isEmpty()) {
-			this.request.generationLost(reason);
+			this.request.endInFailure(ResultCode.TARGET_LOST, reason);
 			return;
 		}
 		startStop(backup.get(), "broken");
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SourceStop.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SourceStop.java
@@ -136,19 +136,23 @@
 		long startedMillis = this.request.now();
 		TargetClient.CopyRequest copyRequest = new TargetClient.CopyRequest(this.request.id(),
 				this.source.target().membership().registration(), this.holder, true);
-		this.relayService.targetClient().copyKv(copyRequest, (result) -> {
-			this.awaitsAnswer = false;
-			LogEvent.SOURCE_STOP_ENDED.log(logger, this.request.id(), this.source.target().id(), this.cause,
-					result.outcome(), this.request.now() - startedMillis);
-			this.relayService.metrics().recordResume("stop-" + result.outcome());
-			handleAnswer(result);
-			if (this.request.done() || !this.resumer.isCurrent(this)) {
-				freeUnusedCopy();
-			}
-			else {
-				this.relayService.requests().run(this.request, this.resumer::advance);
-			}
-		});
+		this.relayService.targetClient()
+			.copyKv(copyRequest, (result) -> this.relayService.requests()
+				.run(this.request, () -> handleResult(result, this.request.now() - startedMillis)));
+	}
+
+	private void handleResult(TargetClient.CopyResult result, long millis) {
+		this.awaitsAnswer = false;
+		LogEvent.SOURCE_STOP_ENDED.log(logger, this.request.id(), this.source.target().id(), this.cause,
+				result.outcome(), millis);
+		this.relayService.metrics().recordResume("stop-" + result.outcome());
+		handleAnswer(result);
+		if (this.request.done() || !this.resumer.isCurrent(this)) {
+			freeUnusedCopy();
+		}
+		else {
+			this.resumer.advance();
+		}
 	}
 
 	private void handleAnswer(TargetClient.CopyResult result) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestDefectTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestDefectTests.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.connection.EngineLoad;
+import io.dotterelcrank.connection.Message;
 import io.dotterelcrank.request.Header;
 import io.dotterelcrank.request.Ran;
 
@@ -147,6 +149,58 @@
 		assertNothingIsLeft();
 	}
 
+	/** The generation was at work at a target that had not got it, until its deadline. */
+	@ParameterizedTest
+	@MethodSource("errors")
+	void errorAfterAnAdmissionIsAnsweredAtOnce(Supplier<Error> errors) {
+		this.fixture.admissionClient().link();
+		this.fixture.accept("/notes/1", this.caller);
+		failSendsOf("attempt-1", errors);
+		EngineLoad load = new EngineLoad("e1", "bench", "giza", this.fixture.engineAddress("e1"), 1, 1, 0, 0, 0,
+				RelayFixture.MEMORY_TOKENS, false, -1, 0);
+		this.fixture.relayService()
+			.handleAdmissionResponse(new Message.AdmissionResponse(
+					this.fixture.admissionClient().request(0).requestNumber(), true, load));
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.UNKNOWN);
+		assertNothingIsLeft();
+	}
+
+	@ParameterizedTest
+	@MethodSource("errors")
+	void errorAfterAnAdmissionHasTimedOutIsAnsweredAtOnce(Supplier<Error> errors) {
+		this.fixture.admissionClient().link();
+		this.fixture.accept("/notes/1", this.caller);
+		failSendsOf("attempt-1", errors);
+		this.fixture.advance(3 * AdmissionRequester.TIMEOUT_MILLIS);
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.UNKNOWN);
+		assertNothingIsLeft();
+	}
+
+	/** The engine could make no other copy, and the generation was lost with it. */
+	@ParameterizedTest
+	@MethodSource("errors")
+	void errorInTheResultOfACopyLeavesTheEngineFreeToCopy(Supplier<Error> errors) {
+		this.fixture.accept("/notes/1", this.caller);
+		String holderId = exchange(0).request().backupHolder().orElseThrow().id();
+		exchange(0).startStream();
+		exchange(0).sendEvent(1);
+		this.fixture.listTarget(holderId, "bench", false, 1, true);
+		this.fixture.advance(GenerationResumer.MIN_STREAM_MILLIS);
+		this.fixture.listTarget(exchange(0).request().target().id(), "bench", true);
+		assertThat(this.fixture.targetClient().copyRequestCount()).isOne();
+		FailingLog.during(LogEvent.KV_COPY_ENDED, 1, errors,
+				() -> this.fixture.targetClient().completeCopy(0, TargetClient.CopyOutcome.COPIED, "h1"));
+		TrackedTarget engine = this.fixture.relayService()
+			.targetPool()
+			.find(exchange(0).request().target().id())
+			.orElseThrow();
+		assertThat(engine.tryReserveKvCopy()).isTrue();
+		exchange(0).sendEvent(2);
+		exchange(0).complete();
+		assertThat(this.caller.eventIds()).isEqualTo("1 2");
+		assertNothingIsLeft();
+	}
+
 	/** The second target went on with work that nobody waited for. */
 	@ParameterizedTest
 	@MethodSource("errors")
