Poll requests although quarantine or roll-outs meet a defect

What callers saw: while evidence of crashes could not be sent, no request was polled or placed: waiting ones were refused late, slow ones not hedged, generations of draining engines not moved. Evidence that is not sent stays pending, so that each poll met the same defect.

Cause: RelayService.poll ran quarantine, roll-outs and requests one behind the other, and the first failure ended the poll.

Change: quarantine and roll-outs are polled, and told of targets, in isolation.

Evidence: errorOfTheQuarantineDoesNotKeepRequestsFromBeingPolled fails on the code before in all 4 cases with the thrown error.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -11,6 +11,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Defects;
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.Scheduler;
 import io.dotterelcrank.connection.EngineLoad;
@@ -137,8 +138,8 @@
 	}
 
 	private void poll() {
-		this.quarantine.poll();
-		this.rolloutGate.poll(this.targetPool);
+		Defects.isolate(logger, this.quarantine::poll);
+		Defects.isolate(logger, () -> this.rolloutGate.poll(this.targetPool));
 		this.activeRequests.poll();
 	}
 
@@ -190,7 +191,7 @@
 	 */
 	public void updateTargets(List<Target> targets) {
 		boolean changed = this.targetPool.update(targets);
-		this.rolloutGate.updateTargets(targets);
+		Defects.isolate(logger, () -> this.rolloutGate.updateTargets(targets));
 		if (changed) {
 			poll();
 		}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestDefectTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RequestDefectTests.java
@@ -243,6 +243,18 @@
 		assertNothingIsLeft();
 	}
 
+	/** No request was polled or placed while evidence could not be sent. */
+	@ParameterizedTest
+	@MethodSource("errors")
+	void errorOfTheQuarantineDoesNotKeepRequestsFromBeingPolled(Supplier<Error> errors) {
+		this.fixture.failCrashEvidence(errors);
+		this.fixture.accept("/order/1", this.caller);
+		exchange(0).fail(Ran.UNKNOWN);
+		this.fixture.accept("/lookup/1", this.other);
+		this.fixture.advance(400);
+		assertThat(this.fixture.targetClient().sendCount()).isEqualTo(3);
+	}
+
 	/**
 	 * A response that is never the largest.
 	 *
