Repeat tasks without scheduling a new one for each run

What callers saw: after a lack of memory in that moment, no request would have been polled or placed any more for as long as the process ran; the same holds for reads of peers' tables and updates of the plan on the control thread.

Cause: a repeated task scheduled its next run anew, in the finally block of the one that had failed, which needs memory as well.

Change: event loop and control thread repeat one task, whose failures are logged and never passed on: both end a repetition that throws.

The control thread's scheduler has the same change without a test, as its executor cannot be made to fail.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/Scheduler.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/Scheduler.java
@@ -103,7 +103,7 @@
 		@Override
 		public ScheduledTask schedule(long delayMillis, Runnable task) {
 			try {
-				Future<?> future = this.executor.schedule(() -> runAndLogFailure(task), delayMillis,
+				Future<?> future = this.executor.schedule(() -> Defects.isolate(logger, task), delayMillis,
 						TimeUnit.MILLISECONDS);
 				return () -> future.cancel(false);
 			}
@@ -113,12 +113,14 @@
 			}
 		}
 
-		private void runAndLogFailure(Runnable task) {
+		@Override
+		public void scheduleWithFixedDelay(long intervalMillis, Runnable task) {
 			try {
-				task.run();
+				this.executor.scheduleWithFixedDelay(() -> Defects.isolate(logger, task), intervalMillis,
+						intervalMillis, TimeUnit.MILLISECONDS);
 			}
-			catch (RuntimeException | Error ex) {
-				LogEvent.CONTROL_TASK_FAILED.log(logger, ex.toString(), ex);
+			catch (RejectedExecutionException ex) {
+				// The scheduler is closed.
 			}
 		}
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/EventLoopScheduler.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/EventLoopScheduler.java
@@ -7,7 +7,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.common.Defects;
 import io.dotterelcrank.common.Scheduler;
 
 /**
@@ -26,22 +26,21 @@
 
 	@Override
 	public void execute(Runnable task) {
-		this.loop.execute(() -> run(task));
+		this.loop.execute(() -> Defects.isolate(logger, task));
 	}
 
 	@Override
 	public ScheduledTask schedule(long delayMillis, Runnable task) {
-		ScheduledFuture<?> future = this.loop.schedule(() -> run(task), delayMillis, TimeUnit.MILLISECONDS);
+		ScheduledFuture<?> future = this.loop.schedule(() -> Defects.isolate(logger, task), delayMillis,
+				TimeUnit.MILLISECONDS);
 		return () -> future.cancel(false);
 	}
 
-	private static void run(Runnable task) {
-		try {
-			task.run();
-		}
-		catch (RuntimeException | Error ex) {
-			LogEvent.CONTROL_TASK_FAILED.log(logger, ex.toString(), ex);
-		}
+	@Override
+	public void scheduleWithFixedDelay(long intervalMillis, Runnable task) {
+		// The loop repeats one task, and needs no memory for the next run.
+		this.loop.scheduleWithFixedDelay(() -> Defects.isolate(logger, task), intervalMillis, intervalMillis,
+				TimeUnit.MILLISECONDS);
 	}
 
 	@Override
