End buffered requests whose send or response meets a defect

What callers saw: a call to the store or to an engine that failed while it was sent had no result, so that whoever waited for it went on waiting: the table was not read again, the load of an engine not either. A response that could not be buffered had no result until the timeout of the call.

Cause: the future was completed by the response or by a timeout that was set after the send; what the send threw went to the event loop's log.

Change: the timeout is set first, and the future fails by whatever is thrown.

Evidence: requestWhoseSendMeetsADefectFails on the code before: no result within 2 s at a timeout of 100 ms.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/BufferedResponse.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/BufferedResponse.java
@@ -45,15 +45,17 @@
 			long timeoutMillis) {
 		ResponseCollector collector = new ResponseCollector();
 		client.loop().execute(() -> {
-			PooledHttpClient.RequestHandle handle = client.send(request, collector);
-			collector.handle = handle;
-			client.loop().schedule(() -> {
-				if (!collector.isDone()) {
-					handle.cancel();
-					collector.completeExceptionally(new PlatformException(
-							"no response to " + request.uri() + " within " + timeoutMillis + " ms"));
-				}
-			}, timeoutMillis, TimeUnit.MILLISECONDS);
+			try {
+				client.loop()
+					.schedule(
+							() -> collector
+								.giveUp("no response to " + request.uri() + " within " + timeoutMillis + " ms"),
+							timeoutMillis, TimeUnit.MILLISECONDS);
+				collector.handle = client.send(request, collector);
+			}
+			catch (Throwable ex) {
+				collector.completeExceptionally(new PlatformException("request to " + request.uri() + " not sent", ex));
+			}
 		});
 		return collector;
 	}
@@ -66,7 +68,7 @@
 
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-		/** Set before any call of this listener. */
+		/** {@code null} until the request is sent, before any call of this listener. */
 		private PooledHttpClient.RequestHandle handle;
 
 		private int status;
@@ -82,8 +84,7 @@
 		@Override
 		public void body(byte[] chunk) {
 			if (this.body.size() + chunk.length > MAX_BODY_BYTES) {
-				this.handle.cancel();
-				completeExceptionally(new PlatformException("response larger than " + MAX_BODY_BYTES + " bytes"));
+				giveUp("response larger than " + MAX_BODY_BYTES + " bytes");
 				return;
 			}
 			this.body.writeBytes(chunk);
@@ -91,7 +92,25 @@
 
 		@Override
 		public void complete() {
-			complete(new BufferedResponse(this.status, this.headers, this.body.toByteArray()));
+			try {
+				complete(new BufferedResponse(this.status, this.headers, this.body.toByteArray()));
+			}
+			catch (Throwable ex) {
+				completeExceptionally(new PlatformException("response not readable", ex));
+			}
+		}
+
+		private void giveUp(String reason) {
+			if (!isDone()) {
+				try {
+					if (this.handle != null) {
+						this.handle.cancel();
+					}
+				}
+				finally {
+					completeExceptionally(new PlatformException(reason));
+				}
+			}
 		}
 
 		@Override
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/BufferedResponseTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/BufferedResponseTests.java
@@ -38,4 +38,15 @@
 			.withCauseInstanceOf(PlatformException.class);
 	}
 
+	/** The error was logged, and whoever had made the call waited for good. */
+	@Test
+	void requestWhoseSendMeetsADefectFails() {
+		PooledHttpClient.Request request = PooledHttpClient.Request.keepingConnection(null, HttpMethod.GET, "/",
+				new DefaultHttpHeaders(), new byte[0], 100);
+		assertThatExceptionOfType(ExecutionException.class)
+			.isThrownBy(() -> BufferedResponse.fetch(PooledHttpClient.create(this.group.next()), request, 100)
+				.get(2, TimeUnit.SECONDS))
+			.withCauseInstanceOf(PlatformException.class);
+	}
+
 }
