Tell the result of a KV copy whatever its messages meet

What callers saw: an engine whose answer to a copy met a defect counted as copying for good, so that generations could not be copied off it when it left; a generation that waited for its engine to stop waited for four seconds.

Cause: the listener was called by a stage of a future whose failures nobody reads, after the response was converted.

Change: a request or response that cannot be converted is an unanswered copy.

Evidence: HttpTargetClientTests on the code before: no result within 10 s for the response, the exception thrown to the caller of copyKv for the request.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
@@ -1,6 +1,8 @@
 package io.dotterelcrank.daemon.relay;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpMethod;
@@ -10,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.Defects;
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.process.relay.TargetClient;
@@ -70,16 +73,29 @@
 
 	@Override
 	public void copyKv(CopyRequest request, Consumer<CopyResult> listener) {
+		fetchCopy(request).thenApply((response) -> this.messageMapper.readKvCopyResponse(response, request))
+			.exceptionally((failure) -> failedCopy(request, failure))
+			.thenAccept(listener);
+	}
+
+	private CompletableFuture<BufferedResponse> fetchCopy(CopyRequest request) {
 		long timeoutMillis = request.stopsFirst() ? STOP_TIMEOUT_MILLIS : COPY_TIMEOUT_MILLIS;
-		BufferedResponse.fetch(this.client, this.messageMapper.kvCopyRequest(request), timeoutMillis)
-			.whenComplete((response, failure) -> {
-				if (failure != null) {
-					LogEvent.KV_COPY_UNANSWERED.log(logger, request.attemptId(), request.source().id(),
-							failure.getMessage());
-				}
-				listener.accept((failure != null) ? new CopyResult(outcome(failure), Optional.empty())
-						: this.messageMapper.readKvCopyResponse(response, request));
-			});
+		try {
+			return BufferedResponse.fetch(this.client, this.messageMapper.kvCopyRequest(request), timeoutMillis);
+		}
+		catch (Throwable ex) {
+			// The listener is not called before this call has returned.
+			CompletableFuture<BufferedResponse> failed = new CompletableFuture<>();
+			this.client.loop().execute(() -> failed.completeExceptionally(ex));
+			return failed;
+		}
+	}
+
+	private static CopyResult failedCopy(CopyRequest request, Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		Defects.isolate(logger, () -> LogEvent.KV_COPY_UNANSWERED.log(logger, request.attemptId(),
+				request.source().id(), String.valueOf(cause.getMessage())));
+		return new CopyResult(outcome(cause), Optional.empty());
 	}
 
 	@Override
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/TestMessageMapper.java
@@ -26,7 +26,7 @@
  * Mapper for tests: {@code Id} identifies the request, {@code Seal} marks a response that
  * the target confirms as its own, {@code Not-Run} marks a request that was not executed.
  */
-final class TestMessageMapper implements HttpMessageMapper {
+class TestMessageMapper implements HttpMessageMapper {
 
 	@Override
 	public CallerRequest readRequest(HttpRequest head, byte[] body, long arrivedMillis) {
