Complete a response before its connection's bookkeeping may fail

What callers saw: a request whose complete response was followed by other bytes got nothing until its deadline if the log line of these bytes failed.

Cause: the connection forgot its listener, then logged, and released or closed itself, and only then told the listener.

Change: the listener is told whatever these steps do.

Evidence: responseIsCompleteThoughTheBytesBehindItCannotBeLogged on the code before: the listener is not told of the complete response.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
@@ -19,6 +19,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.Clock;
+import io.dotterelcrank.common.Defects;
 import io.dotterelcrank.common.LogEvent;
 
 /**
@@ -250,17 +251,22 @@
 
 	private void completeResponse() {
 		PooledHttpClient.ResponseListener endedListener = this.listener;
-		boolean keeps = this.request.keepsConnection();
+		PooledHttpClient.Request endedRequest = this.request;
+		this.listener = null;
+		this.request = null;
+		Defects.runAll(() -> releaseAfter(endedRequest), endedListener::complete);
+	}
+
+	private void releaseAfter(PooledHttpClient.Request endedRequest) {
 		int surplusBytes = this.decoder.undecodedBytes();
 		if (surplusBytes > 0) {
-			LogEvent.SURPLUS_BYTES.log(logger, this.address, this.request.uri(), surplusBytes);
+			LogEvent.SURPLUS_BYTES.log(logger, this.address, endedRequest.uri(), surplusBytes);
 			this.client.recordStutter(this.address);
 		}
-		this.listener = null;
-		this.request = null;
 		boolean framed = HttpUtil.isContentLengthSet(this.responseHead)
 				|| HttpUtil.isTransferEncodingChunked(this.responseHead);
-		if (keeps && framed && surplusBytes == 0 && this.writeCompleted && HttpUtil.isKeepAlive(this.responseHead)) {
+		if (endedRequest.keepsConnection() && framed && surplusBytes == 0 && this.writeCompleted
+				&& HttpUtil.isKeepAlive(this.responseHead)) {
 			this.reusableUntilMillis = this.clock.millis() + maxIdleMillis();
 			setReadEnabled(true);
 			this.client.release(this);
@@ -268,7 +274,6 @@
 		else {
 			close();
 		}
-		endedListener.complete();
 	}
 
 	private long maxIdleMillis() {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/HttpConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/HttpConnectionTests.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import io.dotterelcrank.common.LogEvent;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -73,6 +75,17 @@
 		assertThat(this.channel.isOpen()).isFalse();
 	}
 
+	/** The request had no end until its deadline, though its response was complete. */
+	@Test
+	void responseIsCompleteThoughTheBytesBehindItCannotBeLogged() throws Exception {
+		FailingLog.during(LogEvent.SURPLUS_BYTES, 1, StackOverflowError::new, () -> {
+			receive(RESPONSE + RESPONSE);
+			return null;
+		});
+		assertThat(this.told).first().isEqualTo("first complete");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
 	/**
 	 * Records the end of a response.
 	 */
