Go on reading the engine after an error of a call to it

What callers saw: after an error in one call to the engine beside it, a sidecar reported no load any more, or a load without the engine's id.

Cause: the call for the load caught RuntimeException only, and its result leads to the next one; the call for the id caught nothing, and was not repeated.

Change: both calls fail by whatever is thrown, and are made again.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemon.java
@@ -183,7 +183,7 @@
 		try {
 			return this.platform.fetchEngineReport(this.runtime.httpClient(), this.settings.engine());
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			return CompletableFuture.failedFuture(ex);
 		}
 	}
@@ -275,17 +275,25 @@
 			return;
 		}
 		this.requestedIdBornMillis = bornMillis;
-		this.platform.fetchEngineId(this.runtime.httpClient(), this.settings.engine())
-			.whenComplete((id, failure) -> this.runtime.controlScheduler().execute(() -> {
-				if (failure != null) {
-					LogEvent.ENGINE_LOAD_UNREADABLE.log(logger, this.settings.engine(), failure.getMessage());
-					this.requestedIdBornMillis = NO_ENGINE;
-					return;
-				}
-				LogEvent.ENGINE_IDENTIFIED.log(logger, this.settings.engine(), id, bornMillis);
-				this.engineId = id;
-				this.engineIdBornMillis = bornMillis;
-			}));
+		fetchEngineId().whenComplete((id, failure) -> this.runtime.controlScheduler().execute(() -> {
+			if (failure != null) {
+				LogEvent.ENGINE_LOAD_UNREADABLE.log(logger, this.settings.engine(), failure.getMessage());
+				this.requestedIdBornMillis = NO_ENGINE;
+				return;
+			}
+			LogEvent.ENGINE_IDENTIFIED.log(logger, this.settings.engine(), id, bornMillis);
+			this.engineId = id;
+			this.engineIdBornMillis = bornMillis;
+		}));
+	}
+
+	private CompletableFuture<String> fetchEngineId() {
+		try {
+			return this.platform.fetchEngineId(this.runtime.httpClient(), this.settings.engine());
+		}
+		catch (RuntimeException | Error ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
 	}
 
 	@Override
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemonTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelaySidecarDaemonTests.java
@@ -107,6 +107,43 @@
 		assertThat(polls.get()).isGreaterThan(4);
 	}
 
+	/** Neither load nor id of the engine was read again after an error. */
+	@Test
+	void errorOfACallToTheEngineDoesNotEndTheReports() throws Exception {
+		BlockingQueue<EngineLoad> loads = new LinkedBlockingQueue<>();
+		InetSocketAddress seed = this.transport.listen(new InetSocketAddress("127.0.0.1", 0), new Listener((link) -> {
+		}, (link, message) -> {
+			if (message instanceof Message.EngineLoadReport report && !report.load().id().isEmpty()) {
+				loads.add(report.load());
+			}
+		}));
+		AtomicInteger polls = new AtomicInteger();
+		AtomicInteger idReads = new AtomicInteger();
+		startDaemon(seed, new UnreachablePlatform() {
+
+			@Override
+			public CompletableFuture<EngineReport> fetchEngineReport(PooledHttpClient client,
+					InetSocketAddress engine) {
+				int poll = polls.incrementAndGet();
+				if (poll == 1) {
+					throw new StackOverflowError();
+				}
+				return CompletableFuture.completedFuture(new EngineReport(
+						new EngineLoad("", "", "", "127.0.0.1:1", 1, poll, 0, 0, 0, 10, false, -1, -1), List.of()));
+			}
+
+			@Override
+			public CompletableFuture<String> fetchEngineId(PooledHttpClient client, InetSocketAddress engine) {
+				if (idReads.incrementAndGet() == 1) {
+					throw new StackOverflowError();
+				}
+				return CompletableFuture.completedFuture("i");
+			}
+
+		});
+		assertThat(loads.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isNotNull();
+	}
+
 	/** Records of peers that are odd neither end the exchange nor hide sound ones. */
 	@Test
 	void entryHostIsLearnedFromASeedThoughOddOnesAreListedToo() throws Exception {
