Report a connection without a socket on the traffic thread

If a process has no memory or file descriptor for another connection, Netty reports that on its global executor, where the request was failed, retried and answered beside the traffic thread: all state of requests is confined to the latter.

Cause: the listener of the connection attempt relied on being called on the loop, which Netty promises only once there is a channel.

Change: the failure is handled by a task of the loop. Expired connections are closed by a repeated task that an exception does not end.

Evidence: PooledHttpClientTests on the code before, with a channel factory that throws: the listener is called off the event loop.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
@@ -7,12 +7,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -88,8 +88,12 @@
 
 	private final Clock clock = Clock.system();
 
-	private PooledHttpClient(EventLoop loop) {
+	/** Creates the channels of new connections. */
+	private final ChannelFactory<? extends Channel> channels;
+
+	private PooledHttpClient(EventLoop loop, ChannelFactory<? extends Channel> channels) {
 		this.loop = loop;
+		this.channels = channels;
 	}
 
 	/**
@@ -98,8 +102,12 @@
 	 * @return a new client
 	 */
 	public static PooledHttpClient create(EventLoop loop) {
-		PooledHttpClient client = new PooledHttpClient(loop);
-		loop.scheduleWithFixedDelay(client::closeExpired, MAX_IDLE_MILLIS, MAX_IDLE_MILLIS, TimeUnit.MILLISECONDS);
+		return create(loop, NioSocketChannel::new);
+	}
+
+	static PooledHttpClient create(EventLoop loop, ChannelFactory<? extends Channel> channels) {
+		PooledHttpClient client = new PooledHttpClient(loop, channels);
+		new EventLoopScheduler(loop).scheduleWithFixedDelay(MAX_IDLE_MILLIS, client::closeExpired);
 		return client;
 	}
 
@@ -188,7 +196,7 @@
 
 	private void connect(HttpConnection connection, Request request) {
 		new Bootstrap().group(this.loop)
-			.channel(NioSocketChannel.class)
+			.channelFactory(this.channels)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), TCP_PROBE_SECONDS)
@@ -209,7 +217,9 @@
 			.connect(request.address())
 			.addListener((ChannelFuture future) -> {
 				if (!future.isSuccess()) {
-					connection.connectFailed(future.cause());
+					// Without a channel, Netty reports the failure on a thread of its
+					// own.
+					this.loop.execute(() -> connection.connectFailed(future.cause()));
 				}
 			});
 	}
