--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -64,11 +64,11 @@
 	/** Services with a target of their own, by path prefix. */
 	private final Map<String, InetSocketAddress> added = new TreeMap<>();
 
-	private RelayServerFixture(long timeoutMillis) throws IOException, InterruptedException {
+	private RelayServerFixture(long timeoutMillis, HttpMessageMapper mapper) throws IOException, InterruptedException {
 		this.timeoutMillis = timeoutMillis;
 		Clock clock = Clock.system();
 		this.service = RelayService.of(clock, new EventLoopScheduler(this.loop),
-				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(this.loop), new TestMessageMapper())),
+				RelayClients.of(HttpTargetClient.of(PooledHttpClient.create(this.loop), mapper)),
 				new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
 				new MetricRegistry());
 		this.loop.submit(() -> {
@@ -78,8 +78,8 @@
 		try (ServerSocket free = new ServerSocket(0)) {
 			this.port = free.getLocalPort();
 		}
-		CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), this.service,
-				new TestMessageMapper(), this.service::callerLimits, clock);
+		CallerServer.start(this.loop, new InetSocketAddress("127.0.0.1", this.port), this.service, mapper,
+				this.service::callerLimits, clock);
 	}
 
 	static RelayServerFixture start() throws IOException, InterruptedException {
@@ -87,7 +87,19 @@
 	}
 
 	static RelayServerFixture start(long timeoutMillis) throws IOException, InterruptedException {
-		RelayServerFixture fixture = new RelayServerFixture(timeoutMillis);
+		return start(timeoutMillis, new TestMessageMapper());
+	}
+
+	/**
+	 * Starts a server whose messages are converted by another mapper.
+	 */
+	static RelayServerFixture start(HttpMessageMapper mapper) throws IOException, InterruptedException {
+		return start(TIMEOUT_MILLIS, mapper);
+	}
+
+	private static RelayServerFixture start(long timeoutMillis, HttpMessageMapper mapper)
+			throws IOException, InterruptedException {
+		RelayServerFixture fixture = new RelayServerFixture(timeoutMillis, mapper);
 		fixture.putInForce(LIMITS);
 		return fixture;
 	}
@@ -114,7 +126,7 @@
 	 * Starts a server whose host has received no plan.
 	 */
 	static RelayServerFixture withoutPlan() throws IOException, InterruptedException {
-		return new RelayServerFixture(TIMEOUT_MILLIS);
+		return new RelayServerFixture(TIMEOUT_MILLIS, new TestMessageMapper());
 	}
 
 	/**
