Pass the plan to the traffic thread until it has taken it

What callers saw: if a roll-out's order that came with a plan met a defect, the plan was never used: requests were refused as before the first plan, or handled by the version before, until operators wrote another one.

Cause: the control thread forgot the plan when it handed it over, and the task that took it over ended at the first failing step.

Targets are updated whatever the steps before them do, and the plan counts as current only once it is used.

Evidence: planIsUsedThoughAnOrderThatCameWithItHasMetADefect on the code before: no request is served within 10 s.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -17,6 +17,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.dotterelcrank.common.Defects;
 import io.dotterelcrank.common.IpAddresses;
 import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.PlatformException;
@@ -101,11 +102,8 @@
 	/** Data centres taken out of service; confined to the control thread. */
 	private final Set<String> dataCentresOutOfService = new HashSet<>();
 
-	/**
-	 * Plan that the traffic thread does not have yet, if any; confined to the control
-	 * thread.
-	 */
-	private Optional<ServingPlan> newPlan = Optional.empty();
+	/** Newest plan, if any; confined to the control thread. */
+	private Optional<ServingPlan> newestPlan = Optional.empty();
 
 	/** Orders of roll-outs and the decisions on them; confined to the control thread. */
 	private final RolloutFeed rollouts;
@@ -240,8 +238,8 @@
 	private void applyOperatorRecord(RelayPlatform.OperatorRecord record) {
 		if (record instanceof RelayPlatform.PlanPublished published) {
 			ServingPlan plan = published.plan();
-			boolean newer = this.newPlan.filter((other) -> other.version() >= plan.version()).isEmpty();
-			this.newPlan = newer ? Optional.of(plan) : this.newPlan;
+			boolean newer = this.newestPlan.filter((other) -> other.version() >= plan.version()).isEmpty();
+			this.newestPlan = newer ? Optional.of(plan) : this.newestPlan;
 		}
 		else if (record instanceof RelayPlatform.DataCentreChanged changed) {
 			if (changed.outOfService()) {
@@ -308,7 +306,7 @@
 
 	private void readEngineLoad(TargetRegistration engine, Consumer<Optional<EngineReport>> listener) {
 		this.platform.fetchEngineReport(this.runtime.httpClient(), engine.address())
-			.whenComplete((report, failure) -> this.runtime.trafficLoop().execute(() -> {
+			.whenComplete((report, failure) -> onTrafficThread(() -> {
 				if (failure != null) {
 					LogEvent.ENGINE_LOAD_UNREADABLE.log(logger, engine.address(), failure.getMessage());
 				}
@@ -317,29 +315,29 @@
 	}
 
 	private void addRetryLoan(String serviceName) {
-		this.runtime.trafficLoop().execute(() -> this.service.addRetryLoan(serviceName));
+		onTrafficThread(() -> this.service.addRetryLoan(serviceName));
 	}
 
 	private void issueOwnRatePermit(Message.RatePermitRequest request) {
-		this.runtime.trafficLoop().execute(() -> this.service.handleRatePermit(this.service.issueRatePermit(request)));
+		onTrafficThread(() -> this.service.handleRatePermit(this.service.issueRatePermit(request)));
 	}
 
 	private void handleRatePermit(Message.RatePermit permit) {
-		this.runtime.trafficLoop().execute(() -> this.service.handleRatePermit(permit));
+		onTrafficThread(() -> this.service.handleRatePermit(permit));
 	}
 
 	private void handleCrashEvidence(Message.CrashEvidence evidence, Consumer<Message> responses) {
-		this.runtime.trafficLoop().execute(() -> this.service.quarantine().handle(evidence).forEach(responses));
+		onTrafficThread(() -> this.service.quarantine().handle(evidence).forEach(responses));
 	}
 
 	/**
 	 * Passes the state kept on the control thread to the traffic thread, in one task: a
 	 * plan must not be used with targets or orders from before the changes that came with
-	 * it.
+	 * it. All of it is passed each time, so that the next task repeats what one has
+	 * failed to do.
 	 */
 	private void updateService() {
-		Optional<ServingPlan> plan = this.newPlan;
-		this.newPlan = Optional.empty();
+		Optional<ServingPlan> plan = this.newestPlan;
 		List<Target> targets = this.registry.targets(this.targetsFeed.ageMillis() < this.settings.drainMillis());
 		long planAgeMillis = this.operatorsFeed.ageMillis();
 		int entryHosts = Math.max(1, this.runtime.members().size());
@@ -347,13 +345,16 @@
 		this.tableState = Map.of("tableSources", this.sharing.sources(), "tableAgesMillis",
 				Map.of(this.platform.operatorsTable(), planAgeMillis, this.platform.targetsTable(),
 						this.targetsFeed.ageMillis()));
-		this.runtime.trafficLoop().execute(() -> {
+		onTrafficThread(() -> Defects.runAll(() -> {
 			this.service.updateEntryHosts(entryHosts);
-			this.service.updatePlanAge(planAgeMillis);
 			this.service.rolloutGate().update(rolloutView);
 			plan.ifPresent(this.service::updatePlan);
-			this.service.updateTargets(targets);
-		});
+			this.service.updatePlanAge(planAgeMillis);
+		}, () -> this.service.updateTargets(targets)));
+	}
+
+	private void onTrafficThread(Runnable task) {
+		this.runtime.trafficLoop().execute(() -> Defects.isolate(logger, task));
 	}
 
 	@Override
@@ -440,8 +441,7 @@
 			else if (message instanceof Message.EngineLoadReport report) {
 				EngineLoad load = report.load();
 				RelayEntryDaemon.this.sidecarLinks.put(load.address(), link);
-				RelayEntryDaemon.this.runtime.trafficLoop()
-					.execute(() -> RelayEntryDaemon.this.service.updateLoad(load));
+				onTrafficThread(() -> RelayEntryDaemon.this.service.updateLoad(load));
 				EngineLoad former = this.lastLoads.put(link, load);
 				long nowMillis = RelayEntryDaemon.this.runtime.clock().millis();
 				long forwardedMillis = this.lastForwardedMillis.getOrDefault(link, Long.MIN_VALUE / 2);
@@ -456,24 +456,20 @@
 				}
 			}
 			else if (message instanceof Message.RetryLoanRequest request) {
-				RelayEntryDaemon.this.runtime.trafficLoop()
-					.execute(() -> link.send(new Message.RetryLoan(request.service(),
-							RelayEntryDaemon.this.service.tryLendRetry(request.service()))));
+				onTrafficThread(() -> link.send(new Message.RetryLoan(request.service(),
+						RelayEntryDaemon.this.service.tryLendRetry(request.service()))));
 			}
 			else if (message instanceof Message.RatePermitRequest request) {
-				RelayEntryDaemon.this.runtime.trafficLoop()
-					.execute(() -> link.send(RelayEntryDaemon.this.service.issueRatePermit(request)));
+				onTrafficThread(() -> link.send(RelayEntryDaemon.this.service.issueRatePermit(request)));
 			}
 			else if (message instanceof Message.CrashEvidence evidence) {
 				handleCrashEvidence(evidence, link::send);
 			}
 			else if (message instanceof Message.RolloutEvidence evidence) {
-				RelayEntryDaemon.this.runtime.trafficLoop()
-					.execute(() -> RelayEntryDaemon.this.service.rolloutGate().handleEvidence(evidence));
+				onTrafficThread(() -> RelayEntryDaemon.this.service.rolloutGate().handleEvidence(evidence));
 			}
 			else if (message instanceof Message.AdmissionResponse response) {
-				RelayEntryDaemon.this.runtime.trafficLoop()
-					.execute(() -> RelayEntryDaemon.this.service.handleAdmissionResponse(response));
+				onTrafficThread(() -> RelayEntryDaemon.this.service.handleAdmissionResponse(response));
 			}
 		}
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonStartTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonStartTests.java
@@ -14,10 +14,12 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.dotterelcrank.common.LogEvent;
 import io.dotterelcrank.common.PlatformException;
 import io.dotterelcrank.connection.KeyedRecord;
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.process.replica.KeyedTableStore;
+import io.dotterelcrank.process.rollout.RolloutOrder;
 import io.dotterelcrank.version.plan.CallerLimits;
 import io.dotterelcrank.version.plan.RequestKind;
 import io.dotterelcrank.version.plan.Route;
@@ -55,7 +57,7 @@
 							"DOTTERELCRANK_IP", "127.0.0.1", "DOTTERELCRANK_CALLERS", "127.0.0.1:" + callerPort,
 							"DOTTERELCRANK_READY", "127.0.0.1:" + freePort(), "DOTTERELCRANK_PEERS",
 							"127.0.0.1:" + freePort(), "DOTTERELCRANK_STORE", "127.0.0.1:1")),
-					new ListedPlatform(target));
+					new ListedPlatform(target, new RelayPlatform.DataCentreChanged("dc", true)));
 			daemon.start();
 			try (Socket caller = new Socket("127.0.0.1", callerPort)) {
 				caller.getOutputStream()
@@ -72,16 +74,58 @@
 		}
 	}
 
+	/** The plan was not used until the next version came. */
+	@Test
+	void planIsUsedThoughAnOrderThatCameWithItHasMetADefect() throws Exception {
+		this.removalDecoded.countDown();
+		int callerPort = freePort();
+		try (ScriptedTarget target = new ScriptedTarget()) {
+			target.respondWith("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n");
+			RelayEntryDaemon daemon = RelayEntryDaemon.of(
+					RelaySettingsReader.entry(Map.of("DOTTERELCRANK_NAME", "e", "DOTTERELCRANK_DATA_CENTRE", "dc",
+							"DOTTERELCRANK_IP", "127.0.0.1", "DOTTERELCRANK_CALLERS", "127.0.0.1:" + callerPort,
+							"DOTTERELCRANK_READY", "127.0.0.1:" + freePort(), "DOTTERELCRANK_PEERS",
+							"127.0.0.1:" + freePort(), "DOTTERELCRANK_STORE", "127.0.0.1:1",
+							"DOTTERELCRANK_EXPOSED_SHARE", "0.1", "DOTTERELCRANK_ROLLBACK_MILLIS", "3000")),
+					new ListedPlatform(target,
+							new RelayPlatform.RolloutOrdered(new RolloutOrder("other", "v2", 60_000, 1))));
+			boolean served = FailingLog.during(LogEvent.ROLLOUT_ORDERED, 1, StackOverflowError::new, () -> {
+				daemon.start();
+				long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+				boolean success = false;
+				while (!success && System.nanoTime() < until) {
+					success = status(callerPort).equals("HTTP/1.1 200");
+				}
+				return success;
+			});
+			daemon.kill();
+			assertThat(served).isTrue();
+		}
+	}
+
+	private static String status(int callerPort) throws IOException {
+		try (Socket caller = new Socket("127.0.0.1", callerPort)) {
+			caller.getOutputStream()
+				.write("GET /order/1 HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 503".length());
+			return new String(status, StandardCharsets.US_ASCII);
+		}
+	}
+
 	/**
-	 * A platform that lists a plan, one target, and the removal of the target's data
-	 * centre, which is decoded late.
+	 * A platform that lists a plan, one target, and another record of the operators,
+	 * which is decoded late.
 	 */
 	private final class ListedPlatform extends UnreachablePlatform {
 
 		private final ScriptedTarget target;
 
-		ListedPlatform(ScriptedTarget target) {
+		/** What the other record says. */
+		private final OperatorRecord other;
+
+		ListedPlatform(ScriptedTarget target, OperatorRecord other) {
 			this.target = target;
+			this.other = other;
 		}
 
 		@Override
@@ -144,7 +188,7 @@
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
 			}
-			return new DataCentreChanged("dc", true);
+			return this.other;
 		}
 
 		@Override
