Keep the link of a message that meets a defect

A message of a peer or sidecar that met a defect closed its link, so that admission requests to that sidecar and records to that peer were lost until the link was open again.

Cause: the listener passed exceptions on to the transport, which closes a link whose handler throws.

Change: each message is handled in isolation and its defect logged as DC104. Frames that cannot be decoded close the link as before.

Evidence: messageThatMeetsADefectDoesNotCloseItsLink on the code before: the response to the next message does not come within 20 s, as its link is closed.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -432,6 +432,10 @@
 
 		@Override
 		public void received(Link link, long version, Message message) {
+			Defects.isolate(logger, () -> handle(link, message));
+		}
+
+		private void handle(Link link, Message message) {
 			if (message instanceof Message.RecordsRequest request) {
 				RelayEntryDaemon.this.peerSync.handleRequest(link, request);
 			}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonTests.java
@@ -102,6 +102,14 @@
 		assertThat(reply.clearances()).extracting(Clearance::key).containsExactly("first");
 	}
 
+	/** The link was closed, and with it that to the sidecar of a sound engine. */
+	@Test
+	void messageThatMeetsADefectDoesNotCloseItsLink() throws Exception {
+		this.link.send(new Message.EngineLoadReport(null, true));
+		this.link.send(new Message.RetryLoanRequest("s"));
+		assertThat(this.received.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isInstanceOf(Message.RetryLoan.class);
+	}
+
 	/**
 	 * Collects the messages of the daemon.
 	 */
