Fail any one log line of requests of each kind

Each step of a request has a log line, so that this runs every step into an error in turn: all callers get one response, all but one are served, and no target counts a request that has ended.

--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/FailingLog.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/FailingLog.java
@@ -20,15 +20,20 @@
 
 	private final Logger logger = (Logger) LoggerFactory.getLogger(LOGGERS);
 
-	private final LogEvent event;
+	/** Beginning of the lines that fail. */
+	private final String start;
 
 	private final Supplier<Error> errors;
 
+	/** Number of such lines before the first one that fails. */
+	private int successes;
+
 	/** Number of lines that are still to fail. */
 	private int failures;
 
-	private FailingLog(LogEvent event, int failures, Supplier<Error> errors) {
-		this.event = event;
+	private FailingLog(String start, int successes, int failures, Supplier<Error> errors) {
+		this.start = start;
+		this.successes = successes;
 		this.failures = failures;
 		this.errors = errors;
 	}
@@ -41,23 +46,42 @@
 	 * @param step the step
 	 */
 	static void during(LogEvent event, int failures, Supplier<Error> errors, Runnable step) {
-		FailingLog failing = new FailingLog(event, failures, errors);
-		failing.logger.setLevel(Level.TRACE);
-		failing.logger.setAdditive(false);
-		failing.logger.addAppender(failing);
+		new FailingLog("DC" + event.number() + ' ', 0, failures, errors).during(step);
+	}
+
+	/**
+	 * Makes one line fail while a step runs.
+	 * @param index number of lines before it
+	 * @param errors supplies what it fails with
+	 * @param step the step
+	 */
+	static void duringLine(int index, Supplier<Error> errors, Runnable step) {
+		new FailingLog("DC", index, 1, errors).during(step);
+	}
+
+	private void during(Runnable step) {
+		this.logger.setLevel(Level.TRACE);
+		this.logger.setAdditive(false);
+		this.logger.addAppender(this);
 		try {
 			step.run();
 		}
 		finally {
-			failing.logger.detachAppender(failing);
-			failing.logger.setAdditive(true);
-			failing.logger.setLevel(null);
+			this.logger.detachAppender(this);
+			this.logger.setAdditive(true);
+			this.logger.setLevel(null);
 		}
 	}
 
 	@Override
 	public void doAppend(ILoggingEvent line) {
-		if (this.failures > 0 && line.getMessage().startsWith("DC" + this.event.number() + ' ')) {
+		if (!line.getMessage().startsWith(this.start)) {
+			return;
+		}
+		if (this.successes > 0) {
+			this.successes--;
+		}
+		else if (this.failures > 0) {
 			this.failures--;
 			throw this.errors.get();
 		}
