--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -11,6 +11,7 @@
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.ResultCode;
 import io.dotterelcrank.version.plan.ServiceSpec;
 
 /**
@@ -289,7 +290,8 @@
 			}
 		}
 		if (!this.stop.mayBringCopy() && !sourceActive()) {
-			this.request.generationLost("the engine has stopped and the generation could not be resumed");
+			this.request.endInFailure(ResultCode.TARGET_LOST,
+					"the engine has stopped and the generation could not be resumed");
 		}
 	}
 
@@ -313,7 +315,7 @@
 		this.stop = null;
 		this.nextTryMillis = this.request.now() + RETRY_INTERVAL_MILLIS;
 		if (!sourceActive()) {
-			this.request.generationLost("the engine does not say whether it has stopped");
+			this.request.endInFailure(ResultCode.TARGET_LOST, "the engine does not say whether it has stopped");
 		}
 	}
 
@@ -401,17 +403,22 @@
 		long startedMillis = this.request.now();
 		TargetClient.CopyRequest copyRequest = new TargetClient.CopyRequest(this.request.id(),
 				from.target().membership().registration(), holder, false);
-		this.relayService.targetClient().copyKv(copyRequest, (result) -> {
-			LogEvent.KV_COPY_ENDED.log(logger, this.request.id(), from.target().id(), holder.id(), result.outcome(),
-					this.request.now() - startedMillis);
-			this.relayService.metrics().recordResume("copy-" + result.outcome());
-			from.target().releaseKvCopy();
-			this.relayService.requests().schedulePoll();
-			if (!this.request.done() && this.source == from) {
-				this.kvCopyRunning = false;
-				kvCopyEnded(holder, result);
-			}
-		});
+		this.relayService.targetClient()
+			.copyKv(copyRequest, (result) -> this.relayService.requests()
+				.run(this.request, () -> handleCopyResult(from, holder, result, startedMillis)));
+	}
+
+	private void handleCopyResult(RelayAttempt from, TargetRegistration holder, TargetClient.CopyResult result,
+			long startedMillis) {
+		from.target().releaseKvCopy();
+		LogEvent.KV_COPY_ENDED.log(logger, this.request.id(), from.target().id(), holder.id(), result.outcome(),
+				this.request.now() - startedMillis);
+		this.relayService.metrics().recordResume("copy-" + result.outcome());
+		this.relayService.requests().schedulePoll();
+		if (!this.request.done() && this.source == from) {
+			this.kvCopyRunning = false;
+			kvCopyEnded(holder, result);
+		}
 	}
 
 	/**
@@ -478,7 +485,7 @@
 		}
 		Optional<TargetRequest.KvCopy> backup = usableBackup();
 		if (backup.isEmpty()) {
-			this.request.generationLost(reason);
+			this.request.endInFailure(ResultCode.TARGET_LOST, reason);
 			return;
 		}
 		startStop(backup.get(), "broken");
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -93,9 +93,14 @@
 	}
 
 	static RelayServerFixture start(long timeoutMillis) throws IOException, InterruptedException {
-		RelayServerFixture fixture = new RelayServerFixture(timeoutMillis, new TestMessageMapper(), Clock.system());
-		fixture.putInForce(LIMITS);
-		return fixture;
+		return start(timeoutMillis, new TestMessageMapper(), Clock.system());
+	}
+
+	/**
+	 * Starts a server whose messages are converted by another mapper.
+	 */
+	static RelayServerFixture start(HttpMessageMapper mapper) throws IOException, InterruptedException {
+		return start(TIMEOUT_MILLIS, mapper, Clock.system());
 	}
 
 	/**
@@ -103,7 +108,12 @@
 	 * the timeout to the caller.
 	 */
 	static RelayServerFixture start(HttpMessageMapper mapper, Clock clock) throws IOException, InterruptedException {
-		RelayServerFixture fixture = new RelayServerFixture(LONG_TIMEOUT_MILLIS, mapper, clock);
+		return start(LONG_TIMEOUT_MILLIS, mapper, clock);
+	}
+
+	private static RelayServerFixture start(long timeoutMillis, HttpMessageMapper mapper, Clock clock)
+			throws IOException, InterruptedException {
+		RelayServerFixture fixture = new RelayServerFixture(timeoutMillis, mapper, clock);
 		fixture.putInForce(LIMITS);
 		return fixture;
 	}
