Stop accepting before a host that is forced to end does

Cause: a forced end left the listener open; at an end without it, the process went on to end before the event loop had selected again, until when the kernel accepts connections.

Change: a forced end closes the listener first, and the last check of a stop is the one after the listener was closed.

The idle host must refuse the first connection now, not one of many. The grace period of these tests is 3 s: with 1 s, the forced stop and the end of the process fall into one interval of the checks.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -125,17 +125,27 @@
 	/**
 	 * Closes the connections on which no request is being read or served, once their
 	 * sockets were read once more, and stops accepting new ones if none is left.
-	 * @return whether the server is closed, so that no caller waits for a response
+	 * @return whether the server is closed, so that no caller waits for a response; as
+	 * the kernel accepts connections until the event loop has selected again, never at
+	 * the call that stops accepting
 	 */
 	public boolean closeIfIdle() {
+		boolean accepting = this.acceptor.isOpen();
 		boolean idle = true;
 		for (CallerConnection connection : List.copyOf(this.connections)) {
 			idle &= connection.closeIfIdle();
 		}
 		if (idle) {
-			this.acceptor.close();
+			stopAccepting();
 		}
-		return idle;
+		return idle && !accepting;
+	}
+
+	/**
+	 * Stops accepting connections; those that are open are served as before.
+	 */
+	public void stopAccepting() {
+		this.acceptor.close();
 	}
 
 	void add(CallerConnection connection) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/RelayEntryDaemon.java
@@ -377,6 +377,7 @@
 
 		@Override
 		public void endActiveRequests() {
+			RelayEntryDaemon.this.callerServer.stopAccepting();
 			RelayEntryDaemon.this.service.endActiveRequests();
 		}
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonStopTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonStopTests.java
@@ -39,7 +39,7 @@
 			.entry(Map.of("DOTTERELCRANK_FIRST_START", "yes", "DOTTERELCRANK_NAME", "e", "DOTTERELCRANK_DATA_CENTRE",
 					"dc", "DOTTERELCRANK_IP", "127.0.0.1", "DOTTERELCRANK_CALLERS", "127.0.0.1:" + this.callerPort,
 					"DOTTERELCRANK_READY", "127.0.0.1:" + freePort(), "DOTTERELCRANK_PEERS", "127.0.0.1:" + freePort(),
-					"DOTTERELCRANK_STORE", "127.0.0.1:1", "DOTTERELCRANK_GRACE_SECONDS", "1")),
+					"DOTTERELCRANK_STORE", "127.0.0.1:1", "DOTTERELCRANK_GRACE_SECONDS", "3")),
 				new UnreachablePlatform());
 		this.daemon.start();
 	}
@@ -56,12 +56,22 @@
 			this.daemon.stop();
 			assertThat(idle.getInputStream().read()).isNegative();
 		}
-		assertThatExceptionOfType(ConnectException.class).isThrownBy(() -> {
-			while (true) {
-				// The kernel may accept connections until the socket leaves the selector.
-				new Socket("127.0.0.1", this.callerPort).close();
-			}
-		});
+		assertConnectionsAreRefused();
+	}
+
+	private void assertConnectionsAreRefused() {
+		assertThatExceptionOfType(ConnectException.class)
+			.isThrownBy(() -> new Socket("127.0.0.1", this.callerPort).close());
+	}
+
+	/** Requests on connections that the kernel accepted were never read. */
+	@Test
+	void hostThatIsForcedToEndAcceptsNoConnectionThatItWouldNotRead() throws Exception {
+		try (Socket slow = new Socket("127.0.0.1", this.callerPort)) {
+			slow.getOutputStream().write("POST /order/1 HTTP/1.1\r\n".getBytes(StandardCharsets.ISO_8859_1));
+			this.daemon.stop();
+			assertConnectionsAreRefused();
+		}
 	}
 
 	@Test
