Read what has arrived before a connection or the listener is closed

A head counted as late was closed without reading its rest; connections that the kernel had accepted were reset with the listener; between the second read and the close of an idle connection other tasks could run for long.

The read that waited for was one of the event loop's.

Change: the socket is read in the same task, then the decision is taken again and the connection is closed; likewise the listener accepts what has arrived. Beside it: an exchange whose end meets a defect closes its connection, and the periodic check is guarded as other tasks are.

For the two changes beside it there is no test that failed.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -66,9 +66,6 @@
 	/** Address of the caller, which the channel forgets once it is closed. */
 	private final SocketAddress address;
 
-	/** Number of times that bytes arrived. */
-	private long reads;
-
 	/** Buffered messages of pipelined requests. */
 	private final Queue<HttpObject> pipelined = new ArrayDeque<>();
 
@@ -90,10 +87,10 @@
 	private long idleSinceMillis;
 
 	/**
-	 * Idle timeout in force at that time, in milliseconds. A lower one does not shorten
-	 * the time that the caller has been promised with the last response.
+	 * Idle timeout in force at that time, in milliseconds. The caller may go by it until
+	 * the next response, though a lower one is in force since.
 	 */
-	private long promisedIdleMillis;
+	private long idleTimeoutAtStartMillis;
 
 	/** Completed once all bytes of the responses so far are sent. */
 	private ChannelFuture lastWrite;
@@ -129,7 +126,6 @@
 
 			@Override
 			public void channelRead(ChannelHandlerContext context, Object message) {
-				CallerConnection.this.reads++;
 				if (!readingRequest()) {
 					CallerConnection.this.arrivedMillis = CallerConnection.this.server.clock().millis();
 				}
@@ -309,7 +305,7 @@
 
 	private void becomeIdle() {
 		this.idleSinceMillis = this.server.clock().millis();
-		this.promisedIdleMillis = this.server.limits().idleTimeoutMillis();
+		this.idleTimeoutAtStartMillis = this.server.limits().idleTimeoutMillis();
 	}
 
 	/**
@@ -337,64 +333,80 @@
 	/**
 	 * Closes the connection if it exceeds the idle timeout, the timeout for request
 	 * headers or, before its body is complete, the deadline of the request. One that only
-	 * has responses left to send is idle while none of their bytes is sent.
+	 * has responses left to send is idle while none of their bytes is sent. What has
+	 * arrived is read before: the event loop may have been busy.
 	 */
 	void closeIfTimedOut() {
 		if (this.currentExchange != null) {
 			return;
 		}
-		long nowMillis = this.server.clock().millis();
-		boolean awaitsRequest = readingRequest() && !this.discardsInput;
-		boolean headersLate = awaitsRequest && this.requestHead == null && this.pipelined.isEmpty()
-				&& nowMillis - this.arrivedMillis > this.server.limits().headerTimeoutMillis();
-		ChannelOutboundBuffer outbound = this.channel.unsafe().outboundBuffer();
-		long unsentBytes = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
-		if (unsentBytes != this.lastUnsentBytes) {
-			this.lastUnsentBytes = unsentBytes;
-			this.idleSinceMillis = nowMillis;
+		recordProgress();
+		boolean due = bodyLate() || headersLate() || idle();
+		if (!due || !readArrived()) {
+			return;
 		}
-		long idleTimeoutMillis = Math.max(this.promisedIdleMillis, this.server.limits().idleTimeoutMillis());
-		boolean idle = !awaitsRequest && nowMillis - this.idleSinceMillis > idleTimeoutMillis;
-		boolean bodyLate = this.requestHead != null
-				&& nowMillis - this.arrivedMillis > this.server.messageMapper().deadlineMillis(this.requestHead);
-		if (bodyLate) {
+		if (bodyLate()) {
 			rejectIncomplete(Failure.notRun(ResultCode.OVERLOADED, "the body was not complete before the deadline"));
 		}
-		else if (headersLate) {
+		else if (headersLate()) {
 			close("its head was not complete in time");
 		}
-		else if (idle) {
-			closeUnlessReadFrom("the connection was idle");
+		else if (idle()) {
+			close("the connection was idle");
+		}
+	}
+
+	private void recordProgress() {
+		ChannelOutboundBuffer outbound = this.channel.unsafe().outboundBuffer();
+		long unsentBytes = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+		if (unsentBytes != this.lastUnsentBytes) {
+			this.lastUnsentBytes = unsentBytes;
+			this.idleSinceMillis = this.server.clock().millis();
 		}
 	}
 
+	private boolean bodyLate() {
+		return this.requestHead != null && this.server.clock().millis()
+				- this.arrivedMillis > this.server.messageMapper().deadlineMillis(this.requestHead);
+	}
+
+	private boolean headersLate() {
+		return readingRequest() && !this.discardsInput && this.requestHead == null && this.pipelined.isEmpty()
+				&& this.server.clock().millis() - this.arrivedMillis > this.server.limits().headerTimeoutMillis();
+	}
+
+	private boolean idle() {
+		long idleTimeoutMillis = Math.max(this.idleTimeoutAtStartMillis, this.server.limits().idleTimeoutMillis());
+		return (!readingRequest() || this.discardsInput)
+				&& this.server.clock().millis() - this.idleSinceMillis > idleTimeoutMillis;
+	}
+
 	/**
-	 * Closes an idle connection after the next read of its socket: a request may have
-	 * arrived while the event loop was busy.
-	 * @param cause why the connection is closed
+	 * Reads what has arrived, without waiting for the event loop to do so.
+	 * @return whether the connection is still open and serves no request
 	 */
-	private void closeUnlessReadFrom(String cause) {
-		long readsBefore = this.reads;
-		this.channel.eventLoop().schedule(() -> {
-			if (this.reads == readsBefore || this.discardsInput) {
-				close(cause);
-			}
-		}, 1, TimeUnit.MILLISECONDS);
+	private boolean readArrived() {
+		CallerServer.read(this.channel);
+		return this.channel.isOpen() && this.currentExchange == null;
 	}
 
 	/**
-	 * Closes the connection soon unless a request is being read or served, a response is
-	 * not yet sent to its last byte, or it is about to be closed after its last response.
-	 * @return whether it is closed already
+	 * Closes the connection unless a request is being read or served, a response is not
+	 * yet sent to its last byte, or it is about to be closed after its last response.
+	 * What has arrived is read before.
+	 * @return whether it is closed
 	 */
 	boolean closeIfIdle() {
-		boolean idle = this.currentExchange == null && !readingRequest() && !this.discardsInput;
-		if (idle && this.lastWrite.isDone()) {
-			closeUnlessReadFrom("the server closes");
+		if (closableNow() && readArrived() && closableNow()) {
+			close("the server closes");
 		}
 		return !this.channel.isOpen();
 	}
 
+	private boolean closableNow() {
+		return this.currentExchange == null && !readingRequest() && !this.discardsInput && this.lastWrite.isDone();
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
 		if (this.currentExchange != null) {
@@ -431,6 +443,15 @@
 		LogEvent.REQUEST_DEFECT.log(logger, requestId, defect.toString(), defect);
 	}
 
+	/**
+	 * Returns whether the response of an exchange has not ended.
+	 * @param exchange an exchange of this connection
+	 * @return {@code false} also if its request was rejected before it was read
+	 */
+	boolean serves(CallerExchange exchange) {
+		return this.currentExchange == exchange;
+	}
+
 	private void close(String cause) {
 		logUnanswered(cause);
 		this.channel.close();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
@@ -211,7 +211,7 @@
 		catch (RuntimeException | Error ex) {
 			defect.addSuppressed(ex);
 		}
-		if (!this.ended) {
+		if (!this.ended || this.connection.serves(this)) {
 			this.ended = true;
 			this.connection.abortResponse();
 		}
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -14,6 +13,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -100,7 +100,7 @@
 					bindFuture.cause());
 		}
 		server.acceptor = bindFuture.channel();
-		loop.scheduleWithFixedDelay(server::closeTimedOut, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+		new EventLoopScheduler(loop).scheduleWithFixedDelay(SWEEP_MILLIS, server::closeTimedOut);
 		return server;
 	}
 
@@ -123,31 +123,49 @@
 	}
 
 	/**
-	 * Closes the connections on which no request is being read or served, once their
-	 * sockets were read once more, and stops accepting new ones if none is left.
-	 * @return whether the server is closed, so that no caller waits for a response; as
-	 * the kernel accepts connections until the event loop has selected again, never at
-	 * the call that stops accepting
+	 * Closes the connections on which no request is being read or served, and stops
+	 * accepting new ones if none is left. What has arrived is accepted and read before.
+	 * @return whether the server was closed already: the kernel accepts connections until
+	 * the event loop has selected after the call that stops it
 	 */
 	public boolean closeIfIdle() {
 		boolean accepting = this.acceptor.isOpen();
+		acceptArrived();
 		boolean idle = true;
 		for (CallerConnection connection : List.copyOf(this.connections)) {
 			idle &= connection.closeIfIdle();
 		}
 		if (idle) {
-			stopAccepting();
+			this.acceptor.close();
 		}
 		return idle && !accepting;
 	}
 
 	/**
-	 * Stops accepting connections; those that are open are served as before.
+	 * Accepts the connections that have arrived, and no further ones; those that are open
+	 * are served as before.
 	 */
 	public void stopAccepting() {
+		acceptArrived();
 		this.acceptor.close();
 	}
 
+	private void acceptArrived() {
+		int before = -1;
+		while (this.acceptor.isOpen() && this.connections.size() > before) {
+			before = this.connections.size();
+			read(this.acceptor);
+		}
+	}
+
+	/**
+	 * Reads what has arrived at a channel, as the event loop does after a select.
+	 * @param channel channel of the event loop that runs this thread
+	 */
+	static void read(Channel channel) {
+		((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+	}
+
 	void add(CallerConnection connection) {
 		this.connections.add(connection);
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerConnectionTests.java
@@ -88,10 +88,10 @@
 
 	@AfterEach
 	void stop() throws IOException {
-		this.logger.detachAppender(this.appender);
-		this.logger.setLevel(null);
 		this.socket.close();
 		this.fixture.close();
+		this.logger.detachAppender(this.appender);
+		this.logger.setLevel(null);
 	}
 
 	private static String request(String line, String id, String body) {
@@ -376,6 +376,37 @@
 		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
 	}
 
+	/** Its head counted as late though the rest had arrived. */
+	@Test
+	void headWhoseRestHasArrivedButIsUnreadIsNotCutOff() throws Exception {
+		String next = request("GET /lookup/y", "1", "");
+		assertServed(request("GET /lookup/x", "1", "") + next.substring(0, 10));
+		this.fixture.target().respondWith(RESPONSE);
+		this.fixture.loop().submit(() -> {
+			this.caller.send(next.substring(10));
+			this.advancedMillis.addAndGet(4_000);
+			this.fixture.server().closeTimedOut();
+			return null;
+		}).sync();
+		assertThat(this.caller.read(false)).isEqualTo("200 s ok");
+	}
+
+	/** Connections that the kernel had accepted were reset with the listener. */
+	@Test
+	void requestOnAConnectionThatIsNotYetAcceptedIsAnswered() throws Exception {
+		this.socket.close();
+		this.fixture.target().respondWith(RESPONSE);
+		try (Socket last = this.fixture.loop().submit(() -> {
+			Socket arrived = this.fixture.connect();
+			CallerReader.of(arrived).send(request("POST /order/y", "1", "b"));
+			assertThat(this.fixture.server().closeIfIdle()).isFalse();
+			return arrived;
+		}).get()) {
+			last.setSoTimeout(READ_TIMEOUT_MILLIS);
+			assertThat(CallerReader.of(last).read(false)).isEqualTo("200 s ok");
+		}
+	}
+
 	/**
 	 * Throws, or returns what cannot be used, where a test says so.
 	 */
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
@@ -206,7 +207,7 @@
 	@Override
 	public void close() throws IOException {
 		this.target.close();
-		this.group.shutdownGracefully();
+		this.group.shutdownGracefully(0, 5, TimeUnit.SECONDS).syncUninterruptibly();
 	}
 
 }
