Keep the idle time of a connection in a class of its own

Change: IdleTime holds since when a connection is idle and by which timeout, no logic is changed; DC907 stands last; the invariant of PeerTableSync says when a record is sent again.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -300,9 +300,6 @@
 	/** A peer has lent a retry permit that this host did not ask for, or long ago. */
 	RETRY_LOAN_DROPPED(901, Level.INFO, "retry permit of peer={} dropped service={}"),
 
-	/** A peer has acknowledged records long after they were sent, or not at all. */
-	PUSH_ACKNOWLEDGED_LATE(907, Level.WARN, "table={} push to peer={} under way for millis={} bytes={}"),
-
 	/** A caller resumes a stream of which it has the first events. */
 	CALLER_RESUMES(902, Level.INFO, "request={} resumes a stream route={} lastEvent={}"),
 
@@ -311,7 +308,10 @@
 
 	/** A caller's connection is closed though a request on it has no response. */
 	CALLER_CLOSED(904, Level.INFO,
-			"request={} of caller={} not answered, connection closed read=\"{}\" cause=\"{}\" millis={}");
+			"request={} of caller={} not answered, connection closed read=\"{}\" cause=\"{}\" millis={}"),
+
+	/** A peer has acknowledged records long after they were sent, or not at all. */
+	PUSH_ACKNOWLEDGED_LATE(907, Level.WARN, "table={} push to peer={} under way for millis={} bytes={}");
 
 	/** Maximum length of a value in the log; values may come from other writers. */
 	static final int MAX_VALUE_CHARS = 500;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
@@ -24,8 +24,9 @@
  * it may refuse some hosts and serve others. Each round asks two peers only, so the
  * messages per host during an outage do not grow with the number of hosts; those that may
  * be responding are asked again first, so that a host behind a slow link does not get the
- * same records from all peers. Invariant: a link carries no record twice, however often a
- * peer asks before it has the response. All state is confined to the control thread.
+ * same records from all peers. Invariant: however often a peer asks before it has the
+ * response, a link carries a record again only as part of a whole listing. All state is
+ * confined to the control thread.
  */
 public final class PeerTableSync {
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -80,24 +80,11 @@
 	 */
 	private long arrivedMillis;
 
-	/**
-	 * Time at which the connection was opened or the last response ended, in
-	 * milliseconds.
-	 */
-	private long idleSinceMillis;
-
-	/**
-	 * Idle timeout in force at that time, in milliseconds. The caller may go by it until
-	 * the next response, though a lower one is in force since.
-	 */
-	private long idleTimeoutAtStartMillis;
+	private final IdleTime idleTime;
 
 	/** Completed once all bytes of the responses so far are sent. */
 	private ChannelFuture lastWrite;
 
-	/** Bytes of responses that were not yet sent at the last check. */
-	private long lastUnsentBytes;
-
 	/** Exchange whose response has not ended, or {@code null}. */
 	private CallerExchange currentExchange;
 
@@ -113,7 +100,7 @@
 		this.decoder = decoder;
 		this.channel = channel;
 		this.address = channel.remoteAddress();
-		becomeIdle();
+		this.idleTime = IdleTime.startingNow(server.clock(), () -> server.limits().idleTimeoutMillis());
 		this.lastWrite = channel.newSucceededFuture();
 	}
 
@@ -282,7 +269,7 @@
 	void responseEnded(boolean keepAlive, ChannelFuture write) {
 		this.currentExchange = null;
 		this.lastWrite = write;
-		write.addListener((sent) -> becomeIdle());
+		write.addListener((sent) -> this.idleTime.restart());
 		if (!keepAlive || this.discardsInput) {
 			logUnanswered("the response before it was the last one");
 			this.discardsInput = true;
@@ -303,11 +290,6 @@
 		this.lastWrite.addListener((sent) -> this.channel.close());
 	}
 
-	private void becomeIdle() {
-		this.idleSinceMillis = this.server.clock().millis();
-		this.idleTimeoutAtStartMillis = this.server.limits().idleTimeoutMillis();
-	}
-
 	/**
 	 * Ends the output at once, and closes the connection once the caller does or has had
 	 * time to read.
@@ -340,7 +322,8 @@
 		if (this.currentExchange != null) {
 			return;
 		}
-		recordProgress();
+		ChannelOutboundBuffer outbound = this.channel.unsafe().outboundBuffer();
+		this.idleTime.recordUnsent((outbound != null) ? outbound.totalPendingWriteBytes() : 0);
 		boolean due = bodyLate() || headersLate() || idle();
 		if (!due || !readArrived()) {
 			return;
@@ -356,15 +339,6 @@
 		}
 	}
 
-	private void recordProgress() {
-		ChannelOutboundBuffer outbound = this.channel.unsafe().outboundBuffer();
-		long unsentBytes = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
-		if (unsentBytes != this.lastUnsentBytes) {
-			this.lastUnsentBytes = unsentBytes;
-			this.idleSinceMillis = this.server.clock().millis();
-		}
-	}
-
 	private boolean bodyLate() {
 		return this.requestHead != null && this.server.clock().millis()
 				- this.arrivedMillis > this.server.messageMapper().deadlineMillis(this.requestHead);
@@ -376,9 +350,7 @@
 	}
 
 	private boolean idle() {
-		long idleTimeoutMillis = Math.max(this.idleTimeoutAtStartMillis, this.server.limits().idleTimeoutMillis());
-		return (!readingRequest() || this.discardsInput)
-				&& this.server.clock().millis() - this.idleSinceMillis > idleTimeoutMillis;
+		return (!readingRequest() || this.discardsInput) && this.idleTime.exceeded();
 	}
 
 	/**
