Do not forward a refusal of a request that has run

Callers booked again after a 503: the target had run the booking and answered 503 with its seal and without the statement that it was not run, and the host forwarded it (REFUSED).

Cause: a confirmed refusal was forwarded by who made it. The seal shows that the target has made the answer; only its own statement makes "not run" true. 408, 429 and 503 without that statement now end in 502, result code 4005, without Retry-After; an idempotent request is retried first, as after any other failure. Retry-After of a sealed 503 was not heeded after a run; the target is left alone for so long now. DC908 names the target.

The statuses promise the same on every route, so idempotent requests get no such status after a run either.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -311,7 +311,14 @@
 			"request={} of caller={} not answered, connection closed read=\"{}\" cause=\"{}\" millis={}"),
 
 	/** A peer has acknowledged records long after they were sent, or not at all. */
-	PUSH_ACKNOWLEDGED_LATE(907, Level.WARN, "table={} push to peer={} under way for millis={} bytes={}");
+	PUSH_ACKNOWLEDGED_LATE(907, Level.WARN, "table={} push to peer={} under way for millis={} bytes={}"),
+
+	/**
+	 * A target has answered with a status that promises that the request has not run, and
+	 * does not say so itself.
+	 */
+	REFUSAL_NOT_CONFIRMED(908, Level.INFO,
+			"request={} target={} refusal not forwarded, as the request may have run status={}");
 
 	/** Maximum length of a value in the log; values may come from other writers. */
 	static final int MAX_VALUE_CHARS = 500;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RequestRateGate.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/limit/RequestRateGate.java
@@ -121,7 +121,7 @@
 	}
 
 	/**
-	 * Sends nothing for a time, after the target has refused a request.
+	 * Sends nothing for a time, as the target has asked for in a response.
 	 * @param millis time that the target asks for, in milliseconds; 0 for none
 	 */
 	public void pause(long millis) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -255,6 +255,9 @@
 		if (fromTarget) {
 			this.target.rateGate().update(received.requestLimit(), this.sentMillis);
 		}
+		if (!received.misdirected() && (received.confirmed() || received.ran() == Ran.NO)) {
+			this.target.rateGate().pause(received.pauseMillis());
+		}
 		if (received.leaving() && !received.misdirected()) {
 			this.target.recordLeaving();
 		}
@@ -265,7 +268,6 @@
 			if (!this.resumed) {
 				this.target.backOff(INITIAL_BACKOFF_MILLIS);
 			}
-			this.target.rateGate().pause(received.misdirected() ? 0 : received.pauseMillis());
 			cancel();
 			this.request.attemptFailed(this, Ran.NO, "refused with status " + received.status());
 		}
@@ -372,6 +374,9 @@
 			this.request.streamCompleted();
 			return;
 		}
+		if (this.head.refusal()) {
+			LogEvent.REFUSAL_NOT_CONFIRMED.log(logger, this.request.id(), this.target.id(), this.head.status());
+		}
 		recordOutcome(this.head.serverError());
 		if (this.head.serverError()) {
 			this.target.recordFailure();
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -418,26 +418,27 @@
 	}
 
 	/**
-	 * Forwards a complete response, or retries an idempotent request after a server
-	 * error.
+	 * Forwards a complete response, unless its status promises callers that the request
+	 * has not run, or retries an idempotent request after a failure.
 	 * @param head head of the response
 	 * @param body whole body
 	 */
 	void responseReceived(TargetClient.ResponseHead head, byte[] body) {
-		if (head.serverError() && this.route.kind() == RequestKind.IDEMPOTENT && tryRetryAfterServerError()) {
+		if ((head.serverError() || head.refusal()) && retriesOrAwaitsOtherAttempt()) {
+			return;
+		}
+		if (head.refusal()) {
+			endWithError(RetryPolicy.refusalAfterRun(head.status()));
 			return;
 		}
 		end(head.success() ? "served" : "failed-by-target", "status " + head.status(),
 				() -> this.caller.sendResponse(head.status(), head.headers(), body));
 	}
 
-	/**
-	 * Retries the request unless another attempt is still under way.
-	 * @return {@code false} if the server error has to be forwarded
-	 */
-	private boolean tryRetryAfterServerError() {
+	private boolean retriesOrAwaitsOtherAttempt() {
 		this.mayHaveRun = true;
-		return !this.attempts.isEmpty() || (tryObtainRetry() && this.placement.tryPlace());
+		return this.route.kind() == RequestKind.IDEMPOTENT
+				&& (!this.attempts.isEmpty() || (tryObtainRetry() && this.placement.tryPlace()));
 	}
 
 	boolean responseStarted() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RetryPolicy.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RetryPolicy.java
@@ -64,4 +64,16 @@
 				: Failure.notRun(deadlinePassed ? ResultCode.OVERLOADED : code, message);
 	}
 
+	/**
+	 * Returns the failure of a request whose target has answered with a status that
+	 * promises that it has not run, without saying so itself.
+	 * @param status status of the target's response
+	 * @return a failure without a suggested retry delay; the one that the target names
+	 * concerns the target
+	 */
+	static Failure refusalAfterRun(int status) {
+		return Failure.mayHaveRun(ResultCode.TARGET_FAILED,
+				"the target answered with status " + status + " and may have run the request");
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdverseTarget.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AdverseTarget.java
@@ -27,6 +27,9 @@
 	/** Time between two updates of a KV backup, in milliseconds. */
 	private static final long BACKUP_MILLIS = 150;
 
+	/** Statuses that callers take as a promise that a request has not run. */
+	private static final int[] REFUSALS = { 408, 429, 503 };
+
 	private final AdverseFleet fleet;
 
 	private final String service;
@@ -208,6 +211,7 @@
 			case 3 -> {
 				// The response is lost.
 			}
+			case 4 -> exchange.respond(REFUSALS[this.fleet.between(0, REFUSALS.length)]);
 			default -> exchange.respond(200);
 		}
 	}
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/JudgedCaller.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/JudgedCaller.java
@@ -7,6 +7,7 @@
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Header;
+import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.version.plan.RequestKind;
 
 /**
@@ -76,6 +77,7 @@
 		if (!new String(body, StandardCharsets.UTF_8).equals(this.id)) {
 			this.faults.add("body of another request");
 		}
+		this.saidNotRun = ExecutionLedger.promisesNotRun(status, Ran.UNKNOWN);
 		finish("response " + status);
 	}
 
