Send names of workspaces as UTF-8, and none that no header carries

Cause: names of a configuration are Unicode, while the codec holds one character a byte, writes each one above U+00FF as "?" and readers drop spaces around a value. WireText turns a text into the characters of its UTF-8 bytes, so that different names stay different. A name that no header carries refuses the requests of its own workspace at once, 2010, not run; the rest of the version is in force, and DC909 names it.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -318,7 +318,11 @@
 	 * does not say so itself.
 	 */
 	REFUSAL_NOT_CONFIRMED(908, Level.INFO,
-			"request={} target={} refusal not forwarded, as the request may have run status={}");
+			"request={} target={} refusal not forwarded, as the request may have run status={}"),
+
+	/** A workspace of a configuration has a name that no header carries to targets. */
+	WORKSPACE_NOT_SERVED(909, Level.WARN,
+			"requests of workspace=\"{}\" refused, as no header carries its name version={}");
 
 	/** Maximum length of a value in the log; values may come from other writers. */
 	static final int MAX_VALUE_CHARS = 500;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -153,6 +153,8 @@
 		}
 		this.plan = newPlan;
 		LogEvent.PLAN_IN_FORCE.log(logger, newPlan.version());
+		newPlan.unservedWorkspaces()
+			.forEach((name) -> LogEvent.WORKSPACE_NOT_SERVED.log(logger, name, newPlan.version()));
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RouteResolver.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RouteResolver.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import io.dotterelcrank.common.RendezvousHash;
+import io.dotterelcrank.common.WireText;
 import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.RequestException;
@@ -47,6 +48,11 @@
 				throw unknown(ResultCode.UNKNOWN_KEY, "the key belongs to no workspace", plan, planAgeMillis,
 						boundMillis);
 			}
+			if (WireText.ofHeader(workspace.get().name()).isEmpty()) {
+				throw Failure
+					.notRun(ResultCode.WORKSPACE_NOT_SERVED, "no header carries the name of the caller's workspace")
+					.toException();
+			}
 		}
 		Optional<ServiceSpec> service = plan.service(route.get().selectService(routingFraction(request)));
 		if (service.isEmpty()) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/request/ResultCode.java
@@ -60,6 +60,9 @@
 	/** Content of the request crashes targets. */
 	QUARANTINED(2009, 503, "Change the request; its content crashes targets."),
 
+	/** Targets cannot be told the name of the caller's workspace. */
+	WORKSPACE_NOT_SERVED(2010, 503, "Ask the operators to rename the workspace."),
+
 	/** A request with the same idempotency key is running. */
 	KEY_IN_PROGRESS(3001, 409, "Try again later with the same key."),
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/ServingPlan.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/ServingPlan.java
@@ -4,10 +4,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
+import io.dotterelcrank.common.WireText;
+
 /**
  * Routes, services, workspaces and limits of one version. Among the routes of a host, the
  * one with the longest matching prefix wins. Immutable.
@@ -17,23 +18,25 @@
 	private final long version;
 
 	/** By host, longest prefix first. */
-	private final Map<String, List<Route>> routes;
+	private final Map<String, List<PrefixedRoute>> routes;
 
 	private final Map<String, ServiceSpec> services;
 
-	/** By API key. */
-	private final Map<String, Workspace> workspaces;
+	private final ApiKeyIndex apiKeys;
+
+	private final List<Workspace> workspaces;
 
 	private final boolean requiresApiKeys;
 
 	private final CallerLimits limits;
 
-	private ServingPlan(long version, Map<String, List<Route>> routes, Map<String, ServiceSpec> services,
-			Map<String, Workspace> workspaces, boolean requiresApiKeys, CallerLimits limits) {
+	private ServingPlan(long version, Map<String, List<PrefixedRoute>> routes, Map<String, ServiceSpec> services,
+			List<Workspace> workspaces, boolean requiresApiKeys, CallerLimits limits) {
 		this.version = version;
 		this.routes = routes;
 		this.services = services;
-		this.workspaces = workspaces;
+		this.apiKeys = ApiKeyIndex.of(workspaces);
+		this.workspaces = List.copyOf(workspaces);
 		this.requiresApiKeys = requiresApiKeys;
 		this.limits = limits;
 	}
@@ -49,19 +52,21 @@
 	 */
 	public static ServingPlan of(long version, List<Route> routes, List<ServiceSpec> services,
 			List<Workspace> workspaces, CallerLimits limits) {
-		Map<String, List<Route>> routesByHost = new HashMap<>();
+		Map<String, List<PrefixedRoute>> routesByHost = new HashMap<>();
 		for (Route route : routes) {
-			routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
+			Optional<String> host = WireText.of(route.host()).map(ServingPlan::lowerCase);
+			Optional<String> prefix = WireText.of(route.pathPrefix()).map(WireText::ofPath);
+			if (host.isPresent() && prefix.isPresent()) {
+				routesByHost.computeIfAbsent(host.get(), (key) -> new ArrayList<>())
+					.add(new PrefixedRoute(prefix.get(), route));
+			}
 		}
 		routesByHost.values()
 			.forEach((list) -> list
-				.sort(Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed()));
+				.sort(Comparator.comparingInt((PrefixedRoute entry) -> entry.prefix().length()).reversed()));
 		Map<String, ServiceSpec> servicesByName = new HashMap<>();
 		services.forEach((service) -> servicesByName.put(service.name(), service));
-		Map<String, Workspace> workspacesByApiKey = new HashMap<>();
-		workspaces.forEach((workspace) -> workspace.keys().forEach((key) -> workspacesByApiKey.put(key, workspace)));
-		return new ServingPlan(version, routesByHost, servicesByName, workspacesByApiKey, !workspaces.isEmpty(),
-				limits);
+		return new ServingPlan(version, routesByHost, servicesByName, workspaces, !workspaces.isEmpty(), limits);
 	}
 
 	/**
@@ -74,22 +79,38 @@
 
 	/**
 	 * Returns the route of a request.
-	 * @param host value of the Host header, with or without a port
-	 * @param path path of the request, with or without a query
+	 * @param host value of the Host header, with or without a port, a character for each
+	 * byte
+	 * @param path path of the request, with or without a query, a character for each byte
 	 * @return the route with the longest matching prefix, or empty if none matches
 	 */
 	public Optional<Route> route(String host, String path) {
 		int query = path.indexOf('?');
-		String pathWithoutQuery = (query < 0) ? path : path.substring(0, query);
+		String pathWithoutQuery = WireText.ofPath((query < 0) ? path : path.substring(0, query));
 		return this.routes.getOrDefault(hostWithoutPort(host), List.of())
 			.stream()
-			.filter((route) -> pathWithoutQuery.startsWith(route.pathPrefix()))
+			.filter((entry) -> pathWithoutQuery.startsWith(entry.prefix()))
+			.map(PrefixedRoute::route)
 			.findFirst();
 	}
 
+	/**
+	 * Converts ASCII letters only: each of the others is a part of a letter.
+	 * @param host a character for each byte of a host name
+	 * @return the host in lower case
+	 */
+	private static String lowerCase(String host) {
+		StringBuilder lower = new StringBuilder(host);
+		for (int i = 0; i < lower.length(); i++) {
+			char letter = lower.charAt(i);
+			lower.setCharAt(i, (letter >= 'A' && letter <= 'Z') ? Character.toLowerCase(letter) : letter);
+		}
+		return lower.toString();
+	}
+
 	private static String hostWithoutPort(String host) {
 		int port = host.lastIndexOf(':');
-		return ((port < 0) ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
+		return lowerCase((port < 0) ? host : host.substring(0, port));
 	}
 
 	/**
@@ -103,11 +124,22 @@
 
 	/**
 	 * Returns the workspace that an API key belongs to.
-	 * @param key key as sent by the caller
+	 * @param key key as sent by the caller, a character for each byte
 	 * @return the workspace, or empty if the key is unknown
 	 */
 	public Optional<Workspace> workspace(String key) {
-		return Optional.ofNullable(this.workspaces.get(key));
+		return this.apiKeys.find(key);
+	}
+
+	/**
+	 * Returns the names of the workspaces whose requests cannot be served.
+	 * @return names that no header carries to targets
+	 */
+	public List<String> unservedWorkspaces() {
+		return this.workspaces.stream()
+			.map(Workspace::name)
+			.filter((name) -> WireText.ofHeader(name).isEmpty())
+			.toList();
 	}
 
 	/**
@@ -126,4 +158,13 @@
 		return this.limits;
 	}
 
+	/**
+	 * A route with its prefix as it is compared. Immutable.
+	 *
+	 * @param prefix a character for each byte
+	 * @param route the route
+	 */
+	private record PrefixedRoute(String prefix, Route route) {
+	}
+
 }
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RouteResolverTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RouteResolverTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,11 @@
 import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
+import io.dotterelcrank.version.plan.CallerLimits;
+import io.dotterelcrank.version.plan.RequestKind;
+import io.dotterelcrank.version.plan.Route;
+import io.dotterelcrank.version.plan.ServiceSpec;
+import io.dotterelcrank.version.plan.ServingPlan;
 import io.dotterelcrank.version.plan.Workspace;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -55,4 +61,18 @@
 		assertThat(failure("/order/1", "other", RelayFixture.CONFIG_MILLIS + 1).ran()).isEqualTo(Ran.NO);
 	}
 
+	@Test
+	void workspaceWhoseNameNoHeaderCarriesIsRefusedAsNotRun() {
+		ServingPlan plan = ServingPlan.of(1,
+				List.of(new Route("r", "a.example", "/order/", RequestKind.NON_IDEMPOTENT, 800, 300, 0,
+						List.of(new Route.WeightedService("desk", 1)), 1, false, 0, false)),
+				List.of(new ServiceSpec("desk", 100, 0, Optional.empty())),
+				List.of(new Workspace("trail ", List.of("key"), OptionalInt.empty())), CallerLimits.INITIAL);
+		Failure refusal = catchThrowableOfType(RequestException.class,
+				() -> RouteResolver.resolve(request("/order/1", "key"), plan, 0, RelayFixture.CONFIG_MILLIS))
+			.failure();
+		assertThat(refusal.code()).isEqualTo(ResultCode.WORKSPACE_NOT_SERVED);
+		assertThat(refusal.ran()).isEqualTo(Ran.NO);
+	}
+
 }
