Require keys also when a configuration names no workspace

To take the last workspace away let every caller in: with the dropped key, with a key that no version ever held, and without one (ROUTE, CONFIG). A first version with an empty list did the same.

Cause: PlanDecoder read an empty list like a missing one, and ServingPlan took "has workspaces" for "requires keys". ServingPlan.of now requires keys whatever the list contains; withoutWorkspaces is for configurations without a list.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RouteResolver.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RouteResolver.java
@@ -54,9 +54,9 @@
 					.toException();
 			}
 		}
-		Optional<ServiceSpec> service = plan.service(route.get().selectService(routingFraction(request)));
+		Optional<ServiceSpec> service = route.get().selectService(routingFraction(request)).flatMap(plan::service);
 		if (service.isEmpty()) {
-			throw Failure.notRun(ResultCode.NO_TARGET, "route " + route.get().name() + " refers to an unknown service")
+			throw Failure.notRun(ResultCode.NO_TARGET, "route " + route.get().name() + " refers to no known service")
 				.toException();
 		}
 		return new Resolution(route.get(), service.get(), workspace);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/Route.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/Route.java
@@ -1,6 +1,7 @@
 package io.dotterelcrank.version.plan;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Routes the requests for a host and path prefix to services. Immutable.
@@ -12,7 +13,7 @@
  * @param timeoutMillis request timeout in milliseconds
  * @param latencyGoalMillis response time that the route aims at, in milliseconds
  * @param priority priority; 0 is the highest
- * @param services services and their weights; at least one
+ * @param services services and their weights; if none has a weight, requests are refused
  * @param maxAttempts maximum number of targets that may execute one attempt of a caller
  * @param apiKeyOptional whether requests without an API key are accepted
  * @param gapGoalMillis longest time between two events of a stream that the route aims
@@ -27,18 +28,19 @@
 	/**
 	 * Selects a service in proportion to the weights.
 	 * @param fraction random number from 0 (inclusive) to 1 (exclusive)
-	 * @return name of the service
+	 * @return name of the service; empty if none has a weight
 	 */
-	public String selectService(double fraction) {
+	public Optional<String> selectService(double fraction) {
 		double totalWeight = this.services.stream().mapToDouble(WeightedService::weight).sum();
 		double remaining = fraction * totalWeight;
+		Optional<String> selected = Optional.empty();
 		for (WeightedService weighted : this.services) {
-			remaining -= weighted.weight();
-			if (remaining < 0) {
-				return weighted.service();
+			if (weighted.weight() > 0 && (selected.isEmpty() || remaining >= 0)) {
+				selected = Optional.of(weighted.service());
+				remaining -= weighted.weight();
 			}
 		}
-		return this.services.get(this.services.size() - 1).service();
+		return selected;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/ServingPlan.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/version/plan/ServingPlan.java
@@ -42,16 +42,34 @@
 	}
 
 	/**
-	 * Creates a plan.
+	 * Creates a plan whose requests need the API key of a workspace.
 	 * @param version version of the plan; increases with each change
 	 * @param routes routes in any order
 	 * @param services services with distinct names
-	 * @param workspaces workspaces; if empty, requests need no API key
+	 * @param workspaces workspaces; if there are none, no key is known
 	 * @param limits limits for callers
 	 * @return a new plan
 	 */
 	public static ServingPlan of(long version, List<Route> routes, List<ServiceSpec> services,
 			List<Workspace> workspaces, CallerLimits limits) {
+		return create(version, routes, services, workspaces, true, limits);
+	}
+
+	/**
+	 * Creates a plan without workspaces, whose requests need no API key.
+	 * @param version version of the plan; increases with each change
+	 * @param routes routes in any order
+	 * @param services services with distinct names
+	 * @param limits limits for callers
+	 * @return a new plan
+	 */
+	public static ServingPlan withoutWorkspaces(long version, List<Route> routes, List<ServiceSpec> services,
+			CallerLimits limits) {
+		return create(version, routes, services, List.of(), false, limits);
+	}
+
+	private static ServingPlan create(long version, List<Route> routes, List<ServiceSpec> services,
+			List<Workspace> workspaces, boolean requiresApiKeys, CallerLimits limits) {
 		Map<String, List<PrefixedRoute>> routesByHost = new HashMap<>();
 		for (Route route : routes) {
 			Optional<String> host = WireText.of(route.host()).map(ServingPlan::lowerCase);
@@ -66,7 +84,7 @@
 				.sort(Comparator.comparingInt((PrefixedRoute entry) -> entry.prefix().length()).reversed()));
 		Map<String, ServiceSpec> servicesByName = new HashMap<>();
 		services.forEach((service) -> servicesByName.put(service.name(), service));
-		return new ServingPlan(version, routesByHost, servicesByName, workspaces, !workspaces.isEmpty(), limits);
+		return new ServingPlan(version, routesByHost, servicesByName, workspaces, requiresApiKeys, limits);
 	}
 
 	/**
@@ -144,7 +162,7 @@
 
 	/**
 	 * Returns whether requests need an API key, except on routes where it is optional.
-	 * @return {@code true} if the plan has workspaces
+	 * @return {@code true} if the plan names workspaces, though it be none
 	 */
 	public boolean requiresApiKeys() {
 		return this.requiresApiKeys;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/version/plan/ServingPlanTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/version/plan/ServingPlanTests.java
@@ -46,9 +46,9 @@
 	@Test
 	void selectsServicesInProportionToTheirWeights() {
 		Route route = route("r", "a.example", "/x/");
-		assertThat(route.selectService(0.89)).isEqualTo("desk");
-		assertThat(route.selectService(0.91)).isEqualTo("desk-new");
-		assertThat(route.selectService(0.9999999)).isEqualTo("desk-new");
+		assertThat(route.selectService(0.89)).contains("desk");
+		assertThat(route.selectService(0.91)).contains("desk-new");
+		assertThat(route.selectService(0.9999999)).contains("desk-new");
 	}
 
 	@Test
@@ -122,4 +122,28 @@
 				"a\u007f");
 	}
 
+	@Test
+	void serviceWithoutWeightIsNeverSelected() {
+		Route route = new Route(
+				"r", "a", "/", RequestKind.IDEMPOTENT, 1, 1, 0, List.of(new Route.WeightedService("off", 0),
+						new Route.WeightedService("on", 0.1), new Route.WeightedService("last", 0)),
+				1, false, 0, false);
+		for (double fraction : new double[] { 0, 0.5, Math.nextDown(1.0) }) {
+			assertThat(route.selectService(fraction)).contains("on");
+		}
+	}
+
+	@Test
+	void routeWithoutServicesSelectsNone() {
+		Route route = new Route("r", "a", "/", RequestKind.IDEMPOTENT, 1, 1, 0, List.of(), 1, false, 0, false);
+		assertThat(route.selectService(0)).isEmpty();
+	}
+
+	@Test
+	void planWithoutWorkspacesDiffersFromOneThatNamesNone() {
+		assertThat(ServingPlan.of(3, List.of(), List.of(), List.of(), CallerLimits.INITIAL).requiresApiKeys()).isTrue();
+		assertThat(ServingPlan.withoutWorkspaces(3, List.of(), List.of(), CallerLimits.INITIAL).requiresApiKeys())
+			.isFalse();
+	}
+
 }
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CallerServerTests.java
@@ -72,10 +72,10 @@
 				new RelaySettings("dc", 0.2, 50, 10_000, 2_000, 8_000), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
 				new MetricRegistry());
 		this.loop.submit(() -> {
-			service.updatePlan(ServingPlan.of(1,
+			service.updatePlan(ServingPlan.withoutWorkspaces(1,
 					List.of(route("/order/", RequestKind.NON_IDEMPOTENT), route("/lookup/", RequestKind.IDEMPOTENT),
 							route("/stream/", RequestKind.STREAMING)),
-					List.of(new ServiceSpec("s", 100, 0, Optional.empty())), List.of(), LIMITS));
+					List.of(new ServiceSpec("s", 100, 0, Optional.empty())), LIMITS));
 			service.updatePlanAge(0);
 			service.updateTargets(List.of(new Target(
 					new TargetRegistration("t", "s", this.target.address(), "dc", 4, false, 0, 1, 1), 0, true, false)));
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CrashingRequestTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/CrashingRequestTests.java
@@ -99,10 +99,10 @@
 				new MetricRegistry());
 		this.transport.listen(peerAddress, new PeerListener(loop, service[0]));
 		loop.submit(() -> {
-			service[0].updatePlan(ServingPlan.of(1,
+			service[0].updatePlan(ServingPlan.withoutWorkspaces(1,
 					List.of(new Route("/order/", "a", "/order/", RequestKind.NON_IDEMPOTENT, 4_000, 3_000, 0,
 							List.of(new Route.WeightedService("s", 1)), 1, true, 180, false)),
-					List.of(new ServiceSpec("s", 100, 0, Optional.empty())), List.of(), LIMITS));
+					List.of(new ServiceSpec("s", 100, 0, Optional.empty())), LIMITS));
 			service[0].updatePlanAge(0);
 			service[0].updateTargets(this.targets.stream().map(CrashingTarget::listing).toList());
 			service[0].start();
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/MemoryPlatform.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/MemoryPlatform.java
@@ -108,8 +108,8 @@
 		if (record.key().equals(CONFIG_KEY)) {
 			Route route = new Route("/lookup/", "a", "/lookup/", RequestKind.IDEMPOTENT, 4_000, 3_000, 0,
 					List.of(new Route.WeightedService("s", 1)), 2, true, 180, false);
-			return new PlanPublished(ServingPlan.of(1, List.of(route),
-					List.of(new ServiceSpec("s", 100, 0, Optional.empty())), List.of(), CallerLimits.INITIAL));
+			return new PlanPublished(ServingPlan.withoutWorkspaces(1, List.of(route),
+					List.of(new ServiceSpec("s", 100, 0, Optional.empty())), CallerLimits.INITIAL));
 		}
 		return record.deleted() ? new RolloutWithdrawn("s")
 				: new RolloutOrdered(RolloutRecord.decodeOrder(record).orElseThrow());
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonStartTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayEntryDaemonStartTests.java
@@ -179,8 +179,8 @@
 			if (record.key().equals("config")) {
 				Route route = new Route("/order/", "a", "/order/", RequestKind.NON_IDEMPOTENT, 4_000, 3_000, 0,
 						List.of(new Route.WeightedService("s", 1)), 1, true, 180, false);
-				return new PlanPublished(ServingPlan.of(1, List.of(route),
-						List.of(new ServiceSpec("s", 100, 0, Optional.empty())), List.of(), CallerLimits.INITIAL));
+				return new PlanPublished(ServingPlan.withoutWorkspaces(1, List.of(route),
+						List.of(new ServiceSpec("s", 100, 0, Optional.empty())), CallerLimits.INITIAL));
 			}
 			try {
 				RelayEntryDaemonStartTests.this.removalDecoded.await();
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RelayServerFixture.java
@@ -156,7 +156,7 @@
 			routes.add(route(prefix, RequestKind.NON_IDEMPOTENT, prefix));
 			services.add(new ServiceSpec(prefix, 100, 0, Optional.empty()));
 		});
-		ServingPlan plan = ServingPlan.of(this.planVersion, routes, services, List.of(), limits);
+		ServingPlan plan = ServingPlan.withoutWorkspaces(this.planVersion, routes, services, limits);
 		this.loop.submit(() -> {
 			this.service.updatePlan(plan);
 			this.service.updatePlanAge(0);
