Serve requests whose target is a whole URI

Such a request is valid HTTP/1.1 (RFC 9112, 3.2.2) and got 404, as its target was taken for path and query. OriginForm converts it: the target gets path and query, and the authority as Host. Without a host, with a user or with several Host headers it gets 400.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -227,6 +227,7 @@
 		this.currentExchange = dispatched;
 		CallerRequest read;
 		try {
+			OriginForm.apply(request);
 			read = this.server.messageMapper().readRequest(request, this.requestBody.toByteArray(), this.arrivedMillis);
 		}
 		catch (RequestException ex) {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/OddRequestTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/OddRequestTests.java
@@ -116,6 +116,45 @@
 		assertThat(this.fixture.target().requests().get(0)).startsWith("POST " + path + " HTTP/1.1\r\n");
 	}
 
+	/** A whole URI, which is valid HTTP/1.1, got 404. */
+	@ParameterizedTest
+	@CsvSource({ "http://a/order/x, /order/x", "HTTP://a/order/x?q=1, /order/x?q=1",
+			"http://a:8740/order/x?u=http://b/, /order/x?u=http://b/", "http://a/order/%2F, /order/%2F" })
+	void wholeUriIsServedLikeItsPath(String uri, String path) throws Exception {
+		this.fixture.target().respondWith(response("1", "ok"));
+		try (Socket socket = this.fixture.connect()) {
+			CallerReader caller = CallerReader.of(socket);
+			caller.send(request("POST " + uri, "1", "b").replace("Host: a", "Host: other"));
+			assertThat(caller.read(false)).isEqualTo("200 s1 ok");
+		}
+		assertThat(this.fixture.target().requests().get(0)).startsWith("POST " + path + " HTTP/1.1\r\n")
+			.contains("ost: a")
+			.doesNotContain("other");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "http:///order/x, 400", "http://, 400", "http://:80/order/x, 400", "http://u@a/order/x, 400",
+			"http://b/order/x, 404", "http://a?/order/x, 404", "http://a, 404", "https://a/order/x, 404",
+			"ftp://a/order/x, 404" })
+	void uriThatNamesNoRouteReachesNoTarget(String uri, String status) throws Exception {
+		try (Socket socket = this.fixture.connect()) {
+			CallerReader caller = CallerReader.of(socket);
+			caller.send(request("POST " + uri, "1", "b"));
+			assertThat(caller.read(false)).startsWith(status + ' ');
+		}
+		assertThat(this.fixture.target().requests()).isEmpty();
+	}
+
+	@Test
+	void wholeUriWithSeveralHostHeadersIsRejected() throws Exception {
+		try (Socket socket = this.fixture.connect()) {
+			CallerReader caller = CallerReader.of(socket);
+			caller.send(request("POST http://a/order/x", "1", "b").replace("Host: a", "Host: a\r\nHost: b"));
+			assertThat(caller.read(false)).startsWith("400 ");
+		}
+		assertThat(this.fixture.target().requests()).isEmpty();
+	}
+
 	@Test
 	void headersReachTargetAndCallerUnchanged() throws Exception {
 		this.fixture.target().respondWith(response("1", "ok").replace("Seal: s1", "Seal: s\u00e9"));
