Reject responses whose head has a line without a colon

Cause: the codec reads a line without a colon as a header up to its first space and drops the rest. Behind a piece of another answer that rest may be the status line, which the check for a second one then does not see. HeadLineCheck makes such a response malformed.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/StrictResponseDecoder.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/StrictResponseDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -31,6 +32,11 @@
 
 	private final HttpConnection connection;
 
+	private final HeadLineCheck headLines = new HeadLineCheck();
+
+	/** Whether a body or trailers are being decoded. */
+	private boolean behindHead;
+
 	StrictResponseDecoder(HttpConnection connection, int maxStatusLineBytes, int maxHeaderBytes, int maxChunkBytes) {
 		super(maxStatusLineBytes, maxHeaderBytes, maxChunkBytes);
 		this.connection = connection;
@@ -58,12 +64,13 @@
 	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
 		if (this.connection.awaitsResponse()) {
 			int before = out.size();
+			int start = buffer.readerIndex();
 			super.decode(context, buffer, out);
+			if (!this.behindHead) {
+				this.headLines.read(buffer, start, buffer.readerIndex());
+			}
 			for (int i = before; i < out.size(); i++) {
-				if (out.get(i) instanceof HttpResponse response && response.decoderResult().isSuccess()) {
-					checkHead(response);
-					StrictRequestDecoder.checkTransferEncoding(response);
-				}
+				check(out.get(i));
 			}
 			return;
 		}
@@ -71,6 +78,23 @@
 		this.connection.rejectUnexpectedBytes();
 	}
 
+	private void check(Object decoded) {
+		if (decoded instanceof HttpResponse response) {
+			this.behindHead = true;
+			if (this.headLines.endHead() && response.decoderResult().isSuccess()) {
+				response.setDecoderResult(
+						DecoderResult.failure(new IllegalArgumentException("a line without a colon in the head")));
+			}
+			if (response.decoderResult().isSuccess()) {
+				checkHead(response);
+				StrictRequestDecoder.checkTransferEncoding(response);
+			}
+		}
+		if (decoded instanceof LastHttpContent) {
+			this.behindHead = false;
+		}
+	}
+
 	@Override
 	protected HttpMessage createMessage(String[] initialLine) {
 		if (!STATUS.matcher(initialLine[1]).matches()) {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/OddResponseTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/OddResponseTests.java
@@ -92,6 +92,31 @@
 		assertThat(order(version + " 200 OK|Id: 1|Seal: s|Content-Length: 5||whole")).isEqualTo(FAILED);
 	}
 
+	/**
+	 * A line of a head without a colon was read as a header up to its first space, and
+	 * the rest dropped: also the status line of the response behind the piece of another
+	 * one.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "x HTTP/1.1 500 Broken", "x\tHTTP/1.1 500 Broken", "x ", "x y", "x", "x y|Y: z", " | x y",
+			"Y: z|x \u00ffHTTP/1.1 500 Broken" })
+	void headWithALineWithoutAColonIsNotForwarded(String line) throws IOException {
+		assertThat(order("HTTP/1.1 200 OK|" + line + "|Id: 1|Seal: s|Content-Length: 5||whole")).isEqualTo(FAILED);
+		assertThat(order("HTTP/1.1 200 OK|Id: 1|Seal: s|Content-Length: 5|" + line + "||whole")).isEqualTo(FAILED);
+		assertThat(order("HTTP/1.1 103 Hints|" + line + "||HTTP/1.1 200 OK|Id: 1|Seal: s|Content-Length: 5||whole"))
+			.isEqualTo(FAILED);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "x:", "x: ", "x :y", "x: HTTP/1.1", "x:y: z", "x: a| folded" })
+	void headWhoseLinesHaveColonsIsForwarded(String line) throws IOException {
+		assertThat(order("|HTTP/1.1 103 Hints|" + line + "||HTTP/1.1 200 OK|Id: 1|Seal: s|" + line
+				+ "|Content-Length: 5||whole"))
+			.isEqualTo("200 s whole");
+		assertThat(order("HTTP/1.1 200 OK|Id: 1|Seal: s|" + line + "|Transfer-Encoding: chunked||5|whole|0||"))
+			.isEqualTo("200 s whole");
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 200, 201, 205, 206, 299, 302, 400, 407, 409, 430, 500, 502, 504, 599 })
 	void statusSealAndBodyAreForwarded(int status) throws IOException {
