Log how late the traffic thread is, and closes that it reads late

No line told how late the traffic thread of an entry host is, nor whether a request was sent although its caller's close had arrived: a request that is sent for nobody looked like one whose caller left later.

No decision is changed.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/common/LogEvent.java
@@ -322,7 +322,17 @@
 
 	/** A workspace of a configuration has a name that no header carries to targets. */
 	WORKSPACE_NOT_SERVED(909, Level.WARN,
-			"requests of workspace=\"{}\" refused, as no header carries its name version={}");
+			"requests of workspace=\"{}\" refused, as no header carries its name version={}"),
+
+	/** The traffic thread runs its tasks late, and reads late what has arrived. */
+	THREAD_LATE(910, Level.WARN, "traffic thread late millis={} uptimeMillis={} requests={}"),
+
+	/**
+	 * The close of a caller's connection is read after its request was sent, while the
+	 * traffic thread is late: the caller may have left before.
+	 */
+	CLOSE_READ_LATE(911, Level.WARN,
+			"request={} target={} close of its caller read millis={} after the send, thread late millis={}");
 
 	/** Maximum length of a value in the log; values may come from other writers. */
 	static final int MAX_VALUE_CHARS = 500;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayMetrics.java
@@ -90,6 +90,10 @@
 		this.registry.counter("rollouts." + stage).inc();
 	}
 
+	void recordLateness(long millis) {
+		this.registry.timer("traffic.late.millis").update(millis, TimeUnit.MILLISECONDS);
+	}
+
 	void recordWait(long millis) {
 		this.registry.timer("queue.millis").update(millis, TimeUnit.MILLISECONDS);
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -74,6 +74,8 @@
 
 	private final ActiveRequests activeRequests;
 
+	private final ThreadLateness threadLateness;
+
 	/** Senders of the admission requests without a response, by request number. */
 	private final Map<Long, AdmissionRequester> openAdmissionRequests = new HashMap<>();
 
@@ -102,6 +104,7 @@
 		this.settings = settings;
 		this.random = random;
 		this.metrics = new RelayMetrics(metrics);
+		this.threadLateness = new ThreadLateness(clock, this.metrics, POLL_MILLIS);
 		this.startedMillis = clock.millis();
 		TargetRateLimiter.Factory limiters = settings.firstStart()
 				? new TargetRateLimiter.Factory.ForFirstProcess(clock)
@@ -134,7 +137,10 @@
 	 * Starts polling the active and waiting requests every {@link #POLL_MILLIS}.
 	 */
 	public void start() {
-		this.trafficThread.scheduleWithFixedDelay(POLL_MILLIS, this::poll);
+		this.trafficThread.scheduleWithFixedDelay(POLL_MILLIS, () -> {
+			this.threadLateness.recordRun(this.activeRequests.size());
+			poll();
+		});
 	}
 
 	private void poll() {
@@ -460,6 +466,10 @@
 		return this.entryHosts;
 	}
 
+	ThreadLateness threadLateness() {
+		return this.threadLateness;
+	}
+
 	DrainState drainState() {
 		return this.drainState;
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -323,6 +323,7 @@
 	 * Cancels all attempts after the caller has closed its connection.
 	 */
 	public void callerDisconnected() {
+		this.relayService.requests().run(this, this.attempts::logLateClose);
 		this.relayService.requests().runOrEnd(this, () -> end("caller-gone", "the caller closed its connection", () -> {
 		}));
 	}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
@@ -132,6 +132,20 @@
 		this.relayService.rolloutGate().recordOutcome(target, this.request.route().name(), failed, millis);
 	}
 
+	/**
+	 * Logs the attempts whose targets may work on a request that its caller had left
+	 * before it was sent.
+	 */
+	void logLateClose() {
+		long lateMillis = this.relayService.threadLateness().millis();
+		if (lateMillis >= ThreadLateness.LOGGED_MILLIS) {
+			this.active.stream()
+				.filter(RelayAttempt::writeStarted)
+				.forEach((attempt) -> LogEvent.CLOSE_READ_LATE.log(logger, this.request.id(), attempt.target().id(),
+						this.request.now() - attempt.sentMillis(), lateMillis));
+		}
+	}
+
 	void remove(RelayAttempt attempt) {
 		this.active.remove(attempt);
 	}
