Read what has arrived from a caller before its request is sent

Callers that left while an entry host's traffic thread was late had their requests passed on all the same: targets worked for nobody, and a second copy of the request was on its way through another host.

Cause: one read of a connection returns the request, and the close that lies behind it is read in a later turn of the event loop. By then the connection to the target is open. Netty reports a close by a task that runs after all keys of its turn, so that the request is written in that turn even if the close is read before. The time between close and send is that for which the thread was late.

A request is now relayed by a task after the read, which first reads all that has arrived. Each attempt reads it again right before its first byte is written, since the thread may have been late between, and is cancelled if the connection is closed; whether it is, is asked of the connection and not awaited. This depends on no clock and on no order of the selector.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/CallerChannel.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/CallerChannel.java
@@ -50,6 +50,13 @@
 	 */
 	void abort();
 
+	/**
+	 * Reads what has arrived from the caller, its close included.
+	 * @return whether the caller is still connected; if not,
+	 * {@link RelayedRequest#callerDisconnected} is called now or soon
+	 */
+	boolean readArrived();
+
 	/**
 	 * Returns whether the caller's connection accepts more bytes.
 	 * @return {@code false} while too many bytes are buffered
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -241,6 +241,11 @@
 		});
 	}
 
+	@Override
+	public void beforeWrite() {
+		run(this.request.attempts()::endIfCallerLeft);
+	}
+
 	@Override
 	public void head(TargetClient.ResponseHead received) {
 		run(() -> handleHead(received));
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -67,7 +67,7 @@
 		this.request = request;
 		this.caller = caller;
 		this.progress = new StreamProgress(request.arrivedAtMillis());
-		this.attempts = new RequestAttempts(this, relayService);
+		this.attempts = new RequestAttempts(this, caller, relayService);
 		this.placement = new RequestPlacement(this, relayService);
 		this.content = new RequestContent(request, relayService);
 		this.resumer = new GenerationResumer(this, relayService);
@@ -245,9 +245,8 @@
 		if (resumable()) {
 			this.resumer.poll();
 		}
-		else if (RetryPolicy.hedgeDue(this.route, now() - this.attempts.first().sentMillis(),
-				this.attempts.sendCount())) {
-			this.attempts.hedge();
+		else {
+			this.attempts.hedgeIfDue();
 		}
 	}
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
@@ -29,6 +29,8 @@
 
 	private final RelayedRequest request;
 
+	private final CallerChannel caller;
+
 	private final RelayService relayService;
 
 	private final List<RelayAttempt> active = new ArrayList<>();
@@ -37,8 +39,9 @@
 
 	private int sendCount;
 
-	RequestAttempts(RelayedRequest request, RelayService relayService) {
+	RequestAttempts(RelayedRequest request, CallerChannel caller, RelayService relayService) {
 		this.request = request;
+		this.caller = caller;
 		this.relayService = relayService;
 	}
 
@@ -93,11 +96,13 @@
 	}
 
 	/**
-	 * Sends the request to a second target, if the retry budget allows and one has the
-	 * capacity.
+	 * Sends the request to a second target if the first one is slow, the retry budget
+	 * allows and one has the capacity.
 	 */
-	void hedge() {
-		if (!this.relayService.obtainsRetryPermit(this.request.service().name())) {
+	void hedgeIfDue() {
+		long millis = this.request.now() - first().sentMillis();
+		if (!RetryPolicy.hedgeDue(this.request.route(), millis, this.sendCount)
+				|| !this.relayService.obtainsRetryPermit(this.request.service().name())) {
 			return;
 		}
 		TargetPool.Choice choice = this.relayService.targetPool()
@@ -132,6 +137,16 @@
 		this.relayService.rolloutGate().recordOutcome(target, this.request.route().name(), failed, millis);
 	}
 
+	/**
+	 * Reads what has arrived from the caller, and ends the request if its connection is
+	 * closed.
+	 */
+	void endIfCallerLeft() {
+		if (!this.caller.readArrived()) {
+			this.request.callerDisconnected();
+		}
+	}
+
 	/**
 	 * Logs the attempts whose targets may work on a request that its caller had left
 	 * before it was sent.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/TargetClient.java
@@ -148,11 +148,18 @@
 	}
 
 	/**
-	 * Notified of one response: {@link #head}, any number of {@link #body}, then
-	 * {@link #complete}. {@link #failed} may replace any of these and is then the last.
+	 * Notified of one exchange: {@link #beforeWrite}, {@link #head}, any number of
+	 * {@link #body}, then {@link #complete}. {@link #failed} may replace any of these and
+	 * is then the last.
 	 */
 	interface Listener {
 
+		/**
+		 * Called right before the first byte of the request is written. Nothing is
+		 * written if the exchange is cancelled meanwhile.
+		 */
+		void beforeWrite();
+
 		/**
 		 * Called when the head of the response has arrived.
 		 * @param head status, headers and whether the target ran the request
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/JudgedCaller.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/JudgedCaller.java
@@ -135,6 +135,11 @@
 		finish("aborted");
 	}
 
+	@Override
+	public boolean readArrived() {
+		return true;
+	}
+
 	@Override
 	public boolean writable() {
 		return this.writable;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingCallerChannel.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingCallerChannel.java
@@ -26,6 +26,9 @@
 
 	private boolean writable = true;
 
+	/** Whether the caller has closed its connection. */
+	private boolean closeUnread;
+
 	@Override
 	public void sendResponse(int responseStatus, List<Header> headers, byte[] bytes) {
 		this.status = responseStatus;
@@ -64,6 +67,18 @@
 		this.endCount++;
 	}
 
+	@Override
+	public boolean readArrived() {
+		return !this.closeUnread;
+	}
+
+	/**
+	 * Closes the caller's connection, which is not read before {@link #readArrived()}.
+	 */
+	void leave() {
+		this.closeUnread = true;
+	}
+
 	@Override
 	public boolean writable() {
 		return this.writable;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RecordingTargetClient.java
@@ -189,6 +189,10 @@
 			}
 		}
 
+		void beginWrite() {
+			this.listener.beforeWrite();
+		}
+
 		void refuse(int status) {
 			this.ended = true;
 			this.listener.head(head(status, Ran.NO, false, false));
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
@@ -30,10 +29,8 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
-import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Ran;
-import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
 
 /**
@@ -80,6 +77,8 @@
 	 */
 	private long arrivedMillis;
 
+	private final ArrivedBytes arrivedBytes;
+
 	private final IdleTime idleTime;
 
 	/** Completed once all bytes of the responses so far are sent. */
@@ -100,26 +99,23 @@
 		this.decoder = decoder;
 		this.channel = channel;
 		this.address = channel.remoteAddress();
+		this.arrivedBytes = new ArrivedBytes(channel, this::recordArrival);
 		this.idleTime = IdleTime.startingNow(server.clock(), () -> server.limits().idleTimeoutMillis());
 		this.lastWrite = channel.newSucceededFuture();
 	}
 
 	/**
-	 * Returns a handler that records when the first bytes of a request arrive.
-	 * @return handler, to be placed before the decoder
+	 * Returns the handler to be placed before the decoder.
+	 * @return handler that reads on demand
 	 */
-	ChannelHandler arrivalRecorder() {
-		return new ChannelInboundHandlerAdapter() {
-
-			@Override
-			public void channelRead(ChannelHandlerContext context, Object message) {
-				if (!readingRequest()) {
-					CallerConnection.this.arrivedMillis = CallerConnection.this.server.clock().millis();
-				}
-				context.fireChannelRead(message);
-			}
+	ChannelHandler arrivedBytes() {
+		return this.arrivedBytes;
+	}
 
-		};
+	private void recordArrival() {
+		if (!readingRequest()) {
+			this.arrivedMillis = this.server.clock().millis();
+		}
 	}
 
 	@Override
@@ -225,24 +221,12 @@
 		CallerExchange dispatched = new CallerExchange(this, request, HttpUtil.isKeepAlive(request),
 				this.arrivedMillis);
 		this.currentExchange = dispatched;
-		CallerRequest read;
 		try {
-			OriginForm.apply(request);
-			read = this.server.messageMapper().readRequest(request, this.requestBody.toByteArray(), this.arrivedMillis);
-		}
-		catch (RequestException ex) {
-			dispatched.sendError(ex.failure());
-			return;
+			byte[] body = this.requestBody.toByteArray();
+			this.channel.eventLoop().execute(() -> dispatched.relay(request, body));
 		}
 		catch (RuntimeException | Error ex) {
 			dispatched.endAfterDefect(Ran.NO, ex);
-			return;
-		}
-		try {
-			dispatched.relayedAs(this.server.service().accept(read, dispatched));
-		}
-		catch (RuntimeException | Error ex) {
-			dispatched.endAfterDefect(Ran.UNKNOWN, ex);
 		}
 	}
 
@@ -326,7 +310,7 @@
 		ChannelOutboundBuffer outbound = this.channel.unsafe().outboundBuffer();
 		this.idleTime.recordUnsent((outbound != null) ? outbound.totalPendingWriteBytes() : 0);
 		boolean due = bodyLate() || headersLate() || idle();
-		if (!due || !readArrived()) {
+		if (!due || !staysUnused()) {
 			return;
 		}
 		if (bodyLate()) {
@@ -355,11 +339,18 @@
 	}
 
 	/**
-	 * Reads what has arrived, without waiting for the event loop to do so.
+	 * Reads what has arrived, the close of the connection included.
+	 */
+	void readArrived() {
+		this.arrivedBytes.read();
+	}
+
+	/**
+	 * Reads what has arrived before the connection is closed.
 	 * @return whether the connection is still open and serves no request
 	 */
-	private boolean readArrived() {
-		CallerServer.read(this.channel);
+	private boolean staysUnused() {
+		readArrived();
 		return this.channel.isOpen() && this.currentExchange == null;
 	}
 
@@ -370,7 +361,7 @@
 	 * @return whether it is closed
 	 */
 	boolean closeIfIdle() {
-		if (closableNow() && readArrived() && closableNow()) {
+		if (closableNow() && staysUnused() && closableNow()) {
 			close("the server closes");
 		}
 		return !this.channel.isOpen();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerExchange.java
@@ -23,9 +23,11 @@
 import io.dotterelcrank.daemon.http.ErrorBody;
 import io.dotterelcrank.process.relay.CallerChannel;
 import io.dotterelcrank.process.relay.RelayedRequest;
+import io.dotterelcrank.request.CallerRequest;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Header;
 import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.RequestException;
 import io.dotterelcrank.request.ResultCode;
 
 /**
@@ -86,8 +88,34 @@
 		return this.arrivedMillis;
 	}
 
-	void relayedAs(RelayedRequest request) {
-		this.relayedRequest = request;
+	/**
+	 * Relays the request, unless its caller has left.
+	 * @param head head of the request
+	 * @param body whole body
+	 */
+	void relay(HttpRequest head, byte[] body) {
+		CallerRequest read;
+		try {
+			if (!readArrived()) {
+				return;
+			}
+			OriginForm.apply(head);
+			read = this.connection.server().messageMapper().readRequest(head, body, this.arrivedMillis);
+		}
+		catch (RequestException ex) {
+			sendError(ex.failure());
+			return;
+		}
+		catch (RuntimeException | Error ex) {
+			endAfterDefect(Ran.NO, ex);
+			return;
+		}
+		try {
+			this.relayedRequest = this.connection.server().service().accept(read, this);
+		}
+		catch (RuntimeException | Error ex) {
+			endAfterDefect(Ran.UNKNOWN, ex);
+		}
 	}
 
 	void callerDisconnected() {
@@ -234,6 +262,12 @@
 		this.connection.abortResponse();
 	}
 
+	@Override
+	public boolean readArrived() {
+		this.connection.readArrived();
+		return this.channel.isOpen();
+	}
+
 	@Override
 	public boolean writable() {
 		return this.channel.isWritable();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerServer.java
@@ -86,7 +86,7 @@
 					StrictRequestDecoder decoder = new StrictRequestDecoder(() -> limits.get().maxHeaderBytes());
 					CallerConnection connection = new CallerConnection(server, channel, decoder);
 					channel.pipeline()
-						.addLast(connection.arrivalRecorder())
+						.addLast(connection.arrivedBytes())
 						.addLast(decoder)
 						.addLast(new ResponseEncoder())
 						.addLast(connection);
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
@@ -156,6 +156,10 @@
 			fail("connection closed before the request was sent");
 			return;
 		}
+		this.listener.beforeWrite();
+		if (this.closed) {
+			return;
+		}
 		this.writeStarted = true;
 		this.channel.writeAndFlush(this.request.toNettyRequest()).addListener((future) -> {
 			this.writeCompleted = future.isSuccess();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpTargetClient.java
@@ -138,6 +138,11 @@
 			this.listener = listener;
 		}
 
+		@Override
+		public void beforeWrite() {
+			this.listener.beforeWrite();
+		}
+
 		@Override
 		public void head(HttpResponse response) {
 			ResponseHead head;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
@@ -332,6 +332,13 @@
 	 */
 	public interface ResponseListener {
 
+		/**
+		 * Called right before the first byte of the request is written. Nothing is
+		 * written if the request is cancelled meanwhile.
+		 */
+		default void beforeWrite() {
+		}
+
 		/**
 		 * Called when the response head has arrived.
 		 * @param response status and headers
