Encode the messages of peers without reflection

Cause: a host that starts asks peers for evidence of crashes. This message was mapped by reflection, and the first use of the mapping loads and verifies about 500 classes of Jackson, none of them in the class data archive, on the traffic thread of the sender. Meanwhile it reads neither callers nor pushes of tables, which its peers log as under way with no byte taken (DC907).

Change: records asked of peers, retry loans, rate permits, evidence of crashes and of roll-outs are packed like the messages that were packed already, to the same bytes. The mapping is left to the daemons that do not relay.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/FrequentMessages.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/FrequentMessages.java
@@ -134,7 +134,7 @@
 		packer.packDouble(load.speed().disturbedStepMillis());
 	}
 
-	private static void pack(KeyedRecord keyedRecord, MessagePacker packer) throws IOException {
+	static void pack(KeyedRecord keyedRecord, MessagePacker packer) throws IOException {
 		packer.packArrayHeader(RECORD_COMPONENTS);
 		pack(keyedRecord.key(), packer);
 		packer.packLong(keyedRecord.offset());
@@ -147,7 +147,7 @@
 		}
 	}
 
-	private static void pack(String text, MessagePacker packer) throws IOException {
+	static void pack(String text, MessagePacker packer) throws IOException {
 		if (text == null) {
 			packer.packNil();
 		}
@@ -219,14 +219,19 @@
 		int size = unpacker.unpackArrayHeader();
 		List<KeyedRecord> records = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
-			int components = expectArray(unpacker, RECORD_COMPONENTS);
-			records.add(new KeyedRecord(unpackString(unpacker), unpacker.unpackLong(),
-					unpackBytes(unpacker, contentBytes)));
-			unpacker.skipValue(components - RECORD_COMPONENTS);
+			records.add(unpackRecord(unpacker, contentBytes));
 		}
 		return records;
 	}
 
+	static KeyedRecord unpackRecord(MessageUnpacker unpacker, int contentBytes) throws IOException {
+		int components = expectArray(unpacker, RECORD_COMPONENTS);
+		KeyedRecord keyedRecord = new KeyedRecord(unpackString(unpacker), unpacker.unpackLong(),
+				unpackBytes(unpacker, contentBytes));
+		unpacker.skipValue(components - RECORD_COMPONENTS);
+		return keyedRecord;
+	}
+
 	private static byte[] unpackBytes(MessageUnpacker unpacker, int contentBytes) throws IOException {
 		if (unpacker.tryUnpackNil()) {
 			return null;
@@ -239,7 +244,7 @@
 		return unpacker.readPayload(length);
 	}
 
-	private static String unpackString(MessageUnpacker unpacker) throws IOException {
+	static String unpackString(MessageUnpacker unpacker) throws IOException {
 		return unpacker.tryUnpackNil() ? null : unpacker.unpackString();
 	}
 
@@ -250,7 +255,7 @@
 	 * @return number of components received
 	 * @throws IOException if there are fewer
 	 */
-	private static int expectArray(MessageUnpacker unpacker, int components) throws IOException {
+	static int expectArray(MessageUnpacker unpacker, int components) throws IOException {
 		int received = unpacker.unpackArrayHeader();
 		if (received < components) {
 			throw new IOException(received + " components instead of " + components);
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/MessageCodec.java
@@ -15,8 +15,8 @@
 /**
  * Encodes messages as MessagePack and decodes them. A frame's content consists of three
  * values: type number, configuration version of the sender, and the message's components
- * as an array. The messages that sidecars and entry hosts exchange several times a second
- * are encoded without reflection, to the same bytes. Thread-safe.
+ * as an array. The messages of daemons that relay requests are encoded without
+ * reflection, to the same bytes. Thread-safe.
  */
 public final class MessageCodec {
 
@@ -54,14 +54,17 @@
 	 * @throws IOException if the message cannot be encoded
 	 */
 	public byte[] encode(Message message, long version) throws IOException {
-		boolean frequent = FrequentMessages.encodes(message);
-		byte[] payload = frequent ? new byte[0] : RecordMapper.INSTANCE.writeValueAsBytes(message);
-		try (MessageBufferPacker packer = packer(frequent ? FrequentMessages.MAX_TYPICAL_BYTES : HEADER_BYTES)) {
+		boolean packed = FrequentMessages.encodes(message) || PeerMessages.encodes(message);
+		byte[] payload = packed ? new byte[0] : RecordMapper.INSTANCE.writeValueAsBytes(message);
+		try (MessageBufferPacker packer = packer(packed ? FrequentMessages.MAX_TYPICAL_BYTES : HEADER_BYTES)) {
 			packer.packInt(TYPES.indexOf(message.getClass()));
 			packer.packLong(version);
-			if (frequent) {
+			if (FrequentMessages.encodes(message)) {
 				FrequentMessages.pack(message, packer);
 			}
+			else if (packed) {
+				PeerMessages.pack(message, packer);
+			}
 			else {
 				packer.addPayload(payload);
 			}
@@ -94,7 +97,8 @@
 			Class<? extends Message> messageType = TYPES.get(type);
 			Message message = FrequentMessages.decodes(messageType)
 					? FrequentMessages.unpack(messageType, unpacker, content.length)
-					: RecordMapper.INSTANCE.readValue(content, start, content.length - start, messageType);
+					: PeerMessages.decodes(messageType) ? PeerMessages.unpack(messageType, unpacker, content.length)
+							: RecordMapper.INSTANCE.readValue(content, start, content.length - start, messageType);
 			return new Envelope(version, message);
 		}
 		catch (RuntimeException ex) {
@@ -116,8 +120,8 @@
 	}
 
 	/**
-	 * Maps the messages that are rare, by reflection. Created with the first of them, as
-	 * that takes longer than the start of a process without it.
+	 * Maps all other messages, by reflection. Created with the first of them, as that
+	 * takes longer than the start of a process without it.
 	 */
 	private static final class RecordMapper {
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/MessageCodecTests.java
@@ -1,11 +1,16 @@
 package io.dotterelcrank.connection;
 
 import java.io.IOException;
+import java.net.URL;
+import java.net.URLClassLoader;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Stream;
 
+import com.fasterxml.jackson.annotation.JsonAlias;
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import net.jqwik.api.ForAll;
@@ -13,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.msgpack.core.MessagePack;
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -46,7 +52,8 @@
 				new ExceptionRule("x", ExceptionRule.Scope.HOST, "h", Setting.SHARE_WEIGHT, 7, "why"))
 			.apply(new Change.Place(new Placement("s", "m", "a", "2", "serve", 9))
 				.apply(new Change.DataCentreOut("dc", "why").apply(Configuration.INITIAL, 1), 1), 1);
-		return List.of(new Message.Hello("entry", 5, 6, "dc"), new Message.Welcome("engine", 7, load),
+		List<Message> messages = new ArrayList<>(RelayMessages.all());
+		messages.addAll(List.of(new Message.Hello("entry", 5, 6, "dc"), new Message.Welcome("engine", 7, load),
 				new Message.Generate(new Generation("g", "w", "m", Priority.HIGH, "p", 1, 2, 3)),
 				new Message.Resume("g", "w", 4), new Message.Acknowledge("g", 5), new Message.Cancel("g"),
 				new Message.Reserve("c", "w", Priority.HIGH), new Message.Reserved("c"), new Message.QueryOutcome("c"),
@@ -54,16 +61,8 @@
 				new Message.Finished("g", 9, "stop", load),
 				new Message.Failed("g", new Failure(ResultCode.OVERLOADED, Ran.NO, 5, "why"), load),
 				new Message.Heartbeat(load, 12), new Message.ConfigurationRequest(),
-				new Message.ConfigurationResponse(configuration), new Message.RecordsRequest("op", 7, 3L),
-				new Message.EngineLoadReport(
-						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, true, 1_500, 0), true),
-				new Message.EngineLoadAck("10.0.0.1:80"),
-				new Message.AdmissionRequest(9, "r", 3_000, 3_800, 1_500, 8_000, 0),
-				new Message.AdmissionResponse(9, false,
-						new EngineLoad("i-1", "s", "dc", "10.0.0.1:80", 5, 3, 1, 2, 900, 1000, false, -1, 0)),
-				new Message.RecordsPushAck("op", 9, 3), new Message.RecordsPush("e", "op", 7, 9, 120, List.of(), 3, 40),
-				new Message.RetryLoanRequest("s"), new Message.RetryLoan("s", true),
-				new Message.RatePermitRequest("t", true, 3.3, 40), new Message.RatePermit("t", false, true, 300));
+				new Message.ConfigurationResponse(configuration)));
+		return messages;
 	}
 
 	@ParameterizedTest
@@ -144,17 +143,39 @@
 		return mapper.writeValueAsBytes(message);
 	}
 
+	/** Messages that are encoded without the mapping. */
 	static List<Message> frequentMessages() {
-		List<Message> frequent = new ArrayList<>(messages().stream().filter(FrequentMessages::encodes).toList());
+		List<Message> frequent = new ArrayList<>(RelayMessages.all());
 		long[] edges = { 0, -1, 127, 128, -33, 65_536, Integer.MAX_VALUE, 1L << 40, Long.MIN_VALUE };
 		for (long edge : edges) {
 			EngineLoad load = new EngineLoad("", "ü".repeat(40), "", "a", edge, (int) edge, 300, edge, edge, edge,
 					false, edge, edge);
 			frequent.add(new Message.EngineLoadReport(load, false));
 			frequent.add(new Message.AdmissionRequest(edge, "", edge, edge, edge, edge, edge));
+			frequent.add(new Message.RecordsRequest("", edge, edge));
+			frequent.add(new Message.RecordsResponse("ü".repeat(300), edge, edge, List.of(), edge, edge));
+			frequent.add(new Message.RatePermitRequest("", false, edge, edge));
+			frequent.add(new Message.RatePermit("", true, false, edge));
+			frequent.add(new Message.CrashEvidence(List.of(new CrashReport("", edge, edge, List.of())),
+					List.of(new Clearance("", edge)), false, false));
+			frequent.add(new Message.RolloutEvidence("", edge, "", edge, edge, (int) edge, (int) edge, edge, edge,
+					List.of(new VersionCounts("", "", false, edge, edge, List.of(edge)))));
 		}
+		frequent.add(new Message.RecordsResponse("op", 9, 250,
+				List.of(new KeyedRecord("k", 1, new byte[300]), new KeyedRecord("k".repeat(300), 2, null)), 7, 3L));
 		frequent.add(new Message.AdmissionResponse(1, true, null));
 		frequent.add(new Message.EngineLoadAck(null));
+		frequent.add(new Message.RecordsRequest(null, 1, 2L));
+		frequent.add(new Message.RecordsResponse(null, 1, 2, null, 3, 4L));
+		frequent.add(new Message.RatePermitRequest(null, true, Double.POSITIVE_INFINITY, 1));
+		frequent.add(new Message.CrashEvidence(null, null, true, true));
+		frequent.add(new Message.CrashEvidence(
+				List.of(new CrashReport(null, 1, 2, null),
+						new CrashReport("t", 1, 2, List.of(new CrashSuspect(null, null)))),
+				List.of(new Clearance(null, 1)), true, true));
+		frequent.add(new Message.RolloutEvidence(null, 1, null, 2, 3, 4, 5, 6, 7, null));
+		frequent.add(new Message.RolloutEvidence("e", 1, "s", 2, 3, 4, 5, 6, 7,
+				List.of(new VersionCounts(null, null, false, 8, 9, null))));
 		frequent.add(new Message.RecordsPush("e", "op", 7, 9, 120,
 				List.of(new KeyedRecord("k", 1, new byte[300]), new KeyedRecord("k".repeat(300), 2, null)), 1L << 40,
 				-1));
@@ -169,6 +190,32 @@
 		assertThat(this.codec.decode(content).message()).usingRecursiveComparison().isEqualTo(message);
 	}
 
+	@Test
+	void messagesOfRelayingDaemonsDoNotLoadTheMapping() throws Exception {
+		List<URL> places = Stream
+			.of(MessageCodec.class, RelayMessageTrip.class, ObjectMapper.class, JsonFactory.class, JsonAlias.class,
+					MessagePackFactory.class, MessagePack.class)
+			.map((type) -> type.getProtectionDomain().getCodeSource().getLocation())
+			.toList();
+		try (LoadedClasses loader = new LoadedClasses(places)) {
+			Class<?> trip = loader.loadClass(RelayMessageTrip.class.getName());
+			((Runnable) trip.getConstructor().newInstance()).run();
+			assertThat(loader.loaded(MessageCodec.class)).isTrue();
+			assertThat(loader.loaded(ObjectMapper.class)).isFalse();
+		}
+	}
+
+	@Test
+	void evidenceOfLaterBuildsIsRead() throws IOException {
+		byte[] later = frame(30,
+				mapped(new LaterEvidence(List
+					.of(new LaterReportOfCrash("t", 40, -1, List.of(new LaterSuspect("f", List.of("a"), 1)), 2)),
+						List.of(new LaterClearance("f", 70, 3)), true, false, 4)));
+		assertThat(this.codec.decode(later).message()).isEqualTo(new Message.CrashEvidence(
+				List.of(new CrashReport("t", 40, -1, List.of(new CrashSuspect("f", List.of("a"))))),
+				List.of(new Clearance("f", 70)), true, false));
+	}
+
 	@Test
 	void truncatedValuesAreRejectedBeforeTheyAreAllocated() throws IOException {
 		byte[] content = this.codec.encode(
@@ -299,4 +346,34 @@
 	private record EarlierPushAck(String table, long nextOffset) {
 	}
 
+	/** {@link Message.CrashEvidence} of a build with more components than this one. */
+	private record LaterEvidence(List<LaterReportOfCrash> crashes, List<LaterClearance> clearances,
+			boolean replyRequested, boolean complete, int added) {
+	}
+
+	private record LaterReportOfCrash(String target, long lostAgeMillis, long aliveAgeMillis,
+			List<LaterSuspect> suspects, int added) {
+	}
+
+	private record LaterSuspect(String fingerprint, List<String> sharedParts, int added) {
+	}
+
+	private record LaterClearance(String key, long ageMillis, int added) {
+	}
+
+	/**
+	 * Loads classes anew and tells which it has loaded. Used by one thread.
+	 */
+	private static final class LoadedClasses extends URLClassLoader {
+
+		LoadedClasses(List<URL> places) {
+			super(places.toArray(new URL[0]), ClassLoader.getPlatformClassLoader());
+		}
+
+		boolean loaded(Class<?> type) {
+			return findLoadedClass(type.getName()) != null;
+		}
+
+	}
+
 }
