Return buffered responses that have arrived when their time is over

Calls to the store, reports of engines, KV copies and the call that stops a generation failed as unanswered though their response had arrived: a table was read again 300 ms later, a sidecar took its engine for unreadable, a generation could not be resumed.

Cause: their timeouts were Netty's own timers, which run before the sockets are read if the thread was late. They are now timers that run after the reads, and are cancelled with the response, so that they wake up no thread.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/BufferedResponse.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/BufferedResponse.java
@@ -2,12 +2,13 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 
 import io.dotterelcrank.common.PlatformException;
+import io.dotterelcrank.common.Scheduler.ScheduledTask;
+import io.dotterelcrank.connection.EventLoopTimer;
 
 /**
  * A complete HTTP response with its body in memory. The body array is not modified after
@@ -46,11 +47,9 @@
 		ResponseCollector collector = new ResponseCollector();
 		client.loop().execute(() -> {
 			try {
-				client.loop()
-					.schedule(
-							() -> collector
-								.giveUp("no response to " + request.uri() + " within " + timeoutMillis + " ms"),
-							timeoutMillis, TimeUnit.MILLISECONDS);
+				ScheduledTask timeout = EventLoopTimer.schedule(client.loop(), timeoutMillis,
+						() -> collector.giveUp("no response to " + request.uri() + " within " + timeoutMillis + " ms"));
+				collector.whenComplete((response, failure) -> timeout.cancel());
 				collector.handle = client.send(request, collector);
 			}
 			catch (Throwable ex) {
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/ScriptedTarget.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/ScriptedTarget.java
@@ -54,6 +54,9 @@
 	/** Bytes for {@link #LATE}. */
 	private volatile String lateBytes = "";
 
+	/** One permit for each request that was received. */
+	private final Semaphore received = new Semaphore(0);
+
 	/** One permit for each script that was written to its end. */
 	private final Semaphore written = new Semaphore(0);
 
@@ -93,6 +96,13 @@
 		this.written.acquire(count);
 	}
 
+	/**
+	 * Waits until a request has been received, besides those awaited before.
+	 */
+	void awaitRequest() throws InterruptedException {
+		this.received.acquire();
+	}
+
 	void respondLateWith(String bytes) {
 		this.lateBytes = bytes;
 	}
@@ -126,6 +136,7 @@
 		try (socket) {
 			while (true) {
 				this.requests.add(read(socket.getInputStream()));
+				this.received.release();
 				String script = this.scripts.take();
 				script = kept ? script.replace(IF_KEPT, "") : script.replaceFirst("(?s)^.*" + IF_KEPT, "");
 				kept = true;
