Use connections that have opened when the connection timeout is over

Requests failed as not run, and their targets got nothing for a while, though the connection had opened in time; links to peers and sidecars were given up likewise.

Cause: Netty's connection timeout runs in the turn in which it is due, before a select tells that the connection is open, if the thread was late. It is now off; the timeout is a timer that runs after the reads of the next turn and closes the channel only if it is still not connected.

The timeout of links has no test of its own.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
@@ -99,18 +99,19 @@
 	@Override
 	public Link open(InetSocketAddress address, Link.Listener listener) {
 		ChannelLink link = new ChannelLink(listener);
-		new Bootstrap().group(this.eventLoops)
+		ChannelFuture connect = new Bootstrap().group(this.eventLoops)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
 			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
 			.handler(initializer(() -> link))
-			.connect(address)
-			.addListener((ChannelFuture future) -> {
-				if (!future.isSuccess()) {
-					link.notifyClosed();
-				}
-			});
+			.connect(address);
+		connect.addListener((future) -> {
+			if (!future.isSuccess()) {
+				link.notifyClosed();
+			}
+		});
+		ConnectTimeout.limit(connect, CONNECT_TIMEOUT_MILLIS, (cause) -> link.notifyClosed());
 		return link;
 	}
 
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
@@ -34,6 +34,7 @@
 
 import io.dotterelcrank.common.Clock;
 import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.connection.ConnectTimeout;
 
 /**
  * HTTP client with a connection pool, for targets, engines and the platform's store. A
@@ -195,14 +196,14 @@
 	}
 
 	private void connect(HttpConnection connection, Request request) {
-		new Bootstrap().group(this.loop)
+		ChannelFuture connect = new Bootstrap().group(this.loop)
 			.channelFactory(this.channels)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), TCP_PROBE_SECONDS)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), TCP_PROBE_SECONDS)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), MAX_UNANSWERED_PROBES)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, request.connectTimeoutMillis())
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
 			.handler(new ChannelInitializer<Channel>() {
 
 				@Override
@@ -214,14 +215,14 @@
 				}
 
 			})
-			.connect(request.address())
-			.addListener((ChannelFuture future) -> {
-				if (!future.isSuccess()) {
-					// Without a channel, Netty reports the failure on a thread of its
-					// own.
-					this.loop.execute(() -> connection.connectFailed(future.cause()));
-				}
-			});
+			.connect(request.address());
+		connect.addListener((future) -> {
+			if (!future.isSuccess()) {
+				// Without a channel, Netty reports the failure on a thread of its own.
+				this.loop.execute(() -> connection.connectFailed(future.cause()));
+			}
+		});
+		ConnectTimeout.limit(connect, request.connectTimeoutMillis(), connection::connectFailed);
 	}
 
 	/**
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PooledHttpClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PooledHttpClientTests.java
@@ -1,24 +1,29 @@
 package io.dotterelcrank.daemon.relay;
 
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of {@link PooledHttpClient} without the resources for another connection.
+ * Tests of new connections of {@link PooledHttpClient}.
  */
 class PooledHttpClientTests {
 
+	private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
 	/** The request was ended on a thread of Netty's, beside those that were served. */
 	@Test
 	void connectionWithoutASocketFailsOnTheTrafficThread() throws Exception {
@@ -41,6 +46,72 @@
 		}
 	}
 
+	/** The request failed as not run, and its target got nothing for a while. */
+	@RepeatedTest(5)
+	void connectionThatHasOpenedInTimeIsUsedThoughItIsSeenLate() throws Exception {
+		NioEventLoopGroup group = new NioEventLoopGroup(1);
+		try (ScriptedTarget target = new ScriptedTarget()) {
+			target.respondWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			EventLoop loop = group.next();
+			SlowlyOpenedChannel channel = new SlowlyOpenedChannel(target.address());
+			PooledHttpClient client = PooledHttpClient.create(loop, () -> channel);
+			CompletableFuture<String> end = new CompletableFuture<>();
+			loop.submit(() -> client.send(
+					PooledHttpClient.Request.onNewConnection(target.address(), HttpMethod.GET, "/",
+							new DefaultHttpHeaders(), new byte[0], CONNECT_TIMEOUT_MILLIS),
+					new EndRecorder(loop, end)));
+			HeldThread.whileHeld(loop, () -> {
+				channel.open();
+				Thread.sleep(CONNECT_TIMEOUT_MILLIS);
+			});
+			assertThat(end.get(10, TimeUnit.SECONDS)).isEqualTo("complete");
+		}
+		finally {
+			group.shutdownGracefully();
+		}
+	}
+
+	@Test
+	void connectionThatDoesNotOpenInTimeFails() throws Exception {
+		NioEventLoopGroup group = new NioEventLoopGroup(1);
+		try {
+			EventLoop loop = group.next();
+			InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9);
+			SlowlyOpenedChannel channel = new SlowlyOpenedChannel(address);
+			PooledHttpClient client = PooledHttpClient.create(loop, () -> channel);
+			CompletableFuture<String> end = new CompletableFuture<>();
+			loop.submit(() -> client.send(PooledHttpClient.Request.onNewConnection(address, HttpMethod.GET, "/",
+					new DefaultHttpHeaders(), new byte[0], 50), new EndRecorder(loop, end)));
+			assertThat(end.get(10, TimeUnit.SECONDS)).isEqualTo("failed, written: false, on the loop: true");
+			assertThat(channel.closeFuture().await(10, TimeUnit.SECONDS)).isTrue();
+		}
+		finally {
+			group.shutdownGracefully();
+		}
+	}
+
+	/**
+	 * A channel that does not begin to open before it is told to.
+	 */
+	private static final class SlowlyOpenedChannel extends NioSocketChannel {
+
+		private final InetSocketAddress address;
+
+		SlowlyOpenedChannel(InetSocketAddress address) {
+			this.address = address;
+		}
+
+		@Override
+		protected boolean doConnect(SocketAddress remoteAddress, SocketAddress localAddress) {
+			return false;
+		}
+
+		void open() throws Exception {
+			super.doConnect(this.address, null);
+		}
+
+	}
+
 	/**
 	 * Records the end of a response and the thread that reports it.
 	 *
