Read what has arrived on a kept connection before it is used again

Calls to the store and reports of engines failed as ones that may have run, on connections that their server had closed before: a table was read again 300 ms later, an engine counted as unreadable.

Cause: a kept connection was chosen by the clock, and the request written, without a read of the close or the surplus bytes that had arrived on it while the thread was late.

The task that sends the request now reads the connection right before it writes, and takes the next one, or a new one, if anything has arrived. The choice is made in that task, as the caller may be handling a read of the same connection.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -136,6 +137,18 @@
 				&& this.clock.millis() < this.reusableUntilMillis;
 	}
 
+	/**
+	 * Reads what has arrived; bytes or a close end the reuse. Not to be called in a read
+	 * of this connection.
+	 * @return whether the connection may be reused
+	 */
+	boolean reusableAfterReading() {
+		if (reusable() && this.channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+			unsafe.read();
+		}
+		return reusable();
+	}
+
 	void assign(PooledHttpClient.Request nextRequest, PooledHttpClient.ResponseListener nextListener) {
 		this.request = nextRequest;
 		this.listener = nextListener;
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
@@ -39,11 +39,11 @@
 /**
  * HTTP client with a connection pool, for targets, engines and the platform's store. A
  * connection carries one request at a time. Invariants: no request is ever sent twice; a
- * connection is reused only after a complete response with no bytes behind it, and only
- * for requests that allow it; a server that has written bytes that belong to no request
- * gets a connection for each request for {@link #STUTTERING_MILLIS}, as a copy of a
- * response that arrives while the next one is awaited cannot be told from it. Confined to
- * the traffic thread.
+ * connection is reused only after a complete response with no bytes behind it, only for
+ * requests that allow it, and not if bytes or its close have arrived since; a server that
+ * has written bytes that belong to no request gets a connection for each request for
+ * {@link #STUTTERING_MILLIS}, as a copy of a response that arrives while the next one is
+ * awaited cannot be told from it. Confined to the traffic thread.
  */
 public final class PooledHttpClient {
 
@@ -119,22 +119,31 @@
 	 * @return handle to cancel the request or to pause reading
 	 */
 	public RequestHandle send(Request request, ResponseListener listener) {
-		Optional<HttpConnection> reused = request.keepsConnection() ? acquireIdle(request.address()) : Optional.empty();
-		HttpConnection connection = reused.orElseGet(() -> new HttpConnection(this, request.address()));
-		connection.assign(request, listener);
-		if (reused.isPresent()) {
-			this.loop.execute(connection::write);
+		if (!request.keepsConnection() || !this.idleConnections.containsKey(request.address())) {
+			return sendOnNewConnection(request, listener);
 		}
-		else {
+		RequestAwaitingConnection awaiting = new RequestAwaitingConnection(request, listener);
+		this.loop.execute(awaiting::send);
+		return awaiting;
+	}
+
+	private HttpConnection sendOnNewConnection(Request request, ResponseListener listener) {
+		HttpConnection connection = new HttpConnection(this, request.address());
+		connection.assign(request, listener);
+		try {
 			connect(connection, request);
 		}
+		catch (RuntimeException | Error ex) {
+			connection.cancel();
+			throw ex;
+		}
 		return connection;
 	}
 
 	private Optional<HttpConnection> acquireIdle(InetSocketAddress address) {
 		Deque<HttpConnection> idle = this.idleConnections.getOrDefault(address, new ArrayDeque<>());
 		HttpConnection connection = idle.pollLast();
-		while (connection != null && !connection.reusable()) {
+		while (connection != null && !connection.reusableAfterReading()) {
 			connection.close();
 			connection = idle.pollLast();
 		}
@@ -225,6 +234,68 @@
 		ConnectTimeout.limit(connect, request.connectTimeoutMillis(), connection::connectFailed);
 	}
 
+	/**
+	 * A request that is to be sent on an idle connection, or a new one. The task that
+	 * sends it first reads what has arrived on the connection: the caller may be handling
+	 * a read of it.
+	 */
+	private final class RequestAwaitingConnection implements RequestHandle {
+
+		private final Request request;
+
+		private final ResponseListener listener;
+
+		/** {@code null} until there is one. */
+		private HttpConnection connection;
+
+		private boolean cancelled;
+
+		RequestAwaitingConnection(Request request, ResponseListener listener) {
+			this.request = request;
+			this.listener = listener;
+		}
+
+		void send() {
+			if (this.cancelled) {
+				return;
+			}
+			Optional<HttpConnection> idle = acquireIdle(this.request.address());
+			if (idle.isPresent()) {
+				this.connection = idle.get();
+				this.connection.assign(this.request, this.listener);
+				this.connection.write();
+				return;
+			}
+			try {
+				this.connection = sendOnNewConnection(this.request, this.listener);
+			}
+			catch (RuntimeException | Error ex) {
+				this.listener.failed(false, "connection failed: " + ex.getMessage());
+			}
+		}
+
+		@Override
+		public void cancel() {
+			this.cancelled = true;
+			if (this.connection != null) {
+				this.connection.cancel();
+			}
+		}
+
+		@Override
+		public void setReadEnabled(boolean enabled) {
+			if (this.connection != null) {
+				this.connection.setReadEnabled(enabled);
+			}
+		}
+
+		@Override
+		public boolean writeStarted() {
+			return this.connection != null && this.connection.writeStarted();
+		}
+
+	}
+
 	/**
 	 * Encodes requests. The codec decodes each byte of a path as one character, but
 	 * writes those above ASCII as two bytes.
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PooledHttpClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PooledHttpClientTests.java
@@ -14,16 +14,23 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of new connections of {@link PooledHttpClient}.
+ * Tests of the connections of {@link PooledHttpClient}.
  */
 class PooledHttpClientTests {
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
+	/** Time for what was written to arrive over the loopback, in milliseconds. */
+	private static final int ARRIVAL_MILLIS = 100;
+
+	private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
 	/** The request was ended on a thread of Netty's, beside those that were served. */
 	@Test
 	void connectionWithoutASocketFailsOnTheTrafficThread() throws Exception {
@@ -51,7 +58,7 @@
 	void connectionThatHasOpenedInTimeIsUsedThoughItIsSeenLate() throws Exception {
 		NioEventLoopGroup group = new NioEventLoopGroup(1);
 		try (ScriptedTarget target = new ScriptedTarget()) {
-			target.respondWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			target.respondWith(RESPONSE);
 			EventLoop loop = group.next();
 			SlowlyOpenedChannel channel = new SlowlyOpenedChannel(target.address());
 			PooledHttpClient client = PooledHttpClient.create(loop, () -> channel);
@@ -90,6 +97,38 @@
 		}
 	}
 
+	/**
+	 * The request was sent on the closed connection and counted as one that may have run.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { ScriptedTarget.CLOSE, ScriptedTarget.RESET, "surplus" })
+	void keptConnectionOnWhichSomethingHasArrivedIsNotUsed(String arrived) throws Exception {
+		NioEventLoopGroup group = new NioEventLoopGroup(1);
+		try (ScriptedTarget target = new ScriptedTarget()) {
+			EventLoop loop = group.next();
+			PooledHttpClient client = PooledHttpClient.create(loop);
+			target.respondWith(RESPONSE + ScriptedTarget.WHEN_TOLD + arrived);
+			target.respondWith(RESPONSE);
+			PooledHttpClient.Request request = PooledHttpClient.Request.keepingConnection(target.address(),
+					HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 10_000);
+			CompletableFuture<String> first = new CompletableFuture<>();
+			loop.submit(() -> client.send(request, new EndRecorder(loop, first)));
+			assertThat(first.get(10, TimeUnit.SECONDS)).isEqualTo("complete");
+			CompletableFuture<String> second = new CompletableFuture<>();
+			HeldThread.whileHeld(loop, () -> {
+				client.send(request, new EndRecorder(loop, second));
+				target.tell();
+				target.awaitScriptsWritten(1);
+				Thread.sleep(ARRIVAL_MILLIS);
+			});
+			assertThat(second.get(10, TimeUnit.SECONDS)).isEqualTo("complete");
+			assertThat(target.connections()).isEqualTo(2);
+		}
+		finally {
+			group.shutdownGracefully();
+		}
+	}
+
 	/**
 	 * A channel that does not begin to open before it is told to.
 	 */
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/ScriptedTarget.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/ScriptedTarget.java
@@ -28,6 +28,9 @@
 	/** Inside a script: what follows is written a moment later, with another call. */
 	public static final String PAUSE = "<pause>";
 
+	/** Inside a script: what follows is done after {@link #tell}. */
+	static final String WHEN_TOLD = "<when-told>";
+
 	/**
 	 * Inside a script: what {@link #respondLateWith} holds is written on the first
 	 * connection, unless it is closed.
@@ -60,6 +63,9 @@
 	/** One permit for each script that was written to its end. */
 	private final Semaphore written = new Semaphore(0);
 
+	/** One permit for each call of {@link #tell}. */
+	private final Semaphore told = new Semaphore(0);
+
 	private volatile int connections;
 
 	public ScriptedTarget() throws IOException {
@@ -103,6 +109,11 @@
 		this.received.acquire();
 	}
 
+	/** Goes on with a script that waits for this call. */
+	void tell() {
+		this.told.release();
+	}
+
 	void respondLateWith(String bytes) {
 		this.lateBytes = bytes;
 	}
@@ -142,16 +153,25 @@
 				kept = true;
 				boolean close = script.endsWith(CLOSE);
 				boolean reset = script.endsWith(RESET);
+				int told = script.indexOf(WHEN_TOLD);
+				if (told >= 0) {
+					write(socket, script.substring(0, told).split(PAUSE));
+					this.told.acquire();
+					script = script.substring(told + WHEN_TOLD.length());
+				}
 				String[] parts = script.replace(CLOSE, "").replace(RESET, "").split(LATE);
 				write(socket, parts[0].split(PAUSE));
 				if (parts.length > 1) {
 					writeLate();
 					write(socket, parts[1].split(PAUSE));
 				}
-				this.written.release();
 				if (reset) {
 					socket.setSoLinger(true, 0);
 				}
+				if (close || reset) {
+					socket.close();
+				}
+				this.written.release();
 				if (close || reset) {
 					return;
 				}
