Read a new connection before its request is written

A request that may run once failed with "may have run" when its target had closed the connection before a byte of the request was written, and was not sent again.

Cause: when the thread was late, the connection had opened and was closed again before either was seen. The request was written as soon as the connection was seen open, before the close was read.

What has arrived is now read right before the first byte is written; a request that is not written is known not to run.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/HttpConnection.java
@@ -143,12 +143,18 @@
 	 * @return whether the connection may be reused
 	 */
 	boolean reusableAfterReading() {
-		if (reusable() && this.channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-			unsafe.read();
+		if (reusable()) {
+			readArrived();
 		}
 		return reusable();
 	}
 
+	private void readArrived() {
+		if (this.channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+			unsafe.read();
+		}
+	}
+
 	void assign(PooledHttpClient.Request nextRequest, PooledHttpClient.ResponseListener nextListener) {
 		this.request = nextRequest;
 		this.listener = nextListener;
@@ -218,6 +224,8 @@
 			context.close();
 			return;
 		}
+		// A request that is not written to a server that has closed is known not to run.
+		readArrived();
 		write();
 	}
 
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PooledHttpClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PooledHttpClientTests.java
@@ -1,6 +1,9 @@
 package io.dotterelcrank.daemon.relay;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.SocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -129,6 +132,33 @@
 		}
 	}
 
+	/** The request counted as one that may have run, and was not sent again. */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void requestIsNotWrittenOnANewConnectionThatItsServerHasClosed(boolean reset) throws Exception {
+		NioEventLoopGroup group = new NioEventLoopGroup(1);
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			EventLoop loop = group.next();
+			InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+			SlowlyOpenedChannel channel = new SlowlyOpenedChannel(address);
+			PooledHttpClient client = PooledHttpClient.create(loop, () -> channel);
+			CompletableFuture<String> end = new CompletableFuture<>();
+			loop.submit(() -> client.send(PooledHttpClient.Request.onNewConnection(address, HttpMethod.GET, "/",
+					new DefaultHttpHeaders(), new byte[0], 10_000), new EndRecorder(loop, end)));
+			HeldThread.whileHeld(loop, () -> {
+				channel.open();
+				Socket accepted = server.accept();
+				accepted.setSoLinger(reset, 0);
+				accepted.close();
+				Thread.sleep(ARRIVAL_MILLIS);
+			});
+			assertThat(end.get(10, TimeUnit.SECONDS)).isEqualTo("failed, written: false, on the loop: true");
+		}
+		finally {
+			group.shutdownGracefully();
+		}
+	}
+
 	/**
 	 * A channel that does not begin to open before it is told to.
 	 */
