Replace links as silent only after what has arrived on them is read

After its traffic thread was late, a host closed the links to all its followers, which got no push for a second and all records again afterwards; links on which records or retry permits are asked for were closed likewise.

Cause: the control thread decides by its clock that an acknowledgement or a response is missing, while those that have arrived lie in the sockets of the traffic thread or in the queue between the two threads.

A link that seems silent now reads first: Link#runAfterReads runs a task after the reads of the traffic thread, and the control thread, to which these have passed all messages by then, decides again behind them.

Fail before, pass here: TableSharingTests#linksAreNotReplacedWhileAcknowledgementsThatHaveArrivedAreUnread (9 links were closed), PeerTableSyncTests#linkIsNotReplacedIfAResponseHasArrivedThatIsUnread, PeerRetryLoanClientTests#linkIsNotReplacedIfALoanHasArrivedThatIsUnread. The order over sockets: NettyTransportTests#whatHasArrivedIsReadBeforeATaskThatIsToRunAfterReads.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Link.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/Link.java
@@ -24,6 +24,15 @@
 	 */
 	void close();
 
+	/**
+	 * Runs a task once what has arrived on this link before was passed to the listener.
+	 * To be asked for before a link is given up for the lack of a message.
+	 * @param task task to run, on any thread
+	 */
+	default void runAfterReads(Runnable task) {
+		task.run();
+	}
+
 	/**
 	 * Returns the address of the peer, for logs.
 	 * @return address and port, or {@code not connected}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/NettyTransport.java
@@ -234,6 +234,17 @@
 			}
 		}
 
+		@Override
+		public void runAfterReads(Runnable task) {
+			Channel openChannel = this.channel;
+			if (openChannel != null) {
+				EventLoopTimer.schedule(openChannel.eventLoop(), 0, task);
+			}
+			else {
+				task.run();
+			}
+		}
+
 		@Override
 		public String peerAddress() {
 			Channel openChannel = this.channel;
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/PeerTableSync.java
@@ -128,7 +128,7 @@
 			PeerLink peerLink = this.links.computeIfAbsent(peer, PeerLink::new);
 			stale.forEach(peerLink::request);
 			peerLink.unansweredRounds++;
-			peerLink.closeIfSilent();
+			peerLink.readThenCloseIfSilent();
 		}
 	}
 
@@ -229,11 +229,22 @@
 		}
 
 		/**
-		 * Closes the link if it may have failed without being closed. Exponential backoff
-		 * lets a response arrive that takes long on a slow link.
+		 * Closes the link if it may have failed without being closed. What has arrived is
+		 * read before. Exponential backoff lets a response arrive that takes long on a
+		 * slow link.
 		 */
-		void closeIfSilent() {
-			int maxRounds = PeerTableSync.this.extendedRounds.getOrDefault(this.address, MAX_UNANSWERED_ROUNDS);
+		void readThenCloseIfSilent() {
+			if (this.unansweredRounds > maxRounds()) {
+				this.link.runAfterReads(() -> PeerTableSync.this.control.execute(this::closeIfSilent));
+			}
+		}
+
+		private int maxRounds() {
+			return PeerTableSync.this.extendedRounds.getOrDefault(this.address, MAX_UNANSWERED_ROUNDS);
+		}
+
+		private void closeIfSilent() {
+			int maxRounds = maxRounds();
 			if (this.unansweredRounds > maxRounds) {
 				if (this.open) {
 					PeerTableSync.this.extendedRounds.put(this.address, Math.min(2 * maxRounds, MAX_EXTENDED_ROUNDS));
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/replica/TableSharing.java
@@ -339,9 +339,9 @@
 			long nowMillis = TableSharing.this.clock.millis();
 			if (state.awaitsAck()) {
 				state.recordSkip();
-				if (state.awaitsAckFor(nowMillis) >= table.maxAckMillis()) {
-					logIfLate(state);
-					this.link.close();
+				if (isOverdue(state, table)) {
+					this.link
+						.runAfterReads(() -> TableSharing.this.control.execute(() -> closeIfOverdue(state, table)));
 				}
 				return;
 			}
@@ -357,6 +357,17 @@
 					update.epoch(), sinceAckMillis));
 		}
 
+		private boolean isOverdue(FollowerTable state, SharedTable table) {
+			return state.awaitsAckFor(TableSharing.this.clock.millis()) >= table.maxAckMillis();
+		}
+
+		private void closeIfOverdue(FollowerTable state, SharedTable table) {
+			if (isOverdue(state, table)) {
+				logIfLate(state);
+				this.link.close();
+			}
+		}
+
 		private boolean tryOpen() {
 			long closed = TableSharing.this.closedMillis.getOrDefault(this.address, 0L);
 			if (closed > 0 && TableSharing.this.clock.millis() - closed < RECONNECT_MILLIS) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/NettyTransportTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/connection/NettyTransportTests.java
@@ -7,11 +7,15 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -111,6 +115,43 @@
 			.withMessageContaining("cannot bind");
 	}
 
+	@RepeatedTest(20)
+	void whatHasArrivedIsReadBeforeATaskThatIsToRunAfterReads() throws Exception {
+		EventLoopGroup oneThread = new NioEventLoopGroup(1);
+		Transport single = Transport.overTcp(() -> 0, oneThread);
+		try {
+			RecordingListener recorder = new RecordingListener();
+			Link link = single.open(this.address, recorder);
+			link.send(new Message.Cancel("a"));
+			this.accepted.nextEvent();
+			CountDownLatch held = new CountDownLatch(1);
+			CountDownLatch hold = new CountDownLatch(1);
+			oneThread.execute(() -> {
+				held.countDown();
+				awaitUninterruptibly(hold);
+			});
+			held.await();
+			this.accepted.lastLink.send(new Message.Cancel("b"));
+			link.runAfterReads(() -> recorder.events.add("after reads"));
+			Thread.sleep(20);
+			hold.countDown();
+			assertThat(recorder.nextEvent()).startsWith("received");
+			assertThat(recorder.nextEvent()).isEqualTo("after reads");
+		}
+		finally {
+			oneThread.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		}
+	}
+
+	private static void awaitUninterruptibly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	/**
 	 * Records messages and closed links as strings.
 	 */
@@ -118,6 +159,8 @@
 
 		private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
 
+		private volatile Link lastLink;
+
 		String nextEvent() throws InterruptedException {
 			return this.events.poll(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
 		}
@@ -129,6 +172,7 @@
 
 		@Override
 		public void received(Link link, long version, Message message) {
+			this.lastLink = link;
 			this.events.add("received " + version + " " + message);
 		}
 
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/PeerTableSyncTests.java
@@ -230,6 +230,18 @@
 		assertThat(this.changes).hasSize(1);
 	}
 
+	@Test
+	void linkIsNotReplacedIfAResponseHasArrivedThatIsUnread() {
+		startWithOnePeer();
+		this.control.advance(PeerTableSync.ROUND_MILLIS);
+		RecordingLink link = lastLink();
+		link.listener.opened(link);
+		link.unread = () -> receive(link, "op", 0);
+		this.control.advance((PeerTableSync.MAX_UNANSWERED_ROUNDS + 1) * PeerTableSync.ROUND_MILLIS);
+		assertThat(link.closed).isFalse();
+		assertThat(this.changes).hasSize(1);
+	}
+
 	@Test
 	void linkThatIsSilentAfterAResponseIsReplacedAsSoonAsTheFirst() {
 		startWithOnePeer();
@@ -363,6 +375,10 @@
 
 		private boolean closed;
 
+		/** Passes on what has arrived and is not read. */
+		private Runnable unread = () -> {
+		};
+
 		/** 0 if the link is not open. */
 		private long openedMillis;
 
@@ -388,6 +404,12 @@
 			}
 		}
 
+		@Override
+		public void runAfterReads(Runnable task) {
+			this.unread.run();
+			task.run();
+		}
+
 		@Override
 		public String peerAddress() {
 			return "peer";
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/SimulatedHosts.java
@@ -182,6 +182,12 @@
 
 		private boolean paused;
 
+		/** Whether messages that arrive are not read. */
+		private boolean readsLate;
+
+		/** Messages that have arrived and are not read. */
+		private final List<Runnable> unread = new ArrayList<>();
+
 		private StorePath storePath = StorePath.OPEN;
 
 		private long storeCalls;
@@ -411,6 +417,29 @@
 			// Nothing to release.
 		}
 
+		private void read(Runnable delivery) {
+			this.unread.add(delivery);
+			if (!this.readsLate) {
+				readArrived();
+			}
+		}
+
+		private void readArrived() {
+			List<Runnable> arrived = List.copyOf(this.unread);
+			this.unread.clear();
+			arrived.forEach(this::run);
+		}
+
+		/**
+		 * Sets whether messages that arrive are read only when the host asks for it.
+		 */
+		void setReadsLate(boolean late) {
+			this.readsLate = late;
+			if (!late) {
+				readArrived();
+			}
+		}
+
 		/**
 		 * Runs the host's tasks unless it is paused.
 		 */
@@ -511,7 +540,7 @@
 			String pair = this.opener.member.name() + '-' + this.peer.member.name();
 			this.silent |= SimulatedHosts.this.cutPairs.contains(pair);
 			if (!this.silent && !this.closed) {
-				SimulatedHosts.this.scheduler.schedule(sender.transferMillis(message), () -> receiver.run(delivery));
+				SimulatedHosts.this.scheduler.schedule(sender.transferMillis(message), () -> receiver.read(delivery));
 			}
 		}
 
@@ -527,6 +556,12 @@
 			});
 		}
 
+		@Override
+		public void runAfterReads(Runnable task) {
+			this.opener.readArrived();
+			task.run();
+		}
+
 		@Override
 		public boolean writable() {
 			return true;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/replica/TableSharingTests.java
@@ -127,6 +127,19 @@
 		}
 	}
 
+	/** The followers got nothing for a second, and then all records again. */
+	@Test
+	void linksAreNotReplacedWhileAcknowledgementsThatHaveArrivedAreUnread() {
+		this.hosts.start();
+		this.hosts.advance(5_000);
+		SimulatedHosts.Host reader = this.hosts.host(readers()[0]);
+		int closedLinks = reader.closedLinks();
+		reader.setReadsLate(true);
+		this.hosts.advance(3 * BOUND_MILLIS);
+		reader.setReadsLate(false);
+		assertThat(reader.closedLinks()).isEqualTo(closedLinks);
+	}
+
 	@Test
 	void linkThatWentSilentIsReplaced() {
 		this.hosts.start();
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRetryLoanClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRetryLoanClient.java
@@ -124,17 +124,28 @@
 
 		void request(String service) {
 			this.unansweredRequests++;
-			long nowMillis = PeerRetryLoanClient.this.clock.millis();
-			Deque<Long> sent = this.sentMillis.computeIfAbsent(service, (name) -> new ArrayDeque<>());
-			boolean overdue = !sent.isEmpty() && nowMillis - sent.peekFirst() > MAX_UNANSWERED_MILLIS;
-			if (overdue || this.unansweredRequests > MAX_UNANSWERED_REQUESTS) {
-				this.link.close();
+			if (isSilent(service)) {
+				this.link.runAfterReads(() -> PeerRetryLoanClient.this.control.execute(() -> closeIfSilent(service)));
 				return;
 			}
-			sent.addLast(nowMillis);
+			this.sentMillis.computeIfAbsent(service, (name) -> new ArrayDeque<>())
+				.addLast(PeerRetryLoanClient.this.clock.millis());
 			this.link.send(new Message.RetryLoanRequest(service));
 		}
 
+		private boolean isSilent(String service) {
+			Long oldestMillis = this.sentMillis.getOrDefault(service, new ArrayDeque<>()).peekFirst();
+			boolean overdue = oldestMillis != null
+					&& PeerRetryLoanClient.this.clock.millis() - oldestMillis > MAX_UNANSWERED_MILLIS;
+			return overdue || this.unansweredRequests > MAX_UNANSWERED_REQUESTS;
+		}
+
+		private void closeIfSilent(String service) {
+			if (isSilent(service)) {
+				this.link.close();
+			}
+		}
+
 		@Override
 		public void opened(Link openedLink) {
 			// The link queues messages sent before it is open.
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PeerRetryLoanClientTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/PeerRetryLoanClientTests.java
@@ -103,6 +103,17 @@
 		assertThat(this.loans).containsExactly("s");
 	}
 
+	@Test
+	void linkIsNotReplacedIfALoanHasArrivedThatIsUnread() {
+		request("s");
+		request("s");
+		this.transport.link.unread = () -> respond(LOAN);
+		request("s");
+		request("s");
+		assertThat(this.transport.link.closed).isFalse();
+		assertThat(this.loans).containsExactly("s");
+	}
+
 	@Test
 	void loanThatComesTwiceIsCountedOnce() {
 		request("s");
@@ -166,6 +177,12 @@
 
 		private Link.Listener listener;
 
+		private boolean closed;
+
+		/** Passes on what has arrived and is not read. */
+		private Runnable unread = () -> {
+		};
+
 		@Override
 		public void send(Message message) {
 			// The test knows what is sent.
@@ -178,9 +195,16 @@
 
 		@Override
 		public void close() {
+			this.closed = true;
 			this.listener.closed(this);
 		}
 
+		@Override
+		public void runAfterReads(Runnable task) {
+			this.unread.run();
+			task.run();
+		}
+
 		@Override
 		public String peerAddress() {
 			return "peer";
