Ask another host for permits only after the first one's are read

Two hosts issued the permits of one target at the same time after the traffic thread of a host that asks had been late for 150 ms: its requests went to the next host, though the first one had answered.

Cause: the control thread takes the issuer for silent by its clock, while its answer lies unread in the socket.

If a link seems silent, what has arrived is now read first, and the issuer is chosen behind the messages that this brings.

PeerRatePermitClientTests#noOtherHostIsAskedIfAPermitHasArrivedThatIsUnread fails before and passes here.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRatePermitClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PeerRatePermitClient.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -17,8 +18,9 @@
 import io.dotterelcrank.process.membership.Member;
 
 /**
- * Asks the entry host that issues the permits of a target, which may be this one. State
- * is confined to the control thread.
+ * Asks the entry host that issues the permits of a target, which may be this one.
+ * Invariant: no host counts as silent before what has arrived from it is read. State is
+ * confined to the control thread.
  */
 final class PeerRatePermitClient implements RatePermitClient {
 
@@ -60,14 +62,27 @@
 
 	@Override
 	public void send(Message.RatePermitRequest request) {
-		this.control.execute(() -> this.choice.choose(request.target(), this.members.get()).ifPresent((issuer) -> {
+		this.control.execute(() -> {
+			Optional<IssuerLink> silent = this.links.values().stream().filter(IssuerLink::silent).findFirst();
+			if (silent.isPresent()) {
+				// One thread reads all links.
+				silent.get().link.runAfterReads(() -> this.control.execute(() -> sendToIssuer(request)));
+			}
+			else {
+				sendToIssuer(request);
+			}
+		});
+	}
+
+	private void sendToIssuer(Message.RatePermitRequest request) {
+		this.choice.choose(request.target(), this.members.get()).ifPresent((issuer) -> {
 			if (issuer.name().equals(this.self)) {
 				this.ownRequests.accept(request);
 				return;
 			}
 			this.choice.recordRequest(issuer.name());
 			link(issuer).send(request);
-		}));
+		});
 	}
 
 	private IssuerLink link(Member issuer) {
