Do not send requests of callers that left before they were handled

Callers of the product's own path that closed their connections before an I/O thread handled their requests were served all the same: calls ran at plain services, and generations were sent to engines. The close of a call's caller was never read at all: it went on to wait, to be retried and to be run.

Cause: the request was dispatched to the control thread before the connection was read on, and only generations were watched. The watch read the close after the request was on its way.

The I/O thread now reads what has arrived behind a request, the close included, before it starts it, and watches calls as well; bytes of further requests are kept for the server, so that pipelined ones are still served. A disconnect is visible to the control thread at once, and no attempt, retry or message is begun for the caller after it. A call that was sent to its service goes on, as before.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/AbstractRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/AbstractRequest.java
@@ -23,6 +23,8 @@
 
 	private final EntryProcess entry;
 
+	private final RequestHandle handle;
+
 	/** Time of arrival. */
 	private final long startMillis;
 
@@ -53,8 +55,9 @@
 	private Scheduler.ScheduledTask deadlineTimer = () -> {
 	};
 
-	AbstractRequest(EntryProcess entry, long timeoutMillis) {
+	AbstractRequest(EntryProcess entry, RequestHandle handle, long timeoutMillis) {
 		this.entry = entry;
+		this.handle = handle;
 		this.startMillis = entry.clock().millis();
 		this.deadlineMillis = this.startMillis + timeoutMillis;
 	}
@@ -123,7 +126,7 @@
 		}
 		this.hostListReread = true;
 		this.entry.readHostList((success) -> {
-			if (this.ended) {
+			if (endedOrCallerLeft()) {
 				return;
 			}
 			if (success) {
@@ -207,6 +210,35 @@
 		this.entry.requestEnded(this);
 	}
 
+	/**
+	 * Ends the request, since its caller has disconnected. Has no effect once it has
+	 * ended.
+	 */
+	void callerDisconnected() {
+		if (!this.ended) {
+			abandonForCaller();
+			finish();
+		}
+	}
+
+	/**
+	 * Cancels the current attempt, since the caller has disconnected.
+	 */
+	void abandonForCaller() {
+		cancelAttempt();
+	}
+
+	/**
+	 * Returns whether the request has ended, and ends it if its caller has left.
+	 * @return {@code true} if nothing may be sent for the caller
+	 */
+	boolean endedOrCallerLeft() {
+		if (this.handle.callerLeft()) {
+			callerDisconnected();
+		}
+		return this.ended;
+	}
+
 	/**
 	 * Sets whether an attempt so far may have run.
 	 * @param value {@code false} if it is known that none has run
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/EntryProcess.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/EntryProcess.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
@@ -177,7 +176,8 @@
 	 * @return handle for acknowledgements and disconnection
 	 */
 	public GenerationHandle generate(Generation request, GenerationListener listener) {
-		return submit(() -> new GenerationRequest(this, request, listener), GenerationRequest::start, listener::failed);
+		return submit((handle) -> new GenerationRequest(this, handle, request, listener), GenerationRequest::start,
+				listener::failed);
 	}
 
 	/**
@@ -188,23 +188,17 @@
 	 * @return handle for acknowledgements and disconnection
 	 */
 	public GenerationHandle resume(Generation request, EventId lastEvent, GenerationListener listener) {
-		return submit(() -> new GenerationRequest(this, request, listener), (created) -> created.resume(lastEvent),
-				listener::failed);
+		return submit((handle) -> new GenerationRequest(this, handle, request, listener),
+				(created) -> created.resume(lastEvent), listener::failed);
 	}
 
-	private GenerationHandle submit(Supplier<GenerationRequest> factory, Consumer<GenerationRequest> starter,
-			Consumer<Failure> onRefused) {
-		GenerationHandle handle = new GenerationHandle();
-		this.context.scheduler().execute(() -> {
-			Failure unavailable = notReadyFailure();
-			if (unavailable != null) {
-				onRefused.accept(unavailable);
-				return;
-			}
-			recordAccepted();
-			GenerationRequest created = factory.get();
-			handle.request = created;
-			this.openRequests.add(created);
+	private GenerationHandle submit(Function<RequestHandle, GenerationRequest> factory,
+			Consumer<GenerationRequest> starter, Consumer<Failure> onRefused) {
+		GenerationHandle handle = new GenerationHandle(this.context.scheduler());
+		accept(handle, onRefused, () -> {
+			GenerationRequest created = factory.apply(handle);
+			handle.generation = created;
+			begin(handle, created);
 			starter.accept(created);
 		});
 		return handle;
@@ -214,21 +208,44 @@
 	 * Sends a call to a plain service.
 	 * @param call the call; its id is ignored
 	 * @param listener receives the result
+	 * @return handle for disconnection
+	 */
+	public RequestHandle call(ServiceCall call, CallListener listener) {
+		RequestHandle handle = new RequestHandle(this.context.scheduler());
+		accept(handle, listener::failed, () -> {
+			ServiceCallRequest created = new ServiceCallRequest(this, handle, call, listener);
+			begin(handle, created);
+			created.start();
+		});
+		return handle;
+	}
+
+	/**
+	 * Starts a request on the control thread, unless its caller has left.
+	 * @param handle handle of the request
+	 * @param onRefused called if this process accepts no requests
+	 * @param starter creates and starts the request
 	 */
-	public void call(ServiceCall call, CallListener listener) {
+	private void accept(RequestHandle handle, Consumer<Failure> onRefused, Runnable starter) {
 		this.context.scheduler().execute(() -> {
+			if (handle.callerLeft()) {
+				return;
+			}
 			Failure unavailable = notReadyFailure();
 			if (unavailable != null) {
-				listener.failed(unavailable);
+				onRefused.accept(unavailable);
 				return;
 			}
 			recordAccepted();
-			ServiceCallRequest request = new ServiceCallRequest(this, call, listener);
-			this.openRequests.add(request);
-			request.start();
+			starter.run();
 		});
 	}
 
+	private void begin(RequestHandle handle, AbstractRequest created) {
+		handle.setRequest(created);
+		this.openRequests.add(created);
+	}
+
 	private void recordAccepted() {
 		this.requestCounter.inc();
 		this.retryBudget.recordRequest(this.holder.current().value(Setting.RETRY_BUDGET_PERCENT, Subject.FLEET));
@@ -400,12 +417,15 @@
 	/**
 	 * Handle by which the caller's side controls a generation. Thread-safe.
 	 */
-	public final class GenerationHandle {
+	public static final class GenerationHandle extends RequestHandle {
 
-		/** {@code null} until the control thread has created the request. */
-		private GenerationRequest request;
+		/**
+		 * {@code null} until the control thread has created the request; confined to it.
+		 */
+		private GenerationRequest generation;
 
-		private GenerationHandle() {
+		private GenerationHandle(Scheduler scheduler) {
+			super(scheduler);
 		}
 
 		/**
@@ -413,20 +433,9 @@
 		 * @param nextUnreadIndex index of the first token not read
 		 */
 		public void acknowledge(int nextUnreadIndex) {
-			EntryProcess.this.context.scheduler().execute(() -> {
-				if (this.request != null) {
-					this.request.acknowledge(nextUnreadIndex);
-				}
-			});
-		}
-
-		/**
-		 * Reports that the caller has disconnected.
-		 */
-		public void disconnected() {
-			EntryProcess.this.context.scheduler().execute(() -> {
-				if (this.request != null) {
-					this.request.callerDisconnected();
+			execute(() -> {
+				if (this.generation != null) {
+					this.generation.acknowledge(nextUnreadIndex);
 				}
 			});
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/GenerationRequest.java
@@ -71,8 +71,8 @@
 	private Scheduler.ScheduledTask targetTimeout = () -> {
 	};
 
-	GenerationRequest(EntryProcess entry, Generation request, GenerationListener listener) {
-		super(entry, request.deadlineMillis());
+	GenerationRequest(EntryProcess entry, RequestHandle handle, Generation request, GenerationListener listener) {
+		super(entry, handle, request.deadlineMillis());
 		this.request = request;
 		this.listener = listener;
 	}
@@ -176,7 +176,7 @@
 
 	@Override
 	public void handle(Message message) {
-		if (ended()) {
+		if (endedOrCallerLeft()) {
 			return;
 		}
 		if (message instanceof Message.Tokens tokens) {
@@ -254,7 +254,7 @@
 
 	@Override
 	public void sessionLost() {
-		if (!ended()) {
+		if (!endedOrCallerLeft()) {
 			awaitSession();
 		}
 	}
@@ -278,7 +278,7 @@
 	}
 
 	private void abandonTarget() {
-		if (!ended() && this.awaitingSession) {
+		if (!endedOrCallerLeft() && this.awaitingSession) {
 			this.awaitingSession = false;
 			cancelAttempt();
 			handleFailure(targetUnreachable());
@@ -296,7 +296,7 @@
 
 	@Override
 	public void sessionOpened(long sidecarIncarnation) {
-		if (ended()) {
+		if (endedOrCallerLeft()) {
 			return;
 		}
 		if (this.unsentMessage != null) {
@@ -327,14 +327,11 @@
 	}
 
 	/**
-	 * Ends the request, since its caller has disconnected. A streaming caller may
-	 * reconnect for a time, here or at another entry process, before the attempt is
-	 * cancelled.
+	 * Cancels the attempt. A streaming caller may reconnect for a time, here or at
+	 * another entry process, before the attempt is cancelled.
 	 */
-	void callerDisconnected() {
-		if (ended()) {
-			return;
-		}
+	@Override
+	void abandonForCaller() {
 		if (this.listener.streaming() && target() != null) {
 			long waitMillis = entry().callerReconnectMillis();
 			entry().scheduler().schedule(waitMillis, this::cancelUnlessResumed);
@@ -342,7 +339,6 @@
 		else {
 			cancelAttempt();
 		}
-		finish();
 	}
 
 	private void cancelUnlessResumed() {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/ServiceCallRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/entry/ServiceCallRequest.java
@@ -58,8 +58,8 @@
 	private Scheduler.ScheduledTask targetTimeout = () -> {
 	};
 
-	ServiceCallRequest(EntryProcess entry, ServiceCall call, CallListener listener) {
-		super(entry, call.deadlineMillis());
+	ServiceCallRequest(EntryProcess entry, RequestHandle handle, ServiceCall call, CallListener listener) {
+		super(entry, handle, call.deadlineMillis());
 		this.call = call;
 		this.listener = listener;
 	}
@@ -161,7 +161,7 @@
 
 	@Override
 	public void handle(Message message) {
-		if (ended()) {
+		if (endedOrCallerLeft()) {
 			return;
 		}
 		cancelTargetTimeout();
@@ -239,7 +239,7 @@
 
 	@Override
 	public void sessionLost() {
-		if (ended()) {
+		if (endedOrCallerLeft()) {
 			return;
 		}
 		// The call was not sent, or may run twice: no need to query its outcome.
@@ -269,7 +269,7 @@
 	 * never sent.
 	 */
 	private void abandonTarget() {
-		if (ended()) {
+		if (endedOrCallerLeft()) {
 			return;
 		}
 		cancelAttempt();
@@ -292,7 +292,7 @@
 
 	@Override
 	public void sessionOpened(long sidecarIncarnation) {
-		if (ended()) {
+		if (endedOrCallerLeft()) {
 			return;
 		}
 		if (this.stage == Stage.CONNECTING) {
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/CallerHandler.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/CallerHandler.java
@@ -13,6 +13,7 @@
 
 import io.dotterelcrank.common.SharedJsonMapper;
 import io.dotterelcrank.process.entry.EntryProcess;
+import io.dotterelcrank.process.entry.RequestHandle;
 import io.dotterelcrank.request.EventId;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Generation;
@@ -135,14 +136,14 @@
 				headers.deadlineMillis());
 		if (request.streamOrDefault()) {
 			StreamedCompletionWriter writer = new StreamedCompletionWriter(exchange, request.model());
-			runAfterHandler(exchange, () -> {
+			startUnlessCallerLeft(exchange, () -> {
 				EntryProcess.GenerationHandle handle = this.entry.generate(generation, writer);
 				writer.setHandle(handle);
 				DisconnectWatcher.watch(exchange, handle::disconnected);
 			});
 		}
 		else {
-			runAfterHandler(exchange, () -> {
+			startUnlessCallerLeft(exchange, () -> {
 				EntryProcess.GenerationHandle handle = this.entry.generate(generation,
 						new BufferedCompletionWriter(exchange, request.model()));
 				DisconnectWatcher.watch(exchange, handle::disconnected);
@@ -157,7 +158,7 @@
 		Generation request = new Generation("", headers.workspace(), model, headers.priority(), "", 0, 0,
 				headers.deadlineMillis());
 		StreamedCompletionWriter writer = new StreamedCompletionWriter(exchange, model);
-		runAfterHandler(exchange, () -> {
+		startUnlessCallerLeft(exchange, () -> {
 			EntryProcess.GenerationHandle handle = this.entry.resume(request, lastEventId, writer);
 			writer.setHandle(handle);
 			DisconnectWatcher.watch(exchange, handle::disconnected);
@@ -201,7 +202,10 @@
 		ServiceCall call = new ServiceCall("", headers.workspace(), service, headers.priority(),
 				headers.idempotencyKey(), exchange.getRequestMethod().toString(), path + query,
 				forwardedHeaders(exchange), body, headers.deadlineMillis());
-		runAfterHandler(exchange, () -> this.entry.call(call, new ServiceResponseWriter(exchange)));
+		startUnlessCallerLeft(exchange, () -> {
+			RequestHandle handle = this.entry.call(call, new ServiceResponseWriter(exchange));
+			DisconnectWatcher.watch(exchange, handle::disconnected);
+		});
 	}
 
 	/**
@@ -226,8 +230,18 @@
 		return headers;
 	}
 
-	private static void runAfterHandler(HttpServerExchange exchange, Runnable action) {
-		exchange.dispatch(SameThreadExecutor.INSTANCE, action);
+	/**
+	 * Starts a request after the handler has returned, unless the close of its caller's
+	 * connection has arrived.
+	 * @param exchange the exchange
+	 * @param starter starts the request
+	 */
+	private static void startUnlessCallerLeft(HttpServerExchange exchange, Runnable starter) {
+		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+			if (DisconnectWatcher.callerConnected(exchange)) {
+				starter.run();
+			}
+		});
 	}
 
 	/**
--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/DisconnectWatcher.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/DisconnectWatcher.java
@@ -3,14 +3,17 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import org.xnio.IoUtils;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.ReadReadyHandler;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Detects that a caller has closed its connection while its request is open. Stateless.
+ * Detects that a caller has closed its connection before its request is sent or while it
+ * is open. Bytes of further requests are kept for the server. Stateless.
  */
 final class DisconnectWatcher {
 
@@ -18,16 +21,28 @@
 	}
 
 	/**
-	 * Watches the connection of a request whose body has been read. If the caller has
-	 * already sent a second request (pipelining), its disconnect is not detected before
-	 * the first request completes.
+	 * Reads what has arrived behind a request whose body has been read, the close of the
+	 * connection included. Must be called on the I/O thread.
+	 * @param exchange the exchange
+	 * @return whether the caller is still connected
+	 */
+	static boolean callerConnected(HttpServerExchange exchange) {
+		if (exchange.getConnection() instanceof HttpServerConnection connection) {
+			readArrived(connection);
+		}
+		return exchange.getConnection().isOpen();
+	}
+
+	/**
+	 * Watches the connection of a request whose body has been read. A disconnect behind
+	 * more bytes of further requests than a buffer holds is not detected before the first
+	 * request completes.
 	 * @param exchange the exchange
 	 * @param onDisconnect called when the connection has closed
 	 */
 	static void watch(HttpServerExchange exchange, Runnable onDisconnect) {
 		exchange.getConnection().addCloseListener((connection) -> onDisconnect.run());
-		if (!(exchange.getConnection() instanceof HttpServerConnection connection)
-				|| connection.getExtraBytes() != null) {
+		if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
 			return;
 		}
 		StreamSourceConduit source = connection.getOriginalSourceConduit();
@@ -39,56 +54,90 @@
 		});
 		exchange.getIoThread().execute(() -> {
 			if (!exchange.isComplete()) {
-				source.setReadReadyHandler(new EndOfInputHandler(exchange, source));
+				source.setReadReadyHandler(new EndOfInputHandler(connection));
 				source.resumeReads();
 			}
 		});
 	}
 
-	private static void closeQuietly(HttpServerExchange exchange) {
+	/**
+	 * Reads until nothing more has arrived, and closes the connection at its end.
+	 * @param connection the connection
+	 * @return whether more can be read later
+	 */
+	private static boolean readArrived(HttpServerConnection connection) {
+		PooledByteBuffer buffer = connection.getByteBufferPool().allocate();
+		boolean kept = false;
 		try {
-			exchange.getConnection().close();
+			ByteBuffer bytes = buffer.getBuffer();
+			PooledByteBuffer earlier = connection.getExtraBytes();
+			int earlierCount = 0;
+			if (earlier != null) {
+				bytes.put(earlier.getBuffer().duplicate());
+				earlierCount = bytes.position();
+			}
+			boolean ended = !readInto(bytes, connection.getOriginalSourceConduit());
+			boolean full = !bytes.hasRemaining();
+			if (ended) {
+				connection.close();
+			}
+			else if (bytes.position() > earlierCount) {
+				bytes.flip();
+				connection.setExtraBytes(buffer);
+				kept = true;
+				if (earlier != null) {
+					earlier.close();
+				}
+			}
+			return !ended && !full;
 		}
 		catch (IOException ex) {
-			exchange.setPersistent(false);
+			IoUtils.safeClose(connection);
+			return false;
+		}
+		finally {
+			if (!kept) {
+				buffer.close();
+			}
 		}
 	}
 
 	/**
-	 * Closes the connection at the end of its input. If a second request arrives instead,
-	 * the connection is closed after the response to the first.
+	 * Reads until nothing more has arrived or the buffer is full.
+	 * @param bytes the buffer
+	 * @param source the source
+	 * @return {@code false} at the end of the source
+	 * @throws IOException if the source is broken
 	 */
-	private static final class EndOfInputHandler implements ReadReadyHandler {
+	private static boolean readInto(ByteBuffer bytes, StreamSourceConduit source) throws IOException {
+		int count = 1;
+		while (count > 0 && bytes.hasRemaining()) {
+			count = source.read(bytes);
+		}
+		return count >= 0;
+	}
 
-		private final HttpServerExchange exchange;
+	/**
+	 * Closes the connection at the end of its input.
+	 */
+	private static final class EndOfInputHandler implements ReadReadyHandler {
 
-		private final StreamSourceConduit source;
+		private final HttpServerConnection connection;
 
-		EndOfInputHandler(HttpServerExchange exchange, StreamSourceConduit source) {
-			this.exchange = exchange;
-			this.source = source;
+		EndOfInputHandler(HttpServerConnection connection) {
+			this.connection = connection;
 		}
 
 		@Override
 		public void readReady() {
-			try {
-				int bytesRead = this.source.read(ByteBuffer.allocate(1));
-				if (bytesRead < 0) {
-					this.exchange.getConnection().close();
-				}
-				else if (bytesRead > 0) {
-					this.exchange.setPersistent(false);
-					this.source.suspendReads();
-				}
-			}
-			catch (IOException ex) {
-				closeQuietly(this.exchange);
+			if (!readArrived(this.connection)) {
+				this.connection.getOriginalSourceConduit().suspendReads();
 			}
 		}
 
 		@Override
 		public void forceTermination() {
-			closeQuietly(this.exchange);
+			IoUtils.safeClose(this.connection);
 		}
 
 		@Override
