Ask nothing of sidecars and engines for callers that have left

A generation that waited for room asked a sidecar for admission although the close of its caller's connection had arrived unread: the sidecar counts an admitted request for up to 1 s until its engine reports it, and refuses others meanwhile.

Cause: the caller's connection was read right before an attempt is written, but not before what precedes the attempt.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestAttempts.java
@@ -101,7 +101,7 @@
 	 */
 	void hedgeIfDue() {
 		long millis = this.request.now() - first().sentMillis();
-		if (!RetryPolicy.hedgeDue(this.request.route(), millis, this.sendCount)
+		if (!RetryPolicy.hedgeDue(this.request.route(), millis, this.sendCount) || endIfCallerLeft()
 				|| !this.relayService.obtainsRetryPermit(this.request.service().name())) {
 			return;
 		}
@@ -140,11 +140,13 @@
 	/**
 	 * Reads what has arrived from the caller, and ends the request if its connection is
 	 * closed.
+	 * @return {@code true} if the request has ended
 	 */
-	void endIfCallerLeft() {
+	boolean endIfCallerLeft() {
 		if (!this.caller.readArrived()) {
 			this.request.callerDisconnected();
 		}
+		return this.request.done();
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RequestPlacement.java
@@ -160,8 +160,17 @@
 			.collect(Collectors.toSet());
 	}
 
+	/**
+	 * Requests admission, or sends the request if none is needed. A sidecar reserves
+	 * memory for a while, so none is asked for a caller that has left.
+	 * @param target chosen target
+	 * @param demand resources that the request needs
+	 */
 	private void requestAdmissionOrSend(TrackedTarget target, PlacementStrategy.Demand demand) {
 		boolean engine = this.request.service().engine().isPresent();
+		if (engine && this.request.attempts().endIfCallerLeft()) {
+			return;
+		}
 		if (!engine || !this.admissionRequester.trySend(target, demand)) {
 			sendOrPlaceAgain(target);
 		}
