Poll after a change of targets once what has arrived is read

After the traffic thread was held up, a change of the listed targets, an engine's report that it leaves or a lent retry permit stopped healthy streams, to be resumed elsewhere, and hedged requests whose responses had arrived.

Cause: these polled all requests within the task that handled the news. Polls decide by the time since the last event, and after a stop in the middle of the tasks of one turn the events lie unread in their sockets.

Such a poll is now a timer that is due at once: the event loop runs a timer that a task starts in its next turn, after it has read the sockets.

Two tests of borrowed permits and one of a report that an engine leaves run the task that is due at the same time of the manual clock before they look at the outcome, as does the fixture after a change of its targets; they expect the same.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
@@ -44,7 +44,7 @@
 	/** Whether waiting requests are about to be placed, as another one has ended. */
 	private boolean placementScheduled;
 
-	/** Whether a poll is about to follow the present task. */
+	/** Whether a poll is about to run. */
 	private boolean pollScheduled;
 
 	ActiveRequests(Scheduler trafficThread) {
@@ -77,11 +77,13 @@
 	}
 
 	/**
-	 * Polls all requests after the present task.
+	 * Polls all requests soon. Polls decide by the time since the last event, so what has
+	 * arrived is to be read first: the traffic thread reads between a task and the timers
+	 * that it starts.
 	 */
 	void schedulePoll() {
 		if (!this.pollScheduled) {
-			this.trafficThread.execute(() -> {
+			this.trafficThread.schedule(0, () -> {
 				this.pollScheduled = false;
 				poll();
 			});
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayService.java
@@ -193,27 +193,27 @@
 	}
 
 	/**
-	 * Replaces the known targets. Polls all requests if one has come or gone, or takes
-	 * new work or no longer does; most updates only renew the registrations.
+	 * Replaces the known targets. Polls all requests soon if one has come or gone, or
+	 * takes new work or no longer does; most updates only renew the registrations.
 	 * @param targets all targets; those missing are forgotten
 	 */
 	public void updateTargets(List<Target> targets) {
 		boolean changed = this.targetPool.update(targets);
 		Defects.isolate(logger, () -> this.rolloutGate.updateTargets(targets));
 		if (changed) {
-			poll();
+			this.activeRequests.schedulePoll();
 		}
 	}
 
 	/**
-	 * Updates the load of an engine. Polls all requests if the engine begins to drain,
-	 * and places those that wait if it has capacity for more than before; with tens of
-	 * engines, reports arrive far more often than requests.
+	 * Updates the load of an engine. Polls all requests soon if the engine begins to
+	 * drain, and places those that wait if it has capacity for more than before; with
+	 * tens of engines, reports arrive far more often than requests.
 	 * @param load load report; ignored if no known target is at its address
 	 */
 	public void updateLoad(EngineLoad load) {
 		switch (this.targetPool.updateLoad(load)) {
-			case LEAVING_CHANGED -> poll();
+			case LEAVING_CHANGED -> this.activeRequests.schedulePoll();
 			case CAPACITY_GAINED -> this.activeRequests.placeWaiting();
 			case NO_GAIN -> {
 			}
@@ -358,7 +358,7 @@
 	public void addRetryLoan(String service) {
 		LogEvent.RETRY_BORROWED.log(logger, service);
 		retryBudget(service).addBorrowed();
-		poll();
+		this.activeRequests.schedulePoll();
 	}
 
 	private void requestRatePermit(Message.RatePermitRequest request) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/GenerationResumerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/GenerationResumerTests.java
@@ -140,6 +140,7 @@
 		this.fixture.advance(GenerationResumer.RETRY_INTERVAL_MILLIS);
 		assertThat(this.fixture.targetClient().copyRequestCount()).isZero();
 		this.fixture.relayService().addRetryLoan("bench");
+		this.fixture.advance(0);
 		answerStop(TargetClient.CopyOutcome.NO_ROOM, "h1");
 		assertThat(sendCount()).isEqualTo(2);
 		assertThat(exchange(1).request().resumeFrom()).isPresent();
@@ -156,6 +157,7 @@
 		assertThat(this.caller.aborted()).isFalse();
 		assertThat(sendCount()).isOne();
 		this.fixture.relayService().addRetryLoan("bench");
+		this.fixture.advance(0);
 		exchange(1).startStream();
 		exchange(1).sendEvent(2);
 		exchange(1).complete();
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/LoadReportTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/LoadReportTests.java
@@ -53,6 +53,7 @@
 		fixture.relayService()
 			.updateLoad(new EngineLoad(engine, "bench", "giza", fixture.engineAddress(engine), 1, 1, 0, 0, 100,
 					RelayFixture.MEMORY_TOKENS, true, 1_500, 0));
+		fixture.advance(0);
 		assertThat(fixture.targetClient().copyRequest(0).stopsFirst()).isTrue();
 		fixture.targetClient().completeCopy(0, TargetClient.CopyOutcome.COPIED, "h1");
 		assertThat(fixture.targetClient().sendCount()).isEqualTo(2);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -178,7 +178,15 @@
 		this.targetList
 			.add(new Target(new TargetRegistration(id, serviceName, new InetSocketAddress("10.0.0." + host, 80), "giza",
 					24, leaving, 0, bornMillis, 1), 0, true, dataCentreOut));
+		updateTargets();
+	}
+
+	/**
+	 * Passes on the list of targets, and runs the poll that follows a change.
+	 */
+	private void updateTargets() {
 		this.relayService.updateTargets(this.targetList);
+		this.scheduler.runDue();
 	}
 
 	void listTarget(String id, String serviceName, String version) {
@@ -186,7 +194,7 @@
 		int host = Math.floorMod(id.hashCode(), 250);
 		this.targetList.add(new Target(new TargetRegistration(id, serviceName,
 				new InetSocketAddress("10.0.0." + host, 80), "giza", 24, false, 0, 1, 1, version), 0, true, false));
-		this.relayService.updateTargets(this.targetList);
+		updateTargets();
 		if (serviceName.equals("bench")) {
 			reportLoad(id, 0, 0);
 		}
@@ -201,7 +209,7 @@
 				: List.of();
 		this.relayService.rolloutGate()
 			.update(new RolloutView(List.of("h", "i"), 0, List.of(order), List.of(), decisions));
-		this.relayService.updateTargets(this.targetList);
+		updateTargets();
 	}
 
 	/**
@@ -228,7 +236,7 @@
 
 	void removeTarget(String id) {
 		this.targetList.removeIf((target) -> target.registration().id().equals(id));
-		this.relayService.updateTargets(this.targetList);
+		updateTargets();
 	}
 
 	void reportLoad(String id, int running, long memoryUsed) {
@@ -303,6 +311,13 @@
 		this.scheduler.advance(millis);
 	}
 
+	/**
+	 * Returns the clock, to let time pass in which no task runs.
+	 */
+	Clock.Manual clock() {
+		return this.clock;
+	}
+
 	RecordingTargetClient targetClient() {
 		return this.targetClient;
 	}
