Do not start requests whose cancellation has arrived behind them

A sidecar whose control thread was late ran calls, and started generations at its engine, although the message that cancels them had been received: targets worked for nobody, and a call that has been sent cannot be taken back.

Cause: messages are handled one by one, in order, and a request that is admitted starts at once.

The thread that reads a link now records a cancellation when it arrives. A request that is cancelled by one behind it on its link is dropped, and the cancellation is answered as before: not run. What is handled between stays in order.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
@@ -70,6 +70,8 @@
 
 	private final Calls calls;
 
+	private final PendingCancels pendingCancels = new PendingCancels();
+
 	/**
 	 * Requests refused while draining, taken out of service or without a configuration.
 	 */
@@ -156,6 +158,7 @@
 			this.generations.acknowledge(link, acknowledge);
 			return;
 		}
+		this.pendingCancels.recordReceived(link, message);
 		this.scheduler.execute(() -> handle(link, version, message));
 	}
 
@@ -174,6 +177,7 @@
 	}
 
 	private void handle(Link link, long version, Message message) {
+		this.pendingCancels.removeHandled(link, message);
 		if (message instanceof Message.Hello hello) {
 			handleHello(link, hello);
 			return;
@@ -220,7 +224,9 @@
 			}
 		}
 		else if (message instanceof Message.Invoke invoke) {
-			if (this.calls.isKnown(invoke.call().id()) || acceptsNewWork(link, invoke.call().id())) {
+			String id = invoke.call().id();
+			boolean reserved = this.calls.isKnown(id) && !this.pendingCancels.contains(link, id);
+			if (reserved || acceptsNewWork(link, id)) {
 				this.calls.invoke(link, invoke.call());
 			}
 		}
@@ -242,12 +248,17 @@
 	}
 
 	/**
-	 * Checks whether the target may accept new work, and sends a failure if not.
+	 * Checks whether the target may accept new work, and sends a failure if not. A
+	 * request whose cancellation has been received is dropped: the cancellation is
+	 * answered.
 	 * @param link link on which the request was received
 	 * @param id id of the attempt
-	 * @return {@code false} if the request was refused
+	 * @return {@code false} if the request was refused or dropped
 	 */
 	private boolean acceptsNewWork(Link link, String id) {
+		if (this.pendingCancels.contains(link, id)) {
+			return false;
+		}
 		Optional<Failure> refusal = refusal();
 		refusal.ifPresent((failure) -> {
 			this.refusedCount++;
