--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -1,8 +1,6 @@
 package io.dotterelcrank.process.relay;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -78,8 +76,7 @@
 	/** Whether the holder of the source's KV backup has no room for a last copy. */
 	private boolean backupRefused;
 
-	/** Engines that had no room for a KV copy of the generation. */
-	private final Set<String> fullHolderIds = new HashSet<>();
+	private final KvHolderChoice holderChoice;
 
 	private boolean kvCopyRunning;
 
@@ -96,6 +93,11 @@
 	GenerationResumer(RelayedRequest request, RelayService relayService) {
 		this.request = request;
 		this.relayService = relayService;
+		this.holderChoice = new KvHolderChoice(request, relayService);
+	}
+
+	KvHolderChoice holderChoice() {
+		return this.holderChoice;
 	}
 
 	/**
@@ -115,48 +117,6 @@
 		return this.relayService.obtainsRetryPermit(this.request.service().name());
 	}
 
-	/**
-	 * Chooses the engine that keeps a KV backup of the generation.
-	 * @param chosen engine that will run the generation
-	 * @return the engine, or empty if the service supports no KV backups or no engine is
-	 * known to have enough free memory
-	 */
-	Optional<TrackedTarget> chooseBackupHolder(TrackedTarget chosen) {
-		ServiceSpec service = this.request.service();
-		if (service.engine().filter(ServiceSpec.EngineSpec::supportsKvBackups).isEmpty()) {
-			return Optional.empty();
-		}
-		double usedFraction = this.relayService.targetPool().usedMemoryFraction(service);
-		TrackedTarget holder = chooseHolder(chosen,
-				kvCopyDemand(chosen).withMaxMemoryFraction(BackupPolicy.maxMemoryFraction(usedFraction)));
-		return Optional.ofNullable(holder).filter((engine) -> engine.load() != null);
-	}
-
-	/**
-	 * Returns the resources that a KV backup or KV copy of the generation needs.
-	 * @param engine engine that runs the generation
-	 * @return demand that prefers the engine's data centre
-	 */
-	private PlacementStrategy.Demand kvCopyDemand(TrackedTarget engine) {
-		double copySecondsPerToken = this.request.service()
-			.engine()
-			.map(ServiceSpec.EngineSpec::copySecondsPerToken)
-			.orElse(0.0);
-		return this.request.demand().forKvCopy(engine.membership().registration().dataCentre(), copySecondsPerToken);
-	}
-
-	/**
-	 * Chooses another engine to hold a KV backup or KV copy of the generation.
-	 * @param engine engine that runs the generation
-	 * @param demand resources that the backup or copy needs
-	 * @return the chosen engine, or {@code null} if none has the capacity
-	 */
-	private TrackedTarget chooseHolder(TrackedTarget engine, PlacementStrategy.Demand demand) {
-		return this.relayService.targetPool()
-			.chooseHolder(this.request.service(), demand, engine, this.fullHolderIds)
-			.orElse(null);
-	}
-
 	/**
 	 * Records where the generation runs.
 	 * @param attempt attempt that was sent without a KV copy, or whose stream has started
@@ -309,7 +269,7 @@
 	private void stopFailed() {
 		this.backupRefused = this.stop.refused();
 		if (this.backupRefused) {
-			this.source.backupHolder().ifPresent((holder) -> this.fullHolderIds.add(holder.id()));
+			this.source.backupHolder().ifPresent(this.holderChoice::recordFull);
 		}
 		recordSkip("unstopped", this.stop.refused() ? "holder-full" : "source-unresponsive");
 		this.stop = null;
@@ -364,31 +324,19 @@
 	 * another copy; the last case is checked again at the next poll.
 	 */
 	private void startKvCopyIfPossible() {
-		TrackedTarget holder = chooseKvCopyHolder();
-		if (holder == null) {
+		Optional<TargetRegistration> holder = this.holderChoice.forCopy(this.source.target());
+		if (holder.isEmpty()) {
 			recordSkip("leaving", "no-holder");
 			return;
 		}
 		if (this.source.target().tryReserveKvCopy()) {
-			sendCopyRequest(holder.membership().registration());
+			sendCopyRequest(holder.get());
 		}
 		else {
 			this.nextTryMillis = this.request.now();
 		}
 	}
 
-	/**
-	 * Chooses the engine that gets the KV copy. If no engine has enough free memory for
-	 * the whole generation, memory for its prompt is enough: without a KV copy the
-	 * generation is lost.
-	 * @return the engine, or {@code null} if none has enough free memory
-	 */
-	private TrackedTarget chooseKvCopyHolder() {
-		TrackedTarget engine = this.source.target();
-		TrackedTarget holder = chooseHolder(engine, kvCopyDemand(engine));
-		return (holder != null) ? holder : chooseHolder(engine, kvCopyDemand(engine).forPromptOnly());
-	}
-
 	private void recordSkip(String cause, String reason) {
 		if (this.skipReportedFor != this.source) {
 			this.skipReportedFor = this.source;
@@ -431,7 +379,7 @@
 	 */
 	private void kvCopyEnded(TargetRegistration holder, TargetClient.CopyResult result) {
 		if (result.outcome() == TargetClient.CopyOutcome.NO_ROOM) {
-			this.fullHolderIds.add(holder.id());
+			this.holderChoice.recordFull(holder);
 		}
 		if (result.outcome() == TargetClient.CopyOutcome.COPIED && result.handle().isPresent()) {
 			TargetRequest.KvCopy copy = new TargetRequest.KvCopy(holder,
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -193,7 +193,8 @@
 				|| !this.relayService.targetPool().allowsSend(chosen, this.service, this.relayService.entryHosts())) {
 			return false;
 		}
-		Optional<TrackedTarget> backupHolder = resumable() ? this.resumer.chooseBackupHolder(chosen) : Optional.empty();
+		Optional<TrackedTarget> backupHolder = resumable() ? this.resumer.holderChoice().forBackup(chosen)
+				: Optional.empty();
 		RelayAttempt attempt = this.attempts.send(chosen, backupHolder, resumeFrom, cause);
 		if (resumeFrom.isEmpty()) {
 			this.resumer.updateSource(attempt);
