Try a resume that an engine has refused again while its caller waits

Callers saw their stream cut beside planned work (LOST): its engine had been stopped for a hand-over, and the engine with the KV backup answered the resume with 503, not run.

Cause: a copy counted as used up once a resume from it was sent or skipped, whatever came of it. One refusal, one failed connection or a holder whose rate was used up for the moment ended the generation.

A refused resume does not use its handle, and a backup stays with its holder. Each try takes a retry permit. A refusal by another incarnation (421) and a holder that drains or is gone remain final. A last copy that arrives meanwhile is used at once; one that was refused is freed when the generation goes on from another.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/ActiveRequests.java
@@ -68,7 +68,7 @@
 		List<PolledRequest> polled = new ArrayList<>();
 		for (RelayedRequest request : List.copyOf(this.active)) {
 			if (!this.unpolled.contains(request)) {
-				run(request, () -> polled.add(new PolledRequest(request, request.copyPriority())));
+				run(request, () -> polled.add(new PolledRequest(request, request.resumer().workSavedPerCopiedToken())));
 			}
 		}
 		polled.sort(Comparator.comparingDouble(PolledRequest::copyPriority).reversed());
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -61,6 +61,9 @@
 	/** Value of an output token in prompt tokens, as the users weigh it. */
 	private static final double OUTPUT_TOKEN_WEIGHT = 10;
 
+	/** Reason to skip a resume at an engine that gets no requests for the moment. */
+	private static final String HOLDER_REFUSES_WORK = "holder-refuses-work";
+
 	private static final Logger logger = LoggerFactory.getLogger(GenerationResumer.class);
 
 	private final RelayedRequest request;
@@ -136,9 +139,12 @@
 	 * Returns the benefit of copying this generation before others, for the case that an
 	 * engine stops before all its generations are copied.
 	 * @return weighted size of the generation per token to copy; output counts tenfold
-	 * since it takes that much longer
+	 * since it takes that much longer; 0 before the first plan
 	 */
 	double workSavedPerCopiedToken() {
+		if (this.request.route() == null) {
+			return 0;
+		}
 		return this.request.request().traits().map((traits) -> {
 			double copiedTokens = traits.promptTokens() + this.request.lastEventId() * this.request.tokensPerEvent();
 			return (traits.promptTokens() + OUTPUT_TOKEN_WEIGHT * traits.maxTokens()) / Math.max(1, copiedTokens);
@@ -255,6 +261,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the stopped generation waits until a refused resume is made again.
+	 * @return {@code false} once it is due
+	 */
+	boolean pauses() {
+		return this.stop != null && this.stop.pauses();
+	}
+
 	private boolean sourceActive() {
 		return this.source != null && this.source.active();
 	}
@@ -292,7 +306,19 @@
 		if (!obtainsRetryPermit()) {
 			return "over-budget";
 		}
-		return acceptsResume(holder.get()) ? null : "holder-refuses-work";
+		return acceptsResume(holder.get()) ? null : HOLDER_REFUSES_WORK;
+	}
+
+	private boolean mayAcceptLater(TargetRequest.KvCopy copy) {
+		return this.relayService.targetPool()
+			.find(copy.holder().id())
+			.filter(TrackedTarget::acceptsNewWork)
+			.isPresent();
+	}
+
+	private void giveBackCopy() {
+		this.stop.giveBackCopy();
+		this.permitDeadlineMillis = 0;
 	}
 
 	private boolean logSkip(TargetRequest.KvCopy copy, String cause, String reason) {
@@ -311,6 +337,9 @@
 			reason = this.request.trySend(holder, Optional.of(copy), cause) ? null : "content-refused";
 		}
 		if (logSkip(copy, cause, reason)) {
+			if (HOLDER_REFUSES_WORK.equals(reason) && mayAcceptLater(copy)) {
+				giveBackCopy();
+			}
 			return false;
 		}
 		LogEvent.RESUME_STARTED.log(logger, this.request.id(), this.source.target().id(), copy.holder().id(), cause,
@@ -397,7 +426,7 @@
 
 	/**
 	 * Records that an attempt has failed. A resumed one that may run becomes the one that
-	 * is to be stopped.
+	 * is to be stopped; one that was refused is made again after a pause.
 	 * @param attempt the attempt
 	 * @param ran whether its engine has run the request
 	 */
@@ -415,6 +444,9 @@
 			this.request.attempts().cancelAllExcept(attempt);
 			updateSource(attempt);
 		}
+		else if (!attempt.misdirected()) {
+			giveBackCopy();
+		}
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -134,6 +134,14 @@
 		return this.active;
 	}
 
+	/**
+	 * Returns whether another target than the expected one has responded.
+	 * @return {@code false} before the response
+	 */
+	boolean misdirected() {
+		return this.head != null && this.head.misdirected();
+	}
+
 	/**
 	 * Records the time until the first event.
 	 * @param statistics statistics of the service
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -220,12 +220,8 @@
 		return this.relayService.clock().millis();
 	}
 
-	/**
-	 * Returns the priority among generations to be copied off a draining engine.
-	 * @return priority; the highest is copied first, 0 before the first plan
-	 */
-	double copyPriority() {
-		return (this.route != null) ? this.resumer.workSavedPerCopiedToken() : 0;
+	GenerationResumer resumer() {
+		return this.resumer;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SourceStop.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SourceStop.java
@@ -1,6 +1,7 @@
 package io.dotterelcrank.process.relay;
 
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -72,6 +73,12 @@
 	/** Made after the stop; empty until then, and once it was used. */
 	private Optional<TargetRequest.KvCopy> lastCopy = Optional.empty();
 
+	/** Copies that were used in vain, as their holder refused the generation. */
+	private final RefusedCopies refusedCopies;
+
+	/** Copy that was taken last; empty before, and if it was given back. */
+	private Optional<TargetRequest.KvCopy> taken = Optional.empty();
+
 	private boolean awaitsAnswer;
 
 	private boolean stopped;
@@ -97,6 +104,7 @@
 		this.holder = earlierCopy.holder();
 		this.earlierCopy = Optional.of(earlierCopy);
 		this.cause = cause;
+		this.refusedCopies = new RefusedCopies(request);
 		this.startedMillis = request.now();
 	}
 
@@ -205,12 +213,15 @@
 	}
 
 	/**
-	 * Frees the memory of the last copy if the generation goes on from an earlier one.
+	 * Frees the memory of a last copy from which the generation does not go on.
 	 */
 	void freeUnusedCopy() {
-		this.lastCopy
-			.ifPresent((copy) -> this.relayService.targetClient().freeKvCopy(copy.handleOwner(), copy.handle()));
+		Stream.concat(this.lastCopy.stream(), this.refusedCopies.stream())
+			.filter((copy) -> !copy.handleOwner().equals(copy.holder()) && !this.taken.equals(Optional.of(copy)))
+			.distinct()
+			.forEach((copy) -> this.relayService.targetClient().freeKvCopy(copy.handleOwner(), copy.handle()));
 		this.lastCopy = Optional.empty();
+		this.refusedCopies.clear();
 	}
 
 	/**
@@ -260,33 +271,63 @@
 
 	/**
 	 * Takes the copy from which to resume.
-	 * @return the newest copy that was not yet taken, or empty
+	 * @return the newest copy that was not yet taken, else one whose holder refused it a
+	 * while ago, or empty
 	 */
 	Optional<TargetRequest.KvCopy> takeCopy() {
-		Optional<TargetRequest.KvCopy> taken = this.lastCopy.or(() -> this.earlierCopy);
+		Optional<TargetRequest.KvCopy> copy = this.lastCopy.or(() -> this.earlierCopy);
 		if (this.lastCopy.isPresent()) {
 			this.lastCopy = Optional.empty();
 		}
-		else {
+		else if (this.earlierCopy.isPresent()) {
 			this.earlierCopy = Optional.empty();
 		}
-		return taken;
+		else {
+			copy = this.refusedCopies.take();
+		}
+		this.taken = copy;
+		return copy;
 	}
 
 	/**
-	 * Returns whether another copy can be taken, now or once the engine has answered.
-	 * @return {@code false} if all were used
+	 * Gives the copy that was taken last back, since its holder does not go on with the
+	 * generation now; it keeps the memory and may do so later.
+	 */
+	void giveBackCopy() {
+		this.taken.ifPresent((copy) -> this.refusedCopies.add(copy, pausedMillis(copy.holder())));
+		this.taken = Optional.empty();
+	}
+
+	private long pausedMillis(TargetRegistration target) {
+		return this.relayService.targetPool()
+			.find(target.id())
+			.map((tracked) -> tracked.rateGate().pausedMillis())
+			.orElse(0L);
+	}
+
+	/**
+	 * Returns whether another copy can be taken, now or later.
+	 * @return {@code false} if all were used, and refused for as long as callers wait
 	 */
 	boolean mayBringCopy() {
-		return this.awaitsAnswer || this.lastCopy.isPresent() || this.earlierCopy.isPresent();
+		return this.awaitsAnswer || this.lastCopy.isPresent() || this.earlierCopy.isPresent()
+				|| this.refusedCopies.pending();
 	}
 
 	/**
 	 * Returns whether a copy can be taken now.
-	 * @return {@code false} if all known ones were used
+	 * @return {@code false} if all known ones were used, or refused a moment ago
 	 */
 	boolean hasCopy() {
-		return this.lastCopy.isPresent() || this.earlierCopy.isPresent();
+		return this.lastCopy.isPresent() || this.earlierCopy.isPresent() || this.refusedCopies.due();
+	}
+
+	/**
+	 * Returns whether a refused copy is to be tried again, but not yet.
+	 * @return {@code false} once it is due
+	 */
+	boolean pauses() {
+		return this.refusedCopies.pending() && !this.refusedCopies.due();
 	}
 
 	String cause() {
