Keep to the backup of a broken stream though its holder is refused for the moment

Callers saw a stream cut as soon as its engine was lost, though another engine kept its KV backup.

Cause: the decision whether a backup is preferred to a KV copy, which a running stream can wait for, was also the last word on a broken one. It left the backup out for a second after the holder had refused any other request or connection, while the holder named a Retry-After or had reached its rate, and for good once the holder had had no room for a last copy, which says nothing of the backup. A KV copy whose source broke off meanwhile was thrown away for the same reasons.

A broken stream now starts from any copy whose holder is known and accepts work; whether the holder gets the request now or after a pause is decided when the former engine has stopped. A running stream decides as before.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -205,12 +205,37 @@
 		return (gapGoalMillis > 0) ? STALL_GAPS * gapGoalMillis : DEFAULT_STALL_TIMEOUT_MILLIS;
 	}
 
+	/**
+	 * Returns the KV backup of a generation that goes on if it is not used.
+	 * @return the backup; empty if its holder may refuse it for the moment
+	 */
 	private Optional<TargetRequest.KvCopy> usableBackup() {
+		return backup().filter((copy) -> !this.backupRefused)
+			.filter((copy) -> this.relayService.targetPool()
+				.find(copy.holder().id())
+				.filter((holder) -> !holder.inBackoff() && acceptsResume(holder))
+				.isPresent());
+	}
+
+	private Optional<TargetRequest.KvCopy> backup() {
 		return this.source.backupHolder()
-			.flatMap((registration) -> this.relayService.targetPool().find(registration.id()))
-			.filter((holder) -> !this.backupRefused && !holder.inBackoff() && acceptsResume(holder))
-			.map((holder) -> holder.membership().registration())
-			.map((registration) -> new TargetRequest.KvCopy(registration, registration, this.request.id()));
+			.map((registration) -> new TargetRequest.KvCopy(registration, registration, this.request.id()))
+			.filter(this::mayBeResumed);
+	}
+
+	/**
+	 * Returns whether the holder of a copy accepts work, now or once it has room or wants
+	 * requests again.
+	 * @param copy the copy
+	 * @return {@code false} if the holder drains or is no longer known, or its version
+	 * gets no requests
+	 */
+	private boolean mayBeResumed(TargetRequest.KvCopy copy) {
+		return this.relayService.targetPool()
+			.find(copy.holder().id())
+			.filter(TrackedTarget::acceptsNewWork)
+			.filter(this.relayService.rolloutGate()::allows)
+			.isPresent();
 	}
 
 	private boolean acceptsResume(TrackedTarget holder) {
@@ -309,13 +334,6 @@
 		return acceptsResume(holder.get()) ? null : HOLDER_REFUSES_WORK;
 	}
 
-	private boolean mayAcceptLater(TargetRequest.KvCopy copy) {
-		return this.relayService.targetPool()
-			.find(copy.holder().id())
-			.filter(TrackedTarget::acceptsNewWork)
-			.isPresent();
-	}
-
 	private void giveBackCopy() {
 		this.stop.giveBackCopy();
 		this.permitDeadlineMillis = 0;
@@ -337,7 +355,7 @@
 			reason = this.request.trySend(holder, Optional.of(copy), cause) ? null : "content-refused";
 		}
 		if (logSkip(copy, cause, reason)) {
-			if (HOLDER_REFUSES_WORK.equals(reason) && mayAcceptLater(copy)) {
+			if (HOLDER_REFUSES_WORK.equals(reason) && mayBeResumed(copy)) {
 				giveBackCopy();
 			}
 			return false;
@@ -414,7 +432,8 @@
 			TargetRequest.KvCopy copy = new TargetRequest.KvCopy(holder,
 					this.source.target().membership().registration(), result.handle().get());
 			this.nextTryMillis = this.request.now() + RETRY_INTERVAL_MILLIS;
-			if (!logSkip(copy, "moved", skipReason(copy))) {
+			boolean skipped = logSkip(copy, "moved", skipReason(copy));
+			if (!skipped || (!sourceActive() && mayBeResumed(copy))) {
 				startStop(copy, "moved");
 				return;
 			}
@@ -463,7 +482,7 @@
 		if (this.kvCopyRunning) {
 			return;
 		}
-		Optional<TargetRequest.KvCopy> backup = usableBackup();
+		Optional<TargetRequest.KvCopy> backup = backup();
 		if (backup.isEmpty()) {
 			this.request.endInFailure(ResultCode.TARGET_LOST, reason);
 			return;
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RefusedResumeTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RefusedResumeTests.java
@@ -211,4 +211,59 @@
 		assertThat(this.targetClient.freedCopies()).containsExactly("h1");
 	}
 
+	/** The stream was cut, as its backup was left out for a second. */
+	@Test
+	void streamOfALostEngineGoesOnThoughItsHolderHasRefusedAnotherRequest() {
+		this.fixture.relayService().targetPool().find(holderId()).orElseThrow().backOff(1_000);
+		exchange(0).fail(Ran.UNKNOWN);
+		assertThat(this.caller.aborted()).isFalse();
+		answerStop(TargetClient.CopyOutcome.UNKNOWN_RUN, null);
+		assertThat(exchange(1).request().target().id()).isEqualTo(holderId());
+		assertGoesOnAt(1);
+	}
+
+	@Test
+	void streamOfALostEngineGoesOnThoughItsHolderWantsNoRequestsForAMoment() {
+		this.fixture.relayService().targetPool().find(holderId()).orElseThrow().rateGate().pause(600);
+		exchange(0).fail(Ran.UNKNOWN);
+		answerStop(TargetClient.CopyOutcome.UNKNOWN_RUN, null);
+		advanceByPolls(500);
+		assertThat(this.targetClient.sendCount()).isOne();
+		assertThat(this.caller.aborted()).isFalse();
+		advanceByPolls(1_000);
+		assertGoesOnAt(1);
+	}
+
+	/** The stream was cut though its backup was there: only a last copy had no room. */
+	@Test
+	void streamOfALostEngineGoesOnThoughItsHolderHadNoRoomForALastCopy() {
+		this.fixture.advance(GenerationResumer.MIN_STREAM_MILLIS);
+		this.fixture.listTarget(exchange(0).request().target().id(), "bench", true);
+		answerStop(TargetClient.CopyOutcome.NO_ROOM, null);
+		exchange(0).fail(Ran.UNKNOWN);
+		assertThat(this.caller.aborted()).isFalse();
+		answerStop(TargetClient.CopyOutcome.UNKNOWN_RUN, null);
+		assertThat(exchange(1).request().resumeFrom().orElseThrow().handle()).isEqualTo("attempt-1");
+		assertGoesOnAt(1);
+	}
+
+	/** The copy was thrown away, and with it the stream. */
+	@Test
+	void streamThatBreaksDuringItsKvCopyGoesOnThoughTheHolderWantsNoRequestsForAMoment() {
+		this.fixture.advance(GenerationResumer.MIN_STREAM_MILLIS);
+		this.fixture.listTarget(exchange(0).request().target().id(), "bench", true);
+		answerStop(TargetClient.CopyOutcome.NO_ROOM, null);
+		advanceByPolls(GenerationResumer.RETRY_INTERVAL_MILLIS + RelayService.POLL_MILLIS);
+		String copyHolderId = this.targetClient.copyRequest(1).holder().id();
+		this.fixture.relayService().targetPool().find(copyHolderId).orElseThrow().rateGate().pause(600);
+		this.fixture.listTarget(holderId(), "bench", true);
+		exchange(0).fail(Ran.UNKNOWN);
+		this.targetClient.completeCopy(1, TargetClient.CopyOutcome.COPIED, "h1");
+		assertThat(this.caller.aborted()).isFalse();
+		answerStop(TargetClient.CopyOutcome.UNKNOWN_RUN, null);
+		advanceByPolls(1_500);
+		assertThat(exchange(1).request().resumeFrom().orElseThrow().handle()).isEqualTo("h1");
+		assertGoesOnAt(1);
+	}
+
 }
