Ask a stopped engine for its last copy again, and for another holder

A generation whose connection broke while its engine ran on was cut after four seconds if its holder had no room: the engine does not stop for a full holder, and was asked for the same one each time.

Cause: one call was made with one holder. Its timeout, and an answer that names the memory that the engine keeps, counted as stopped and as the end of what a last copy could bring.

A stopped engine whose copy is outstanding is asked every 0.2 s while the caller waits and nothing else is at hand, and for another engine once one had no room. A call says what is known already in the protocol: 409 while the copy is made, 404 if there is nothing to copy.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RefusedCopies.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RefusedCopies.java
@@ -40,7 +40,7 @@
 
 	private long nextTryMillis;
 
-	/** When the caller gives up; 0 before the first refusal. */
+	/** When the caller gives up; 0 before its wait is counted. */
 	private long endMillis;
 
 	RefusedCopies(RelayedRequest request) {
@@ -55,14 +55,29 @@
 	 */
 	void add(TargetRequest.KvCopy copy, long holderPauseMillis) {
 		long nowMillis = this.request.now();
-		if (this.endMillis == 0) {
-			this.endMillis = nowMillis + patienceMillis(this.request.route()) - this.request.silentMillis();
-		}
+		startWaiting();
 		this.nextTryMillis = nowMillis + Math.max(this.pauseMillis, holderPauseMillis);
 		this.pauseMillis = Math.min(2 * this.pauseMillis, MAX_PAUSE_MILLIS);
 		this.copies.add(copy);
 	}
 
+	/**
+	 * Begins to count how long the caller waits, unless it was begun before.
+	 */
+	void startWaiting() {
+		if (this.endMillis == 0) {
+			this.endMillis = this.request.now() + patienceMillis(this.request.route()) - this.request.silentMillis();
+		}
+	}
+
+	/**
+	 * Returns whether the caller waits for the stream to go on.
+	 * @return {@code false} once it gives up
+	 */
+	boolean callerWaits() {
+		return this.request.now() < this.endMillis;
+	}
+
 	private static long patienceMillis(Route route) {
 		return Math.max(MIN_PATIENCE_MILLIS, Math.max(PATIENCE_LATENCY_GOALS * route.latencyGoalMillis(),
 				PATIENCE_GAP_GOALS * route.gapGoalMillis()));
@@ -73,7 +88,7 @@
 	 * @return {@code false} if there is none or the caller has given up
 	 */
 	boolean pending() {
-		return !this.copies.isEmpty() && this.request.now() < this.endMillis;
+		return !this.copies.isEmpty() && callerWaits();
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SourceStop.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SourceStop.java
@@ -14,9 +14,10 @@
  * Stops the engine that runs a generation before the generation goes on elsewhere. The
  * engine is asked for a last KV copy, before which the run ends; closing its connection
  * is no certain stop. Addresses engines that go on after their connection is closed, that
- * are preempted or paused, or whose connection breaks while they run on. Invariant: the
- * generation counts as stopped only if its engine has said so or closed the stream after
- * it was asked, or cannot be reached. Confined to the traffic thread.
+ * are preempted or paused, or whose connection breaks while they run on, and holders
+ * without room: another one is named while the caller waits. Invariant: the generation
+ * counts as stopped only if its engine has said so or closed the stream after it was
+ * asked, or cannot be reached. Confined to the traffic thread.
  */
 final class SourceStop {
 
@@ -60,8 +61,11 @@
 
 	private final RelayAttempt source;
 
-	/** Holder of the copies. */
-	private final TargetRegistration holder;
+	/** Engine that is to hold the last copy. */
+	private TargetRegistration holder;
+
+	/** Whether that engine has no room, so that another one is named next. */
+	private boolean holderFull;
 
 	private final String cause;
 
@@ -95,6 +99,12 @@
 	/** When the next step may be taken. */
 	private long nextStepMillis;
 
+	/** Whether the engine may have stopped and keep memory that was not copied. */
+	private boolean copyOutstanding;
+
+	/** When a stopped engine may be asked for its memory again. */
+	private long nextCopyMillis;
+
 	private SourceStop(GenerationResumer resumer, RelayedRequest request, RelayService relayService,
 			RelayAttempt source, TargetRequest.KvCopy earlierCopy, String cause) {
 		this.resumer = resumer;
@@ -139,6 +149,7 @@
 	}
 
 	private void ask() {
+		nameAnotherHolderIfFull();
 		this.awaitsAnswer = true;
 		this.source.setStopExpected(true);
 		long startedMillis = this.request.now();
@@ -149,6 +160,15 @@
 				.run(this.request, () -> handleResult(result, this.request.now() - startedMillis)));
 	}
 
+	private void nameAnotherHolderIfFull() {
+		if (this.holderFull) {
+			this.holderFull = false;
+			KvHolderChoice choice = this.resumer.holderChoice();
+			choice.recordFull(this.holder);
+			choice.forCopy(this.source.target()).ifPresent((other) -> this.holder = other);
+		}
+	}
+
 	private void handleResult(TargetClient.CopyResult result, long millis) {
 		this.awaitsAnswer = false;
 		LogEvent.SOURCE_STOP_ENDED.log(logger, this.request.id(), this.source.target().id(), this.cause,
@@ -172,18 +192,26 @@
 			case NO_ROOM -> recordNoRoom(result);
 			case UNKNOWN_RUN -> recordUnknownRun();
 			case UNREACHABLE -> recordUnreachable();
-			default -> {
-				// It may have stopped, or a copy that was begun before goes on.
-			}
+			default -> recordCopyOutstanding(); // Or a copy that was begun before goes
+												// on.
 		}
+		this.nextCopyMillis = this.request.now() + RETRY_INTERVAL_MILLIS;
 		if (!this.stopped) {
 			this.nextStepMillis = this.request.now() + RETRY_INTERVAL_MILLIS;
 			this.source.setStopExpected(this.unanswered);
 		}
 	}
 
+	private void recordCopyOutstanding() {
+		this.copyOutstanding = true;
+		if (this.stopped) {
+			this.refusedCopies.startWaiting();
+		}
+	}
+
 	private void recordStopped(TargetClient.CopyResult result) {
 		this.stopped = true;
+		this.copyOutstanding = false;
 		this.lastCopy = result.handle()
 			.map((handle) -> new TargetRequest.KvCopy(this.holder, this.source.target().membership().registration(),
 					handle));
@@ -195,12 +223,17 @@
 	 * @param result answer of the engine
 	 */
 	private void recordNoRoom(TargetClient.CopyResult result) {
-		this.stopped = this.stopped || result.handle().isPresent();
+		this.holderFull = true;
+		if (result.handle().isPresent()) {
+			this.stopped = true;
+			recordCopyOutstanding();
+		}
 		this.refused = !this.stopped;
 	}
 
 	private void recordUnknownRun() {
 		this.stopped = true;
+		this.copyOutstanding = false;
 		// A stream that was not stopped has ended by itself.
 		this.source.setStopExpected(this.unanswered);
 		this.nextStepMillis = this.source.active() ? this.request.now() + STREAM_END_MILLIS : 0;
@@ -225,14 +258,27 @@
 	}
 
 	/**
-	 * Asks the engine again if its last answer was not clear.
+	 * Asks the engine again if its last answer was not clear, or if it has stopped and
+	 * keeps memory from which the generation may go on.
 	 */
 	void poll() {
-		if (!this.stopped && !this.awaitsAnswer && !failed() && this.request.now() >= this.nextStepMillis) {
+		boolean stopDue = !this.stopped && !failed() && this.request.now() >= this.nextStepMillis;
+		boolean copyDue = awaitsCopy() && this.request.now() >= this.nextCopyMillis;
+		if (!this.awaitsAnswer && (stopDue || copyDue)) {
 			ask();
 		}
 	}
 
+	/**
+	 * Returns whether the stopped generation has nothing better to go on from than memory
+	 * that its engine keeps.
+	 * @return {@code false} once its caller gives up
+	 */
+	private boolean awaitsCopy() {
+		return this.stopped && this.copyOutstanding && this.lastCopy.isEmpty() && this.earlierCopy.isEmpty()
+				&& this.refusedCopies.callerWaits();
+	}
+
 	/**
 	 * Records that the stream has ended without the end of the generation.
 	 */
@@ -311,7 +357,7 @@
 	 */
 	boolean mayBringCopy() {
 		return this.awaitsAnswer || this.lastCopy.isPresent() || this.earlierCopy.isPresent()
-				|| this.refusedCopies.pending();
+				|| this.refusedCopies.pending() || awaitsCopy();
 	}
 
 	/**
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RefusedResumeTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RefusedResumeTests.java
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.Ran;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -266,4 +267,70 @@
 		assertGoesOnAt(1);
 	}
 
+	/** Nobody asked for the last copy again once the call was given up. */
+	@Test
+	void lastCopyThatIsNotAnsweredInTimeIsAskedForAgain() {
+		drainAndStop();
+		exchange(1).refuse(503);
+		answerStop(TargetClient.CopyOutcome.UNANSWERED, null);
+		advanceByPolls(SourceStop.RETRY_INTERVAL_MILLIS);
+		answerStop(TargetClient.CopyOutcome.BUSY, null);
+		exchange(2).refuse(503);
+		advanceByPolls(SourceStop.RETRY_INTERVAL_MILLIS);
+		assertThat(this.targetClient.copyRequestCount()).isEqualTo(3);
+		answerStop(TargetClient.CopyOutcome.COPIED, "h1");
+		assertThat(exchange(3).request().resumeFrom().orElseThrow().handle()).isEqualTo("h1");
+		assertGoesOnAt(3);
+		assertThat(this.targetClient.freedCopies()).isEmpty();
+	}
+
+	/** The engine kept the memory of the generation, and nobody asked for it. */
+	@Test
+	void lastCopyForWhichTheHolderHadNoRoomIsMadeAtAnotherEngine() {
+		drainAndStop();
+		exchange(1).refuse(503);
+		answerStop(TargetClient.CopyOutcome.NO_ROOM, "h1");
+		advanceByPolls(SourceStop.RETRY_INTERVAL_MILLIS);
+		TargetRegistration other = this.targetClient.copyRequest(1).holder();
+		assertThat(other.id()).isNotEqualTo(holderId());
+		answerStop(TargetClient.CopyOutcome.COPIED, "h2");
+		int last = this.targetClient.sendCount() - 1;
+		exchange(last).refuse(503);
+		assertThat(exchange(last + 1).request().target()).isEqualTo(other);
+		assertThat(exchange(last + 1).request().resumeFrom().orElseThrow().handle()).isEqualTo("h2");
+		assertGoesOnAt(last + 1);
+	}
+
+	/** The same full engine was named for four seconds, and the stream was cut. */
+	@Test
+	void engineThatRunsOnBehindABrokenConnectionForLackOfRoomIsStoppedForAnotherOne() {
+		exchange(0).fail(Ran.UNKNOWN);
+		answerStop(TargetClient.CopyOutcome.NO_ROOM, null);
+		assertThat(this.targetClient.sendCount()).isOne();
+		advanceByPolls(SourceStop.RETRY_INTERVAL_MILLIS);
+		TargetRegistration other = this.targetClient.copyRequest(1).holder();
+		assertThat(other.id()).isNotEqualTo(holderId());
+		answerStop(TargetClient.CopyOutcome.COPIED, "h1");
+		assertThat(exchange(1).request().target()).isEqualTo(other);
+		assertGoesOnAt(1);
+	}
+
+	@Test
+	void engineThatKeepsNoMemoryIsAskedForNoLastCopy() {
+		drainAndStop();
+		exchange(1).refuse(503);
+		answerStop(TargetClient.CopyOutcome.UNKNOWN_RUN, null);
+		advanceByPolls(1_000);
+		assertThat(this.targetClient.copyRequestCount()).isOne();
+	}
+
+	@Test
+	void stoppedEngineIsNotAskedWhileTheGenerationGoesOn() {
+		drainAndStop();
+		answerStop(TargetClient.CopyOutcome.UNANSWERED, null);
+		advanceByPolls(1_000);
+		assertThat(this.targetClient.copyRequestCount()).isOne();
+		assertGoesOnAt(1);
+	}
+
 }
