Do not write a request whose time is over

A request whose deadline passed while the traffic thread was late was written to its target all the same, with the time that had been left when it was placed: the target worked for longer than the caller waits.

Cause: the connection to the target is seen open in the turn in which the deadline is due, before its timer runs. The deadline is now compared right before the first byte is written; the request ends as not run. Found by the review, by reading. AbsentCallerTests#attemptWhoseTimeIsOverIsNotWritten fails without the check; resumeIsNotWritten pins the check of callers for resumes.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -11,6 +11,7 @@
 import io.dotterelcrank.process.membership.TargetRegistration;
 import io.dotterelcrank.request.GenerationTraits;
 import io.dotterelcrank.request.Ran;
+import io.dotterelcrank.request.ResultCode;
 
 /**
  * One attempt of a request at one target. Invariant: it reports at most one result to its
@@ -191,8 +192,8 @@
 	 * unless it had a part of the work from another.
 	 */
 	void abandon() {
-		boolean slow = this.request.now() - this.sentMillis >= this.request.route().latencyGoalMillis()
-				* RetryPolicy.HEDGE_AFTER_GOAL_FRACTION;
+		boolean slow = this.request.now()
+				- this.sentMillis >= this.request.route().latencyGoalMillis() * RetryPolicy.HEDGE_AFTER_GOAL_FRACTION;
 		try {
 			if (slow && !this.outcomeRecorded && !this.resumed) {
 				recordOutcome(false);
@@ -252,6 +253,18 @@
 	@Override
 	public void beforeWrite() {
 		run(this.request.attempts()::endIfCallerLeft);
+		run(this::endIfTimedOut);
+	}
+
+	/**
+	 * Ends the request if its time is over. The timer of the deadline may run after the
+	 * connection to the target is seen open.
+	 */
+	private void endIfTimedOut() {
+		if (this.request.now() >= this.request.timeoutAtMillis()) {
+			this.request.endInFailure(ResultCode.DEADLINE_EXCEEDED,
+					"the deadline passed before the request was written");
+		}
 	}
 
 	@Override
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AbsentCallerTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/AbsentCallerTests.java
@@ -4,6 +4,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.dotterelcrank.request.Ran;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -87,6 +89,29 @@
 		assertThat(this.fixture.targetClient().exchange(0).cancelled()).isTrue();
 	}
 
+	@Test
+	void resumeIsNotWritten() {
+		this.fixture.accept("/notes/1", this.caller);
+		this.fixture.targetClient().exchange(0).beginWrite();
+		this.fixture.targetClient().exchange(0).startStream();
+		this.fixture.targetClient().exchange(0).sendEvent(1);
+		this.fixture.advance(1_500);
+		this.fixture.targetClient().exchange(0).fail(Ran.UNKNOWN);
+		this.fixture.targetClient().completeCopy(0, TargetClient.CopyOutcome.UNKNOWN_RUN, null);
+		assertThat(this.fixture.targetClient().exchange(1).request().resumeFrom()).isPresent();
+		assertNotWrittenAfterCallerLeft(1);
+	}
+
+	@Test
+	void attemptWhoseTimeIsOverIsNotWritten() {
+		this.fixture.accept("/order/1", this.caller);
+		this.fixture.targetClient().exchange(0).markUnwritten();
+		this.fixture.holdThread(60_000);
+		this.fixture.targetClient().exchange(0).beginWrite();
+		assertThat(this.fixture.targetClient().exchange(0).cancelled()).isTrue();
+		assertThat(this.caller.failure().ran()).isEqualTo(Ran.NO);
+	}
+
 	@Test
 	void attemptIsWrittenWhileTheCallerIsConnected() {
 		this.fixture.accept("/order/1", this.caller);
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RelayFixture.java
@@ -307,6 +307,13 @@
 		return this.clock.millis();
 	}
 
+	/**
+	 * Lets time pass in which the traffic thread runs nothing.
+	 */
+	void holdThread(long millis) {
+		this.clock.advance(millis);
+	}
+
 	void advance(long millis) {
 		this.scheduler.advance(millis);
 	}
