Do not count targets as slow that have not received the request

A target whose request was cancelled before its first byte was written, as the caller had left or another attempt had responded meanwhile, was recorded as slow: evidence against its version in a roll-out, though only this host was late.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayAttempt.java
@@ -189,10 +189,10 @@
 	/**
 	 * Cancels the exchange, since the request has ended or another attempt streams. A
 	 * target that was slow to respond is recorded with the time that it has taken so far,
-	 * unless it had a part of the work from another.
+	 * unless it had a part of the work from another or has not received the request.
 	 */
 	void abandon() {
-		boolean slow = this.request.now()
+		boolean slow = writeStarted() && this.request.now()
 				- this.sentMillis >= this.request.route().latencyGoalMillis() * RetryPolicy.HEDGE_AFTER_GOAL_FRACTION;
 		try {
 			if (slow && !this.outcomeRecorded && !this.resumed) {
--- a/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RolloutGateTests.java
+++ b/dotterelcrank-core/src/test/java/io/dotterelcrank/process/relay/RolloutGateTests.java
@@ -253,6 +253,19 @@
 		assertThat(countsAfterNextEvidence().requests()).isEqualTo(2);
 	}
 
+	@Test
+	void targetThatHasNotReceivedTheRequestIsNotCountedAsSlow() {
+		this.fixture.listTarget("old", "desk", "v1");
+		this.fixture.listTarget("old2", "desk", "v1");
+		this.fixture.rollOut(DESK_ORDER, RolloutDecision.Stage.TRIAL);
+		this.fixture.accept("/lookup/1", this.caller);
+		exchange(0).markUnwritten();
+		this.fixture.advance(250);
+		exchange(1).respond(200, "found");
+		assertThat(exchange(0).cancelled()).isTrue();
+		assertThat(countsAfterNextEvidence().requests()).isEqualTo(1);
+	}
+
 	@Test
 	void versionsAreTreatedAlikeWithoutRolloutsInTheDeployment() {
 		RelayFixture disabled = new RelayFixture();
