End calls that wait for a session that has ended

A plain service ran calls, and its sidecar kept admission slots for up to 5 s, for entry processes whose links had closed while the calls waited for admission. Other callers waited longer meanwhile.

Cause: the close of a link was passed on to generations only. Entry processes abandon a reservation, and an idempotent call without a key, when the session ends, and cannot cancel it, as the session is gone.

A sidecar now ends these two kinds of waiting calls when their link closes. Calls with a key and those that are not idempotent stay: their entry process asks for the outcome in a new session. A reservation whose call was lost is still reported as not received.

The test of a waiting call in AbsentCallerTests filled the queue, so that its own call was refused and the test could not fail; it now checks that its call is in the queue.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Calls.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Calls.java
@@ -294,6 +294,21 @@
 		}
 	}
 
+	/**
+	 * Ends the calls that wait for a closed link whose entry process abandons them with
+	 * the session. Whoever still asks for a reserved one learns that its call was not
+	 * received.
+	 * @param link the closed link
+	 */
+	void linkClosed(Link link) {
+		for (CallAttempt attempt : List.copyOf(this.attempts.values())) {
+			if (attempt.link == link && attempt.endsWithSession()) {
+				this.admission.cancel(attempt.id);
+				fail(attempt, Failure.notRun(ResultCode.NOT_RECEIVED, "the call was not received"));
+			}
+		}
+	}
+
 	/**
 	 * Admits waiting calls that fit now, and refuses those that waited too long.
 	 */
@@ -378,6 +393,16 @@
 			this.deadlineMillis = nowMillis + receivedCall.deadlineMillis();
 		}
 
+		/**
+		 * Returns whether the attempt was not sent, and is a reservation or may be sent
+		 * elsewhere without asking for its outcome.
+		 * @return {@code true} if it ends with the session of its entry process
+		 */
+		private boolean endsWithSession() {
+			boolean unsent = this.stage == Stage.WAITING || this.stage == Stage.RESERVED;
+			return unsent && (this.call == null || this.call.idempotent() && !this.call.hasIdempotencyKey());
+		}
+
 		private void send(Message message) {
 			this.link.send(message);
 		}
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Sidecar.java
@@ -172,7 +172,7 @@
 		this.exchange.remove(link);
 		this.scheduler.execute(() -> {
 			this.sessions.linkClosed(link);
-			this.generations.linkClosed(link);
+			endSession(link);
 		});
 	}
 
@@ -203,12 +203,17 @@
 		if (result.replaced() != null) {
 			this.exchange.remove(result.replaced());
 			result.replaced().close();
-			this.generations.linkClosed(result.replaced());
+			endSession(result.replaced());
 		}
 		link.send(new Message.Welcome(this.identity.target(), this.identity.incarnation(), currentLoad()));
 		this.exchange.add(link);
 	}
 
+	private void endSession(Link link) {
+		this.generations.linkClosed(link);
+		this.calls.linkClosed(link);
+	}
+
 	private void dispatch(Link link, Message message) {
 		if (message instanceof Message.Generate generate) {
 			if (acceptsNewWork(link, generate.generation().id())) {
--- a/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/AbsentCallerTests.java
+++ b/dotterelcrank-standin/src/test/java/io/dotterelcrank/standin/AbsentCallerTests.java
@@ -25,7 +25,7 @@
 class AbsentCallerTests {
 
 	/** More calls than a service runs at a time. */
-	private static final int OCCUPYING_CALLS = 200;
+	private static final int MAX_OCCUPYING_CALLS = 200;
 
 	private final VirtualFleet fleet = VirtualFleet.of(VirtualFleet.Options.defaults());
 
@@ -42,8 +42,12 @@
 	}
 
 	private RequestHandle call(String method, String body) {
+		return call(method, body, 60_000);
+	}
+
+	private RequestHandle call(String method, String body, long deadlineMillis) {
 		return entry().call(new ServiceCall("", "w", VirtualFleet.SERVICE, Priority.NORMAL, "", method, "/bookings",
-				List.of(), body.getBytes(StandardCharsets.UTF_8), 60_000), new TestServiceCaller());
+				List.of(), body.getBytes(StandardCharsets.UTF_8), deadlineMillis), new TestServiceCaller());
 	}
 
 	@ParameterizedTest
@@ -70,13 +74,15 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "GET", "POST" })
 	void callThatWaitsAtItsTargetIsNotRunOnceItsCallerHasLeft(String method) {
-		for (int i = 0; i < OCCUPYING_CALLS; i++) {
-			call("GET", "present");
+		this.fleet.services().get("service-1").injectFault(ServiceFault.NO_ANSWER);
+		for (int i = 0; i < MAX_OCCUPYING_CALLS && this.fleet.dump("service-1").waiting() == 0; i++) {
+			call("GET", "present", 300);
+			this.fleet.advance(1);
 		}
-		this.fleet.advance(1);
+		this.fleet.services().get("service-1").injectFault(ServiceFault.NONE);
 		RequestHandle absent = call(method, "absent");
 		this.fleet.advance(3);
-		assertThat(this.fleet.dump("service-1").waiting()).isPositive();
+		assertThat(this.fleet.dump("service-1").waiting()).isGreaterThan(1);
 		assertThat(this.fleet.runCount("absent")).isZero();
 		absent.disconnected();
 		this.fleet.advance(10_000);
