Spend few retry permits on a resume that is refused, and free its copies

A missing KV backup is answered like a full engine. A stream that nothing could save took 10 further permits of the budget that all hosts share, and waited on although its holder wanted no requests for longer than its caller waits; the last copy of one whose caller left kept memory at two engines.

The pause before the next try now doubles without a maximum, 5 tries in the 7.2 s that callers of a route with a goal of 1.8 s wait; a stream whose next try would come too late is aborted at once; copies are freed when the request ends.

--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -126,15 +126,20 @@
 	 */
 	void updateSource(RelayAttempt attempt) {
 		this.source = attempt;
-		if (this.stop != null) {
-			this.stop.freeUnusedCopy();
-			this.stop = null;
-		}
+		freeUnusedCopies();
+		this.stop = null;
 		this.permitDeadlineMillis = 0;
 		this.backupRefused = false;
 		this.kvCopyRunning = false;
 	}
 
+	/** Frees the memory of copies from which the generation does not go on. */
+	void freeUnusedCopies() {
+		if (this.stop != null) {
+			this.stop.freeUnusedCopy();
+		}
+	}
+
 	/**
 	 * Returns the benefit of copying this generation before others, for the case that an
 	 * engine stops before all its generations are copied.
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RefusedCopies.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RefusedCopies.java
@@ -10,18 +10,15 @@
 /**
  * Copies of one stopped generation whose holders have refused to go on with it, until
  * they are tried again. Addresses engines that are full for a moment. Invariants: the
- * pause before the next try doubles with each refusal, up to a maximum; nothing is tried
- * any more once the caller has been silent for as long as callers wait. Confined to the
- * traffic thread.
+ * pause before the next try doubles with each refusal, as each takes a retry permit;
+ * nothing is tried any more once the caller has been silent for as long as callers wait.
+ * Confined to the traffic thread.
  */
 final class RefusedCopies {
 
 	/** Pause after the first refusal, in milliseconds. */
 	static final long INITIAL_PAUSE_MILLIS = 200;
 
-	/** Max pause between two refusals, in milliseconds. */
-	private static final long MAX_PAUSE_MILLIS = 800;
-
 	/** Min time without an event after which callers give up, in milliseconds. */
 	private static final long MIN_PATIENCE_MILLIS = 2_000;
 
@@ -57,7 +54,7 @@
 		long nowMillis = this.request.now();
 		startWaiting();
 		this.nextTryMillis = nowMillis + Math.max(this.pauseMillis, holderPauseMillis);
-		this.pauseMillis = Math.min(2 * this.pauseMillis, MAX_PAUSE_MILLIS);
+		this.pauseMillis = 2 * this.pauseMillis;
 		this.copies.add(copy);
 	}
 
@@ -85,10 +82,10 @@
 
 	/**
 	 * Returns whether a copy is to be tried, now or later.
-	 * @return {@code false} if there is none or the caller has given up
+	 * @return {@code false} if there is none or the caller gives up before
 	 */
 	boolean pending() {
-		return !this.copies.isEmpty() && callerWaits();
+		return !this.copies.isEmpty() && callerWaits() && this.nextTryMillis < this.endMillis;
 	}
 
 	/**
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/RelayedRequest.java
@@ -304,7 +304,7 @@
 	/** Frees what the request holds; also what is left after a defect. */
 	private void release() {
 		Defects.runAll(this.deadlineTimer::cancel, this.placement::cancel, this.attempts::cancelAll,
-				() -> this.relayService.requests().remove(this));
+				this.resumer::freeUnusedCopies, () -> this.relayService.requests().remove(this));
 	}
 
 	private void recordEnd(String outcome, String message) {
