Keep no listener for each request of a kept connection

Each call on a kept connection left a close listener that held its body until the connection was closed, and each of them ran then: calls are watched since the callers that left before they were handled are not served.

A connection now has one listener, which knows the request that is served. Found by the review, by reading; without a test of its own, AbsentCallerTests and CallerHandlerTests cover its use.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/DisconnectWatcher.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/http/DisconnectWatcher.java
@@ -5,7 +5,9 @@
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.AttachmentKey;
 import org.xnio.IoUtils;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.ReadReadyHandler;
@@ -41,7 +43,12 @@
 	 * @param onDisconnect called when the connection has closed
 	 */
 	static void watch(HttpServerExchange exchange, Runnable onDisconnect) {
-		exchange.getConnection().addCloseListener((connection) -> onDisconnect.run());
+		DisconnectListener listener = DisconnectListener.of(exchange.getConnection());
+		listener.set(onDisconnect);
+		exchange.addExchangeCompleteListener((completed, next) -> {
+			listener.clear();
+			next.proceed();
+		});
 		if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
 			return;
 		}
@@ -117,6 +124,47 @@
 		return count >= 0;
 	}
 
+	/**
+	 * Listener of the request that a connection serves. Invariant: registered once for a
+	 * connection, whatever the number of its requests, and keeps none that has ended.
+	 * Thread-safe.
+	 */
+	private static final class DisconnectListener {
+
+		private static final AttachmentKey<DisconnectListener> KEY = AttachmentKey.create(DisconnectListener.class);
+
+		private static final Runnable NO_OP = () -> {
+		};
+
+		private volatile Runnable listener = NO_OP;
+
+		/**
+		 * Returns the listener of a connection, which is registered if it has none. Must
+		 * be called on the I/O thread.
+		 * @param connection the connection
+		 * @return the listener
+		 */
+		static DisconnectListener of(ServerConnection connection) {
+			DisconnectListener existing = connection.getAttachment(KEY);
+			if (existing != null) {
+				return existing;
+			}
+			DisconnectListener created = new DisconnectListener();
+			connection.putAttachment(KEY, created);
+			connection.addCloseListener((closed) -> created.listener.run());
+			return created;
+		}
+
+		void set(Runnable onDisconnect) {
+			this.listener = onDisconnect;
+		}
+
+		void clear() {
+			this.listener = NO_OP;
+		}
+
+	}
+
 	/**
 	 * Closes the connection at the end of its input.
 	 */
