Close a connection after its last response only when what has arrived is read

The timer that closes a connection whose output has ended was Netty's own, which runs before the sockets are read if the thread was late. Closing with bytes unread resets the connection, and the caller could lose the response: what the delay is there to avoid. It now runs after the reads. Found by the review, by reading; no test shows the loss.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/CallerConnection.java
@@ -5,7 +5,6 @@
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Queue;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -29,6 +28,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.dotterelcrank.common.LogEvent;
+import io.dotterelcrank.connection.EventLoopTimer;
 import io.dotterelcrank.request.Failure;
 import io.dotterelcrank.request.Ran;
 import io.dotterelcrank.request.ResultCode;
@@ -282,7 +282,7 @@
 	private void closeAfterLastResponse() {
 		((DuplexChannel) this.channel).shutdownOutput();
 		this.channel.config().setAutoRead(true);
-		this.channel.eventLoop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		EventLoopTimer.schedule(this.channel.eventLoop(), LINGER_MILLIS, this.channel::close);
 	}
 
 	private void handlePipelined() {
