Tell the caller of a request if looking for its connection fails

A request that awaits an idle connection looks for it in a task. A defect there was told to nobody, and the request hung until its timeout. Found by the review, by reading.

--- a/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
+++ b/dotterelcrank-daemon/src/main/java/io/dotterelcrank/daemon/relay/PooledHttpClient.java
@@ -259,18 +259,18 @@
 			if (this.cancelled) {
 				return;
 			}
-			Optional<HttpConnection> idle = acquireIdle(this.request.address());
-			if (idle.isPresent()) {
-				this.connection = idle.get();
-				this.connection.assign(this.request, this.listener);
-				this.connection.write();
-				return;
-			}
+			Optional<HttpConnection> idle;
 			try {
-				this.connection = sendOnNewConnection(this.request, this.listener);
+				idle = acquireIdle(this.request.address());
+				this.connection = idle.isPresent() ? idle.get() : sendOnNewConnection(this.request, this.listener);
 			}
 			catch (RuntimeException | Error ex) {
 				this.listener.failed(false, "connection failed: " + ex.getMessage());
+				return;
+			}
+			if (idle.isPresent()) {
+				this.connection.assign(this.request, this.listener);
+				this.connection.write();
 			}
 		}
 
