Wait in tests of absent callers until the close has arrived

Both tests of absent callers now wait until the kernel's tables show no established connection at the host's side. The assertions are unchanged.

--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/http/AbsentCallerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/http/AbsentCallerTests.java
@@ -19,6 +19,7 @@
 import io.dotterelcrank.daemon.embedded.EmbeddedFleet;
 import io.dotterelcrank.daemon.embedded.Sleeper;
 import io.dotterelcrank.daemon.relay.CallerReader;
+import io.dotterelcrank.daemon.relay.LeavingCaller;
 import io.dotterelcrank.process.entry.EntryProcess;
 import io.dotterelcrank.standin.service.ServiceFault;
 
@@ -111,10 +112,7 @@
 			Socket caller = connect();
 			CallerReader.of(caller).send(request);
 			this.held.acquire();
-			if (reset) {
-				caller.setSoLinger(true, 0);
-			}
-			caller.close();
+			LeavingCaller.leave(caller, reset);
 			this.hold.release();
 		}
 	}
--- a/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RequestOfAbsentCallerTests.java
+++ b/dotterelcrank-daemon/src/test/java/io/dotterelcrank/daemon/relay/RequestOfAbsentCallerTests.java
@@ -56,7 +56,7 @@
 		for (int i = 0; i < CALLERS; i++) {
 			callers[i] = kept ? callers[i] : this.fixture.connect();
 			send(callers[i], "/lookup/absent");
-			leave(callers[i], reset);
+			LeavingCaller.leave(callers[i], reset);
 		}
 		hold.countDown();
 		assertAbsentCallersAreNotServed();
@@ -68,7 +68,7 @@
 		Socket caller = this.fixture.connect();
 		send(caller, "/lookup/absent");
 		send(caller, "/lookup/absent");
-		leave(caller, false);
+		LeavingCaller.leave(caller, false);
 		hold.countDown();
 		assertAbsentCallersAreNotServed();
 	}
@@ -80,7 +80,7 @@
 		Socket caller = this.fixture.connect();
 		send(caller, "/lookup/absent");
 		this.mapper.awaitHeld();
-		leave(caller, reset);
+		LeavingCaller.leave(caller, reset);
 		hold.countDown();
 		assertAbsentCallersAreNotServed();
 	}
@@ -113,13 +113,6 @@
 			.write(("GET " + path + " HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
 	}
 
-	private static void leave(Socket caller, boolean reset) throws IOException {
-		if (reset) {
-			caller.setSoLinger(true, 0);
-		}
-		caller.close();
-	}
-
 	private void serve(Socket caller) throws IOException {
 		send(caller, "/lookup/present");
 		assertThat(CallerReader.of(caller).read(false)).isEqualTo("200 s ok");
