--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/ConnectTimeout.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/connection/ConnectTimeout.java
@@ -9,8 +9,9 @@
 
 /**
  * Timeout of connections that are being opened. Invariant: one that is open when its time
- * is over is not failed, read or not. Replaces Netty's own timeout, which runs before the
- * loop has seen that a connection is open, and must be off. Stateless.
+ * is over is not failed, though the loop may see it open later. Replaces Netty's own
+ * timeout, which runs before the loop has seen that a connection is open, and must be
+ * off. Stateless.
  */
 public final class ConnectTimeout {
 
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/GenerationResumer.java
@@ -175,7 +175,7 @@
 		}
 		boolean leaving = this.source.target().leaving() || !this.source.target().membership().listed()
 				|| this.relayService.rolloutGate().isBeingReplaced(this.source.target());
-		if (!leaving && !stalled() || this.request.attempts().endIfCallerLeft()) {
+		if ((!leaving && !stalled()) || this.request.attempts().endIfCallerLeft()) {
 			return;
 		}
 		String cause = leaving ? "leaving" : "silent";
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SourceStop.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/relay/SourceStop.java
@@ -192,8 +192,8 @@
 			case NO_ROOM -> recordNoRoom(result);
 			case UNKNOWN_RUN -> recordUnknownRun();
 			case UNREACHABLE -> recordUnreachable();
-			default -> recordCopyOutstanding(); // Or a copy that was begun before goes
-												// on.
+			// It may have stopped, or a copy that was begun before goes on.
+			default -> recordCopyOutstanding();
 		}
 		this.nextCopyMillis = this.request.now() + RETRY_INTERVAL_MILLIS;
 		if (!this.stopped) {
--- a/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Calls.java
+++ b/dotterelcrank-core/src/main/java/io/dotterelcrank/process/sidecar/Calls.java
@@ -400,7 +400,7 @@
 		 */
 		private boolean endsWithSession() {
 			boolean unsent = this.stage == Stage.WAITING || this.stage == Stage.RESERVED;
-			return unsent && (this.call == null || this.call.idempotent() && !this.call.hasIdempotencyKey());
+			return unsent && (this.call == null || (this.call.idempotent() && !this.call.hasIdempotencyKey()));
 		}
 
 		private void send(Message message) {
